--- /dev/null
+++ b/crates/flamingotrail-config/src/configs/policies.rs
@@ -0,0 +1,74 @@
+//! `[deployment.policies]`.
+
+use flamingotrail_core::objects;
+use serde::Deserialize;
+
+/// Policies by name.
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct PoliciesConfig {
+    /// `fifo` or `least-attained`.
+    pub queue: QueueConfig,
+    /// `round-robin`, `least-outstanding`, `affinity` or `expected-cost`.
+    pub placement: PlacementConfig,
+    /// `engine-only` or `expected-waste`.
+    pub retention: RetentionConfig,
+}
+
+/// Order of an endpoint's queue.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum QueueConfig {
+    /// First come, first served.
+    Fifo,
+    /// Fair shares, then least attained service.
+    #[default]
+    LeastAttained,
+}
+
+/// Choice of endpoint.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum PlacementConfig {
+    /// In turn.
+    RoundRobin,
+    /// Least outstanding calls.
+    LeastOutstanding,
+    /// By hash of the conversation.
+    Affinity,
+    /// Least expected seconds.
+    #[default]
+    ExpectedCost,
+}
+
+/// Cached context during pauses.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum RetentionConfig {
+    /// The engine decides.
+    EngineOnly,
+    /// Hold by expected waste.
+    #[default]
+    ExpectedWaste,
+}
+
+impl From<&PoliciesConfig> for objects::Policies {
+    fn from(config: &PoliciesConfig) -> Self {
+        objects::Policies {
+            queue: match config.queue {
+                QueueConfig::Fifo => objects::QueuePolicy::Fifo,
+                QueueConfig::LeastAttained => objects::QueuePolicy::LeastAttained,
+            },
+            placement: match config.placement {
+                PlacementConfig::RoundRobin => objects::PlacementPolicy::RoundRobin,
+                PlacementConfig::LeastOutstanding => objects::PlacementPolicy::LeastOutstanding,
+                PlacementConfig::Affinity => objects::PlacementPolicy::Affinity,
+                PlacementConfig::ExpectedCost => objects::PlacementPolicy::ExpectedCost,
+            },
+            retention: match config.retention {
+                RetentionConfig::EngineOnly => objects::RetentionPolicy::EngineOnly,
+                RetentionConfig::ExpectedWaste => objects::RetentionPolicy::ExpectedWaste,
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/flamingotrail-core/src/systems/completion.rs
@@ -0,0 +1,154 @@
+//! Takes the ends of attempts at the owner, and tells ends that waited for the journal.
+
+use crate::errors;
+use crate::ids;
+use crate::messages;
+use crate::objects;
+use crate::systems::finish;
+use crate::systems::holds;
+use crate::systems::membership;
+use crate::systems::recovery;
+use crate::tables::calls;
+use crate::tables::effects;
+use crate::work;
+use crate::world;
+
+/// Weight of the newest run in the mean length of runs at an endpoint.
+const MEAN_WEIGHT: f64 = 0.2;
+
+/// Takes attempts that ended and calls whose turn now stands in the journal.
+pub fn run(world: &mut world::World, tick: &world::Tick) {
+    for (from, attempt, end, load) in std::mem::take(&mut world.tables.inbox.ended) {
+        take_ended(world, tick, &from, &attempt, end, load);
+    }
+    for key in std::mem::take(&mut world.tables.dirty.finish) {
+        tell_journaled(world, tick, &key);
+    }
+}
+
+fn take_ended(
+    world: &mut world::World,
+    tick: &world::Tick,
+    from: &ids::InstanceName,
+    attempt: &ids::AttemptId,
+    end: work::AttemptEnd,
+    load: messages::Load,
+) {
+    membership::take_load(world, tick, from, load);
+    let key = attempt.call.clone();
+    let state = world.tables.calls.rows.get(&key).map(|call| call.state.clone());
+    match state {
+        Some(calls::State::Running { attempt: current, endpoint, sent_at, .. })
+            if current == *attempt =>
+        {
+            learn_run(world, &endpoint, tick.now.since(sent_at).as_secs_f64(), &end);
+            match end {
+                work::AttemptEnd::Answered(answer) => {
+                    answered(world, tick, &key, &endpoint, from, answer)
+                }
+                work::AttemptEnd::NotRun(refusal) => {
+                    recovery::not_run(world, tick, &key, &endpoint, refusal);
+                }
+                work::AttemptEnd::Broken { partial, .. } => {
+                    recovery::broken(world, tick, &key, &endpoint, &partial);
+                }
+            }
+        }
+        _ => take_late(world, attempt, &end),
+    }
+}
+
+fn learn_run(
+    world: &mut world::World,
+    endpoint: &ids::EndpointName,
+    seconds: f64,
+    end: &work::AttemptEnd,
+) {
+    if !matches!(end, work::AttemptEnd::Answered(_)) {
+        return;
+    }
+    let row = world.tables.endpoints.row(endpoint);
+    let mean = if row.mean_run_s == 0.0 { seconds } else { row.mean_run_s };
+    row.mean_run_s = mean + MEAN_WEIGHT * (seconds - mean);
+}
+
+/// An answer of an attempt that was given up: an effect that is in doubt now has its outcome.
+fn take_late(world: &mut world::World, attempt: &ids::AttemptId, end: &work::AttemptEnd) {
+    let work::AttemptEnd::Answered(answer) = end else {
+        return;
+    };
+    let home = &attempt.call.conversation.home;
+    if world.tables.partitions.epoch(home) != Some(attempt.epoch) {
+        return;
+    }
+    let doubted =
+        world.tables.effects.rows.iter().find(|(_, row)| {
+            row.call == attempt.call && row.state == effects::EffectState::Unknown
+        });
+    let Some((key, _)) = doubted else {
+        return;
+    };
+    let key = key.clone();
+    let end = crate::journal::EffectEnd::Done { status: answer.status, text: answer.text.clone() };
+    finish::set_effect(world, &attempt.call, &key.root, &key.key, end);
+}
+
+fn answered(
+    world: &mut world::World,
+    tick: &world::Tick,
+    key: &ids::CallKey,
+    endpoint: &ids::EndpointName,
+    from: &ids::InstanceName,
+    answer: work::Answer,
+) {
+    let Some(call) = world.tables.calls.rows.get(key) else {
+        return;
+    };
+    let mut answer = answer;
+    if matches!(call.work, work::Work::Model { .. }) {
+        answer.text = format!("{}{}", call.prefix, answer.text);
+        if answer.finish == work::Finish::Length && call.budget_bound {
+            answer.finish = work::Finish::Budget;
+        }
+    }
+    let spent = cost(world.objects(), call, &answer.usage);
+    holds::note_place(world, tick, key, endpoint, from, &answer.usage);
+    finish::complete(world, tick, key, answer, spent);
+}
+
+/// Cost units of a call by what the endpoint counted; what was reserved where it can't be told.
+fn cost(objects: Option<&objects::Objects>, call: &calls::Call, usage: &work::Usage) -> work::Cost {
+    let counted = match &call.work {
+        work::Work::Model { model, .. } => {
+            objects.and_then(|objects| objects.models.get(model)).map(|model| {
+                u64::from(usage.prompt_tokens) * model.prompt_price
+                    + u64::from(usage.completion_tokens) * model.completion_price
+            })
+        }
+        work::Work::Service { service, .. } => {
+            objects.and_then(|objects| objects.services.get(service)).map(|service| service.price)
+        }
+        work::Work::EndProgram => Some(0),
+    };
+    counted.unwrap_or(call.reserved)
+}
+
+/// Tells the end of a call that relied on the journal, once the journal holds its turn.
+fn tell_journaled(world: &mut world::World, tick: &world::Tick, key: &ids::CallKey) {
+    let Some(call) = world.tables.calls.rows.get(key) else {
+        return;
+    };
+    if call.state != calls::State::Journaling {
+        return;
+    }
+    let journaled =
+        world.tables.conversations.rows.get(&key.conversation).map_or(0, |row| row.journaled);
+    if journaled < key.turn {
+        return;
+    }
+    let outcome = call.outcome.clone();
+    let outcome = outcome.unwrap_or(work::Outcome::Unknown(errors::Doubt::NoAnswer));
+    let continuation = finish::continuation(world, &key.conversation);
+    finish::tell(world, tick, key, &outcome, continuation.as_ref());
+    finish::remove_call(world, tick, key);
+}
--- /dev/null
+++ b/crates/flamingotrail-core/src/systems/deadlines.rs
@@ -0,0 +1,65 @@
+//! Ends calls whose deadline passed: as not run where that is sure, else as unknown.
+
+use crate::errors;
+use crate::ids;
+use crate::systems::finish;
+use crate::tables::calls;
+use crate::work;
+use crate::world;
+
+/// Takes every call whose deadline passed.
+pub fn run(world: &mut world::World, tick: &world::Tick) {
+    for key in std::mem::take(&mut world.tables.dirty.late) {
+        late(world, tick, &key);
+    }
+}
+
+fn late(world: &mut world::World, tick: &world::Tick, key: &ids::CallKey) {
+    let Some(call) = world.tables.calls.rows.get(key) else {
+        return;
+    };
+    let unknown = work::Outcome::Unknown(errors::Doubt::NoAnswer);
+    match &call.state {
+        calls::State::Running { .. } if call.effect_key.is_some() => {
+            // The row stays, so that the end is recorded and the next turn waits for it.
+            finish::tell(world, tick, key, &unknown, None);
+        }
+        calls::State::Running { .. } => {
+            finish::abort_attempt(world, tick, key);
+            finish::end_without_turn(world, tick, key, unknown);
+        }
+        calls::State::Recovering { .. } => finish::end_without_turn(world, tick, key, unknown),
+        calls::State::Journaling => {
+            finish::tell(world, tick, key, &unknown, None);
+            finish::remove_call(world, tick, key);
+        }
+        _ => {
+            let refusal = refusal(world, key, call);
+            finish::end_without_turn(world, tick, key, work::Outcome::NotRun(refusal));
+        }
+    }
+}
+
+/// Why a call that was never sent could not run in time.
+fn refusal(world: &world::World, key: &ids::CallKey, call: &calls::Call) -> errors::Refusal {
+    match call.state {
+        calls::State::Granting => {
+            errors::Refusal::LogUnavailable { what: "a grant from the budget".into() }
+        }
+        calls::State::Intending => {
+            errors::Refusal::LogUnavailable { what: "the intent of the call".into() }
+        }
+        calls::State::Waiting => {
+            let row = world.tables.conversations.rows.get(&key.conversation);
+            let missing = row.map_or(1, |row| row.last + 1);
+            let conversation = key.conversation.clone();
+            let arrived = row.is_some_and(|row| row.calls.contains(&missing));
+            if arrived {
+                errors::Refusal::DeadlinePassed
+            } else {
+                errors::Refusal::TurnMissing { conversation, missing }
+            }
+        }
+        _ => call.refusal.clone().unwrap_or(errors::Refusal::DeadlinePassed),
+    }
+}
--- /dev/null
+++ b/crates/flamingotrail-core/src/systems/effects.rs
@@ -0,0 +1,48 @@
+//! Calls that may not be repeated: the intent stands in the journal, read back, before the call is
+//! sent; an intent is acted on once.
+
+use crate::errors;
+use crate::ids;
+use crate::journal;
+use crate::systems::finish;
+use crate::systems::journal as journaling;
+use crate::tables::calls;
+use crate::tables::effects;
+use crate::work;
+use crate::world;
+
+/// Records the intent of every call that reserved its cost.
+pub fn run(world: &mut world::World, tick: &world::Tick) {
+    for key in std::mem::take(&mut world.tables.dirty.intend) {
+        intend(world, tick, &key);
+    }
+}
+
+fn intend(world: &mut world::World, tick: &world::Tick, key: &ids::CallKey) {
+    let Some(call) = world.tables.calls.rows.get(key) else {
+        return;
+    };
+    if call.state != calls::State::Intending {
+        return;
+    }
+    let Some(text) = call.effect_key.clone() else {
+        return;
+    };
+    let root = call.root.clone();
+    let fingerprint = call.work.fingerprint();
+    let effect_key = effects::EffectKey { root: root.clone(), key: text.clone() };
+    if let Some(known) = world.tables.effects.rows.get(&effect_key) {
+        if known.call != *key {
+            // Two calls under one key arrived before either was recorded: the other one runs.
+            let refusal = errors::Refusal::KeyReused { key: text };
+            finish::end_without_turn(world, tick, key, work::Outcome::NotRun(refusal));
+            return;
+        }
+    }
+    let state = effects::EffectState::Intending;
+    let effect = effects::Effect { call: key.clone(), fingerprint, state };
+    world.tables.effects.rows.insert(effect_key, effect);
+    let call = key.clone();
+    let record = journal::Record::Intent { root, key: text, call, fingerprint };
+    journaling::append(world, &key.conversation.home, record);
+}
--- /dev/null
+++ b/crates/flamingotrail-core/src/systems/finish.rs
@@ -0,0 +1,410 @@
+//! Ends calls: answers those who wait, settles accounts and forgets rows.
+
+use crate::errors;
+use crate::history;
+use crate::ids;
+use crate::journal;
+use crate::messages;
+use crate::output;
+use crate::systems::journal as journaling;
+use crate::systems::membership;
+use crate::systems::outbox;
+use crate::systems::programs;
+use crate::tables::calls;
+use crate::tables::effects;
+use crate::tables::timers;
+use crate::work;
+use crate::world;
+
+/// What a caller carries on from a conversation's last finished turn.
+pub fn continuation(
+    world: &world::World,
+    conversation: &ids::ConversationId,
+) -> Option<history::Continuation> {
+    let row = world.tables.conversations.rows.get(conversation)?;
+    if row.last == 0 {
+        return None;
+    }
+    let program = world.tables.programs.rows.get(&row.program)?;
+    let epoch = world.tables.partitions.epoch(&conversation.home)?;
+    let tail = row.turns.range(row.journaled + 1..).map(|(_, past)| past.record.clone()).collect();
+    let continuation = history::Continuation {
+        conversation: conversation.clone(),
+        program: row.program.clone(),
+        root: program.root.clone(),
+        workspace: program.workspace.clone(),
+        turn: row.last,
+        digest: row.digest(conversation),
+        epoch,
+        journaled: row.journaled,
+        tail,
+        code: Default::default(),
+    };
+    Some(continuation.with_code(&world.settings.continuation_key))
+}
+
+/// Answers one sending of a request.
+#[allow(clippy::too_many_arguments)]
+pub fn reply(
+    world: &mut world::World,
+    tick: &world::Tick,
+    to: &ids::InstanceName,
+    request: ids::RequestId,
+    hop: u32,
+    turn: ids::Turn,
+    attempts: u32,
+    outcome: work::Outcome,
+    continuation: Option<history::Continuation>,
+) {
+    let reply = messages::Reply { request, hop, turn, attempts, outcome, continuation };
+    let message = messages::Message::Reply(Box::new(reply));
+    let lasting = world.settings.default_deadline;
+    outbox::confirm(world, tick, to, None, message, lasting);
+}
+
+/// Refuses one sending of a request that never became a call.
+pub fn refuse(
+    world: &mut world::World,
+    tick: &world::Tick,
+    to: &ids::InstanceName,
+    request: ids::RequestId,
+    hop: u32,
+    refusal: errors::Refusal,
+) {
+    world.tables.decisions.note(tick.now, request, format!("refused: {refusal}"));
+    let outcome = work::Outcome::NotRun(refusal);
+    reply(world, tick, to, request, hop, 0, 0, outcome, None);
+}
+
+/// Tells everyone who waits for a call how it ended. The row stays.
+pub fn tell(
+    world: &mut world::World,
+    tick: &world::Tick,
+    key: &ids::CallKey,
+    outcome: &work::Outcome,
+    continuation: Option<&history::Continuation>,
+) {
+    let Some(call) = world.tables.calls.rows.get_mut(key) else {
+        return;
+    };
+    call.told = true;
+    let attempts = call.attempts;
+    let turn = if matches!(outcome, work::Outcome::NotRun(_)) { 0 } else { key.turn };
+    let text = format!("{} attempts={attempts}", outcome.kind());
+    world.tables.decisions.note(tick.now, key, text);
+    for waiter in world.tables.calls.take_waiters(key) {
+        let (outcome, continuation) = (outcome.clone(), continuation.cloned());
+        reply(
+            world,
+            tick,
+            &waiter.entry,
+            waiter.request,
+            waiter.hop,
+            turn,
+            attempts,
+            outcome,
+            continuation,
+        );
+    }
+}
+
+/// Ends a call with an outcome that leaves its turn free.
+pub fn end_without_turn(
+    world: &mut world::World,
+    tick: &world::Tick,
+    key: &ids::CallKey,
+    outcome: work::Outcome,
+) {
+    let Some(call) = world.tables.calls.rows.get(key) else {
+        return;
+    };
+    // What may have run is never called not run.
+    let outcome = match outcome {
+        work::Outcome::NotRun(_) if call.may_have_run => {
+            work::Outcome::Unknown(errors::Doubt::EndpointLost)
+        }
+        outcome => outcome,
+    };
+    withdraw_intent(world, key, &outcome);
+    tell(world, tick, key, &outcome, None);
+    give_back_turn(world, key);
+    remove_call(world, tick, key);
+}
+
+/// A call that took no turn does not count to its program's limit.
+fn give_back_turn(world: &mut world::World, key: &ids::CallKey) {
+    let Some(root) = world.tables.calls.rows.get(key).map(|call| call.root.clone()) else {
+        return;
+    };
+    if let Some(account) = world.tables.programs.account(&root) {
+        account.turns = account.turns.saturating_sub(1);
+    }
+}
+
+/// Takes back the intent of a call that surely did not run.
+fn withdraw_intent(world: &mut world::World, key: &ids::CallKey, outcome: &work::Outcome) {
+    if !matches!(outcome, work::Outcome::NotRun(_)) {
+        return;
+    }
+    let Some(call) = world.tables.calls.rows.get(key) else {
+        return;
+    };
+    let Some(text) = call.effect_key.clone() else {
+        return;
+    };
+    let effect_key = effects::EffectKey { root: call.root.clone(), key: text.clone() };
+    let root = call.root.clone();
+    let is_own = world.tables.effects.rows.get(&effect_key).is_some_and(|row| row.call == *key);
+    if !is_own {
+        return;
+    }
+    world.tables.effects.rows.remove(&effect_key);
+    let end = journal::EffectEnd::NotRun;
+    let record = journal::Record::Effect { root, key: text, end };
+    journaling::append(world, &key.conversation.home, record);
+}
+
+/// Counts what a call spent and frees the rest of its reservation.
+pub fn settle(world: &mut world::World, key: &ids::CallKey, spent: work::Cost) {
+    let Some(call) = world.tables.calls.rows.get_mut(key) else {
+        return;
+    };
+    let reserved = std::mem::take(&mut call.reserved);
+    let root = call.root.clone();
+    let Some(account) = world.tables.programs.account(&root) else {
+        return;
+    };
+    account.reserved = account.reserved.saturating_sub(reserved);
+    account.spent = account.spent.saturating_add(spent);
+    account.attained = account.attained.saturating_add(spent);
+    let waiting = std::mem::take(&mut account.waiting);
+    world.tables.dirty.reserve.extend(waiting);
+}
+
+/// Removes a call's row with its timers and indexes. A reservation that is left counts as spent
+/// where the call may have run, and is freed otherwise.
+pub fn remove_call(world: &mut world::World, tick: &world::Tick, key: &ids::CallKey) {
+    let Some(call) = world.tables.calls.rows.get(key) else {
+        return;
+    };
+    let left = if call.may_have_run { call.reserved } else { 0 };
+    let root = call.root.clone();
+    unroute(world, key);
+    settle(world, key, left);
+    set_state(world, tick, key, calls::State::Waiting);
+    world.tables.calls.take_waiters(key);
+    world.tables.calls.rows.remove(key);
+    if let Some(account) = world.tables.programs.account(&root) {
+        account.waiting.remove(key);
+    }
+    world.tables.timers.clear(&timers::Timer::CallDeadline(key.clone()));
+    world.tables.timers.clear(&timers::Timer::CallRetry(key.clone()));
+    if let Some(row) = world.tables.conversations.rows.get_mut(&key.conversation) {
+        row.calls.remove(&key.turn);
+        world.tables.dirty.conversations.insert(key.conversation.clone());
+    }
+}
+
+/// Sets a call's state and keeps watch over the process that runs it.
+pub fn set_state(
+    world: &mut world::World,
+    tick: &world::Tick,
+    key: &ids::CallKey,
+    state: calls::State,
+) {
+    let endpoint = match world.tables.calls.rows.get(key).map(|call| &call.state) {
+        Some(calls::State::Running { endpoint, .. }) => Some(endpoint.clone()),
+        _ => None,
+    };
+    if let Some(endpoint) = endpoint {
+        let row = world.tables.endpoints.row(&endpoint);
+        row.outstanding = row.outstanding.saturating_sub(1);
+    }
+    let (left, came) = world.tables.calls.set_state(key, state);
+    membership::watch(world, tick, left, came);
+}
+
+/// Relays the text of a running call to the requests that wait for it.
+pub fn route(world: &mut world::World, key: &ids::CallKey) {
+    let Some(call) = world.tables.calls.rows.get(key) else {
+        return;
+    };
+    let calls::State::Running { attempt, .. } = &call.state else {
+        return;
+    };
+    if !matches!(call.work, work::Work::Model { .. }) {
+        return;
+    }
+    let Some(waiter) = call.waiters.last() else {
+        return;
+    };
+    let output = output::Output::Route {
+        attempt: attempt.clone(),
+        entry: waiter.entry.clone(),
+        request: waiter.request,
+        prefix: call.prefix.clone(),
+    };
+    world.emit(output);
+}
+
+fn unroute(world: &mut world::World, key: &ids::CallKey) {
+    let attempt = match world.tables.calls.rows.get(key).map(|call| &call.state) {
+        Some(calls::State::Running { attempt, .. } | calls::State::Recovering { attempt }) => {
+            attempt.clone()
+        }
+        _ => return,
+    };
+    world.emit(output::Output::Unroute(attempt));
+}
+
+/// Tells the process that runs a call to stop.
+pub fn abort_attempt(world: &mut world::World, tick: &world::Tick, key: &ids::CallKey) {
+    let Some(call) = world.tables.calls.rows.get_mut(key) else {
+        return;
+    };
+    let calls::State::Running { attempt, peer, .. } = call.state.clone() else {
+        return;
+    };
+    call.may_have_run = true;
+    let message = messages::Message::Abort { attempt };
+    let lasting = world.settings.suspect_after;
+    outbox::confirm(world, tick, &peer.instance, Some(peer.incarnation), message, lasting);
+}
+
+/// A request no longer waits; a call that nobody waits for is cancelled.
+pub fn withdraw(world: &mut world::World, tick: &world::Tick, request: ids::RequestId) {
+    let Some(key) = world.tables.calls.by_request.remove(&request) else {
+        return;
+    };
+    let Some(call) = world.tables.calls.rows.get_mut(&key) else {
+        return;
+    };
+    call.waiters.retain(|waiter| waiter.request != request);
+    if call.waiters.is_empty() && !call.told {
+        cancel(world, tick, &key);
+    }
+}
+
+/// Cancels a call. One that may not be repeated and was sent goes on, so that its end is recorded.
+pub fn cancel(world: &mut world::World, tick: &world::Tick, key: &ids::CallKey) {
+    let Some(call) = world.tables.calls.rows.get(key) else {
+        return;
+    };
+    let running = matches!(call.state, calls::State::Running { .. });
+    if call.state == calls::State::Journaling || (running && call.effect_key.is_some()) {
+        return;
+    }
+    abort_attempt(world, tick, key);
+    let may_have_run = world.tables.calls.rows.get(key).is_some_and(|call| call.may_have_run);
+    let outcome = if may_have_run {
+        work::Outcome::Unknown(errors::Doubt::NoAnswer)
+    } else {
+        work::Outcome::NotRun(errors::Refusal::Cancelled)
+    };
+    end_without_turn(world, tick, key, outcome);
+}
+
+/// Ends a call with a complete answer: its turn, its effect and its account.
+pub fn complete(
+    world: &mut world::World,
+    tick: &world::Tick,
+    key: &ids::CallKey,
+    answer: work::Answer,
+    spent: work::Cost,
+) {
+    settle(world, key, spent);
+    let Some(call) = world.tables.calls.rows.get(key) else {
+        return;
+    };
+    let call = call.clone();
+    record_effect(world, key, &call, &answer);
+    let (kind, input) = match &call.work {
+        work::Work::Model { messages, .. } => (history::TurnKind::Model, messages.clone()),
+        _ => (history::TurnKind::Service { status: answer.status }, Vec::new()),
+    };
+    let record = history::TurnRecord {
+        turn: key.turn,
+        since: call.since,
+        kind,
+        request: call.fingerprint,
+        input,
+        output: answer.text.clone(),
+        finish: answer.finish,
+        usage: answer.usage,
+    };
+    if !call.orphaned {
+        programs::push_turn(world, &key.conversation, record);
+    }
+    let outcome = work::Outcome::Done(answer);
+    let lost_journal = call.orphaned;
+    if call.journal_first && !lost_journal {
+        if let Some(call) = world.tables.calls.rows.get_mut(key) {
+            call.outcome = Some(outcome);
+        }
+        unroute(world, key);
+        set_state(world, tick, key, calls::State::Journaling);
+        world.tables.dirty.finish.insert(key.clone());
+        return;
+    }
+    let continuation = continuation(world, &key.conversation);
+    tell(world, tick, key, &outcome, continuation.as_ref());
+    remove_call(world, tick, key);
+}
+
+fn record_effect(
+    world: &mut world::World,
+    key: &ids::CallKey,
+    call: &calls::Call,
+    answer: &work::Answer,
+) {
+    let Some(text) = &call.effect_key else {
+        return;
+    };
+    let end = journal::EffectEnd::Done { status: answer.status, text: answer.text.clone() };
+    set_effect(world, key, &call.root, text, end);
+}
+
+/// Notes how an effect ended, in its row and in the journal.
+pub fn set_effect(
+    world: &mut world::World,
+    key: &ids::CallKey,
+    root: &ids::ProgramId,
+    text: &str,
+    end: journal::EffectEnd,
+) {
+    let effect_key = effects::EffectKey { root: root.clone(), key: text.to_owned() };
+    let Some(row) = world.tables.effects.rows.get_mut(&effect_key) else {
+        return;
+    };
+    row.state = match &end {
+        journal::EffectEnd::Done { status, text } => {
+            effects::EffectState::Done { status: *status, text: text.clone() }
+        }
+        _ => effects::EffectState::Unknown,
+    };
+    let record = journal::Record::Effect { root: root.clone(), key: text.to_owned(), end };
+    journaling::append(world, &key.conversation.home, record);
+}
+
+/// Ends a call that may not be repeated with an unknown outcome: its turn is used up.
+pub fn end_in_doubt(
+    world: &mut world::World,
+    tick: &world::Tick,
+    key: &ids::CallKey,
+    doubt: errors::Doubt,
+) {
+    let Some(call) = world.tables.calls.rows.get_mut(key) else {
+        return;
+    };
+    call.may_have_run = true;
+    let call = call.clone();
+    if let Some(text) = &call.effect_key {
+        set_effect(world, key, &call.root, text, journal::EffectEnd::Unknown);
+    }
+    if !call.orphaned {
+        programs::use_up_turn(world, key, call.fingerprint);
+    }
+    let continuation = continuation(world, &key.conversation);
+    tell(world, tick, key, &work::Outcome::Unknown(doubt), continuation.as_ref());
+    remove_call(world, tick, key);
+}
--- /dev/null
+++ b/crates/flamingotrail-core/src/systems/intake.rs
@@ -0,0 +1,473 @@
+//! Takes calls at the owner of their partition: finds program, conversation and turn, joins
+//! repeats to what runs or ran, and refuses what can't run.
+
+use crate::digest;
+use crate::errors;
+use crate::history;
+use crate::ids;
+use crate::messages;
+use crate::settings;
+use crate::systems::finish;
+use crate::systems::history as histories;
+use crate::systems::journal;
+use crate::systems::outbox;
+use crate::systems::ownership;
+use crate::systems::programs;
+use crate::tables::calls;
+use crate::tables::effects;
+use crate::tables::partitions;
+use crate::tables::timers;
+use crate::work;
+use crate::world;
+
+/// Calls that one conversation may have waiting.
+const MAX_CALLS_IN_CONVERSATION: usize = 64;
+
+/// Takes submitted and cancelled calls.
+pub fn run(world: &mut world::World, tick: &world::Tick) {
+    programs::end_idle(world, tick);
+    for (from, submit) in std::mem::take(&mut world.tables.inbox.submits) {
+        take(world, tick, from, submit);
+    }
+    for request in std::mem::take(&mut world.tables.inbox.cancels) {
+        finish::withdraw(world, tick, request);
+    }
+}
+
+fn take(
+    world: &mut world::World,
+    tick: &world::Tick,
+    from: ids::InstanceName,
+    submit: Box<messages::Submit>,
+) {
+    let partition = submit.conversation.home.clone();
+    if world.identity.role != settings::Role::Endpoint || partition.region != world.identity.region
+    {
+        ownership::redirect(world, tick, &from, submit.request, submit.hop, None);
+        return;
+    }
+    let deadline = tick.now.after(submit.time_left);
+    let draining = !world.is_open();
+    let row = ownership::row(world, &partition);
+    let Some(epoch) = row.epoch().filter(|_| !row.handing_over) else {
+        if draining {
+            ownership::redirect(world, tick, &from, submit.request, submit.hop, None);
+            return;
+        }
+        row.waiting.push((from, submit, deadline));
+        if row.standing == partitions::Standing::Asking {
+            world.tables.dirty.partitions.insert(partition.clone());
+        }
+        world.tables.timers.set_earlier(timers::Timer::Partition(partition), deadline);
+        return;
+    };
+    let stale = row.read_at.is_none_or(|at| tick.now.since(at) > world.settings.ownership_recheck);
+    if stale {
+        ownership::read(world, &partition);
+    }
+    let (request, hop) = (submit.request, submit.hop);
+    let accepted = messages::Message::Accepted { request, hop, partition, epoch };
+    outbox::send(world, &from, accepted);
+    if let Err(refusal) = admit(world, tick, &from, *submit) {
+        finish::refuse(world, tick, &from, request, hop, refusal);
+    }
+}
+
+fn admit(
+    world: &mut world::World,
+    tick: &world::Tick,
+    from: &ids::InstanceName,
+    submit: messages::Submit,
+) -> Result<(), errors::Refusal> {
+    if world.objects().is_none() {
+        return Err(errors::Refusal::NoConfiguration);
+    }
+    find_program(world, tick, &submit)?;
+    programs::touch(world, tick, &submit.program);
+    if submit.work == work::Work::EndProgram {
+        end_program(world, tick, from, &submit);
+        return Ok(());
+    }
+    find_conversation(world, &submit)?;
+    let placed = histories::place(world, &submit)?;
+    let fingerprint = fingerprint_of(&submit, &placed);
+    let key = ids::CallKey { conversation: submit.conversation.clone(), turn: placed.turn };
+    let waiter = calls::Waiter { entry: from.clone(), request: submit.request, hop: submit.hop };
+    if answer_repeat(world, tick, &key, &fingerprint, &waiter)? {
+        return Ok(());
+    }
+    let effect_key = effect_key(world, &submit, &key);
+    if let Some(effect_key) = &effect_key {
+        if answer_effect(world, tick, &key, effect_key, &placed.work, fingerprint, &waiter)? {
+            return Ok(());
+        }
+    }
+    check_limits(world, &submit)?;
+    start(world, tick, submit, placed, key, fingerprint, effect_key, waiter);
+    Ok(())
+}
+
+/// The program's row, made where the call may start or carry it.
+fn find_program(
+    world: &mut world::World,
+    tick: &world::Tick,
+    submit: &messages::Submit,
+) -> Result<(), errors::Refusal> {
+    let program = &submit.program;
+    if let Some(row) = world.tables.programs.rows.get(program) {
+        if row.workspace != submit.workspace {
+            return Err(errors::Refusal::ForeignProgram(program.clone()));
+        }
+        if row.ended && submit.work != work::Work::EndProgram {
+            return Err(errors::Refusal::ProgramEnded(program.clone()));
+        }
+        return Ok(());
+    }
+    let first_chunk = programs::first_chunk(world, &submit.workspace);
+    if let history::HistorySource::Continuation(carried) = &submit.history {
+        if histories::is_own(world, submit, carried) {
+            ensure_root(world, tick, &carried.root, &submit.workspace, first_chunk);
+            if carried.root != *program {
+                programs::create(world, tick, program, &carried.root, &submit.workspace, 0);
+            }
+            return Ok(());
+        }
+    }
+    let root = match &submit.parent {
+        Some(parent) => root_of_parent(world, submit, parent)?,
+        None => program.clone(),
+    };
+    let spent = match submit.origin {
+        messages::Origin::Fresh => 0,
+        // An earlier sending may have spent the first chunk under another owner.
+        messages::Origin::Started => first_chunk,
+        messages::Origin::Existing => {
+            return Err(errors::Refusal::UnknownProgram(program.clone()));
+        }
+    };
+    programs::create(world, tick, program, &root, &submit.workspace, spent);
+    Ok(())
+}
+
+fn ensure_root(
+    world: &mut world::World,
+    tick: &world::Tick,
+    root: &ids::ProgramId,
+    workspace: &ids::WorkspaceName,
+    spent: work::Cost,
+) {
+    if !world.tables.programs.rows.contains_key(root) {
+        programs::create(world, tick, root, root, workspace, spent);
+    }
+}
+
+fn root_of_parent(
+    world: &world::World,
+    submit: &messages::Submit,
+    parent: &ids::ProgramId,
+) -> Result<ids::ProgramId, errors::Refusal> {
+    let row = world.tables.programs.rows.get(parent);
+    let row = row.ok_or_else(|| errors::Refusal::UnknownProgram(parent.clone()))?;
+    if row.workspace != submit.workspace {
+        return Err(errors::Refusal::ForeignProgram(parent.clone()));
+    }
+    if row.ended {
+        return Err(errors::Refusal::ProgramEnded(parent.clone()));
+    }
+    Ok(row.root.clone())
+}
+
+fn end_program(
+    world: &mut world::World,
+    tick: &world::Tick,
+    from: &ids::InstanceName,
+    submit: &messages::Submit,
+) {
+    let ended = world.tables.programs.rows.get(&submit.program).is_some_and(|row| row.ended);
+    if !ended {
+        programs::end(world, tick, &submit.program);
+    }
+    let answer = work::Answer {
+        text: String::new(),
+        status: 200,
+        usage: work::Usage::default(),
+        finish: work::Finish::Stop,
+    };
+    let outcome = work::Outcome::Done(answer);
+    finish::reply(world, tick, from, submit.request, submit.hop, 0, 0, outcome, None);
+}
+
+fn find_conversation(
+    world: &mut world::World,
+    submit: &messages::Submit,
+) -> Result<(), errors::Refusal> {
+    let row = world.tables.conversations.ensure(&submit.conversation, &submit.program);
+    if row.program != submit.program {
+        return Err(errors::Refusal::BadField {
+            field: "x-flamingotrail-conversation".into(),
+            detail: "the conversation belongs to another program".into(),
+        });
+    }
+    Ok(())
+}
+
+/// Fingerprint by which a repeat of the same call is told from another call.
+fn fingerprint_of(submit: &messages::Submit, placed: &histories::Placed) -> digest::Digest {
+    let mut hasher = digest::Hasher::new("request");
+    match &placed.work {
+        work::Work::Model { model, messages, .. } => {
+            hasher.add(model.as_str().as_bytes());
+            for message in messages {
+                hasher.add(message.role.as_str().as_bytes());
+                hasher.add(message.content.as_bytes());
+            }
+        }
+        other => hasher.add(&other.fingerprint().0),
+    }
+    if let Some(key) = &submit.idempotency_key {
+        hasher.add(key.as_bytes());
+    }
+    hasher.finish()
+}
+
+/// Answers or joins a call whose turn is taken by the very same call.
+fn answer_repeat(
+    world: &mut world::World,
+    tick: &world::Tick,
+    key: &ids::CallKey,
+    fingerprint: &digest::Digest,
+    waiter: &calls::Waiter,
+) -> Result<bool, errors::Refusal> {
+    let taken =
+        || errors::Refusal::TurnTaken { conversation: key.conversation.clone(), turn: key.turn };
+    if let Some(call) = world.tables.calls.rows.get(key) {
+        if call.fingerprint != *fingerprint {
+            return Err(taken());
+        }
+        world.tables.calls.add_waiter(key, waiter.clone());
+        finish::route(world, key);
+        world.tables.dirty.finish.insert(key.clone());
+        return Ok(true);
+    }
+    let Some(row) = world.tables.conversations.rows.get(&key.conversation) else {
+        return Ok(false);
+    };
+    if key.turn > row.last {
+        return Ok(false);
+    }
+    let past = row.turns.get(&key.turn).ok_or_else(taken)?;
+    if past.record.request != *fingerprint {
+        return Err(taken());
+    }
+    let outcome = recorded_outcome(&past.record);
+    let continuation = finish::continuation(world, &key.conversation);
+    let turn = key.turn;
+    finish::reply(
+        world,
+        tick,
+        &waiter.entry,
+        waiter.request,
+        waiter.hop,
+        turn,
+        0,
+        outcome,
+        continuation,
+    );
+    Ok(true)
+}
+
+fn recorded_outcome(record: &history::TurnRecord) -> work::Outcome {
+    let status = match record.kind {
+        history::TurnKind::Model => 200,
+        history::TurnKind::Service { status } => status,
+        history::TurnKind::Doubtful => {
+            return work::Outcome::Unknown(errors::Doubt::OwnerChanged);
+        }
+    };
+    work::Outcome::Done(work::Answer {
+        text: record.output.clone(),
+        status,
+        usage: record.usage,
+        finish: record.finish,
+    })
+}
+
+/// Key of the effect of a call that may not be repeated.
+fn effect_key(
+    world: &world::World,
+    submit: &messages::Submit,
+    key: &ids::CallKey,
+) -> Option<effects::EffectKey> {
+    let objects = world.objects()?;
+    if objects.is_repeatable(&submit.work) {
+        return None;
+    }
+    let root = world.tables.programs.rows.get(&submit.program)?.root.clone();
+    let text = match &submit.idempotency_key {
+        Some(idempotency_key) => format!("key:{idempotency_key}"),
+        None => format!("call:{key}"),
+    };
+    Some(effects::EffectKey { root, key: text })
+}
+
+/// Answers or joins a call whose effect was already asked for under the same key.
+fn answer_effect(
+    world: &mut world::World,
+    tick: &world::Tick,
+    key: &ids::CallKey,
+    effect_key: &effects::EffectKey,
+    work: &work::Work,
+    request: digest::Digest,
+    waiter: &calls::Waiter,
+) -> Result<bool, errors::Refusal> {
+    let Some(effect) = world.tables.effects.rows.get(effect_key) else {
+        return Ok(false);
+    };
+    if effect.fingerprint != work.fingerprint() {
+        return Err(errors::Refusal::KeyReused { key: effect_key.key.clone() });
+    }
+    let outcome = match &effect.state {
+        effects::EffectState::Done { status, text } => work::Outcome::Done(work::Answer {
+            text: text.clone(),
+            status: *status,
+            usage: work::Usage::default(),
+            finish: work::Finish::Stop,
+        }),
+        effects::EffectState::Unknown => work::Outcome::Unknown(errors::Doubt::OwnerChanged),
+        effects::EffectState::Intending | effects::EffectState::Confirmed => {
+            let call = effect.call.clone();
+            world.tables.calls.add_waiter(&call, waiter.clone());
+            return Ok(true);
+        }
+    };
+    record_repeat(world, key, request, &outcome);
+    let continuation = finish::continuation(world, &key.conversation);
+    let turn = key.turn;
+    finish::reply(
+        world,
+        tick,
+        &waiter.entry,
+        waiter.request,
+        waiter.hop,
+        turn,
+        0,
+        outcome,
+        continuation,
+    );
+    Ok(true)
+}
+
+/// A repeat under a new turn uses that turn up, with the recorded outcome.
+fn record_repeat(
+    world: &mut world::World,
+    key: &ids::CallKey,
+    request: digest::Digest,
+    outcome: &work::Outcome,
+) {
+    let Some(row) = world.tables.conversations.rows.get(&key.conversation) else {
+        return;
+    };
+    if key.turn != row.last + 1 {
+        return;
+    }
+    let work::Outcome::Done(answer) = outcome else {
+        programs::use_up_turn(world, key, request);
+        return;
+    };
+    let record = history::TurnRecord {
+        turn: key.turn,
+        since: row.last,
+        kind: history::TurnKind::Service { status: answer.status },
+        request,
+        input: Vec::new(),
+        output: answer.text.clone(),
+        finish: answer.finish,
+        usage: answer.usage,
+    };
+    programs::push_turn(world, &key.conversation, record);
+}
+
+fn check_limits(
+    world: &mut world::World,
+    submit: &messages::Submit,
+) -> Result<(), errors::Refusal> {
+    let limit = world.objects().and_then(|objects| {
+        let workspace = objects.workspaces.get(&submit.workspace)?;
+        objects.budgets.get(&workspace.budget).map(|budget| budget.max_turns)
+    });
+    let turns = world.tables.programs.account(&submit.program).map_or(0, |account| account.turns);
+    if let Some(limit) = limit.filter(|limit| turns >= *limit) {
+        let program = submit.program.clone();
+        return Err(errors::Refusal::TurnLimit { program, limit });
+    }
+    let busy = world.tables.conversations.rows.get(&submit.conversation);
+    if busy.is_some_and(|row| row.calls.len() >= MAX_CALLS_IN_CONVERSATION) {
+        return Err(errors::Refusal::BadField {
+            field: "x-flamingotrail-turn".into(),
+            detail: format!("the conversation has {MAX_CALLS_IN_CONVERSATION} calls waiting"),
+        });
+    }
+    let partition = &submit.conversation.home;
+    let relies = submit.history == history::HistorySource::Journal;
+    if relies && journal::is_stalled(world, partition) {
+        let what = "an earlier turn, on which this history relies".to_owned();
+        return Err(errors::Refusal::LogUnavailable { what });
+    }
+    Ok(())
+}
+
+#[allow(clippy::too_many_arguments)]
+fn start(
+    world: &mut world::World,
+    tick: &world::Tick,
+    submit: messages::Submit,
+    placed: histories::Placed,
+    key: ids::CallKey,
+    fingerprint: digest::Digest,
+    effect_key: Option<effects::EffectKey>,
+    waiter: calls::Waiter,
+) {
+    let Some(program) = world.tables.programs.rows.get(&submit.program) else {
+        return;
+    };
+    let root = program.root.clone();
+    let call = calls::Call {
+        program: submit.program,
+        root: root.clone(),
+        workspace: submit.workspace,
+        work: placed.work,
+        since: placed.since,
+        fingerprint,
+        journal_first: submit.history == history::HistorySource::Journal,
+        effect_key: effect_key.map(|key| key.key),
+        idempotency_key: submit.idempotency_key,
+        deadline: tick.now.after(submit.time_left),
+        cost_bound: submit.cost_bound,
+        state: calls::State::Waiting,
+        waiters: Vec::new(),
+        attempts: 0,
+        avoid: Default::default(),
+        prefix: submit.delivered,
+        hold: None,
+        reserved: 0,
+        max_tokens: 0,
+        budget_bound: false,
+        taken_at: tick.now,
+        orphaned: false,
+        may_have_run: false,
+        refusal: None,
+        outcome: None,
+        told: false,
+    };
+    let deadline = call.deadline;
+    world.tables.calls.rows.insert(key.clone(), call);
+    world.tables.calls.add_waiter(&key, waiter);
+    if let Some(row) = world.tables.conversations.rows.get_mut(&key.conversation) {
+        row.calls.insert(key.turn);
+    }
+    if let Some(account) = world.tables.programs.account(&root) {
+        account.turns += 1;
+    }
+    world.tables.timers.set(timers::Timer::CallDeadline(key.clone()), deadline);
+    world.tables.dirty.conversations.insert(key.conversation);
+}
--- /dev/null
+++ b/crates/flamingotrail-core/src/systems/placement.rs
@@ -0,0 +1,364 @@
+//! Chooses the endpoint of a call and sends the attempt to the process beside it.
+
+use std::time as std_time;
+
+use crate::errors;
+use crate::history;
+use crate::ids;
+use crate::journal;
+use crate::messages;
+use crate::policy;
+use crate::systems::budgets;
+use crate::systems::finish;
+use crate::systems::holds;
+use crate::systems::membership;
+use crate::systems::outbox;
+use crate::systems::recovery;
+use crate::tables::calls;
+use crate::tables::timers;
+use crate::work;
+use crate::world;
+
+/// Delay before a call is placed again while no endpoint is there.
+const NO_ENDPOINT_DELAY: std_time::Duration = std_time::Duration::from_millis(100);
+/// Age of a told load from which endpoints are probed.
+const STALE_LOAD: std_time::Duration = std_time::Duration::from_millis(250);
+/// Endpoints probed for one placement.
+const PROBES: usize = 2;
+/// Wait from which a program that has not begun is refused, so that those under way finish.
+const NEW_PROGRAM_WAIT_S: f64 = 4.0;
+/// Prompt tokens a second that an endpoint is taken to compute before it told.
+const DEFAULT_PREFILL_RATE: f64 = 4000.0;
+/// Bytes of text for one token, for estimates.
+const BYTES_PER_TOKEN: u64 = 4;
+
+/// Places every call that may run.
+pub fn run(world: &mut world::World, tick: &world::Tick) {
+    for key in std::mem::take(&mut world.tables.dirty.place) {
+        place(world, tick, &key);
+    }
+}
+
+fn place(world: &mut world::World, tick: &world::Tick, key: &ids::CallKey) {
+    let Some(call) = world.tables.calls.rows.get(key) else {
+        return;
+    };
+    if call.state != calls::State::Placing {
+        return;
+    }
+    let fingerprint = call.work.fingerprint();
+    if world.tables.suspects.rows.get(&fingerprint) == Some(&journal::Verdict::Convicted) {
+        let refusal = errors::Refusal::Quarantined;
+        finish::end_without_turn(world, tick, key, work::Outcome::NotRun(refusal));
+        return;
+    }
+    let candidates = candidates(world, tick, key);
+    let Some(chosen) = choose(world, key, &candidates) else {
+        wait_for_endpoint(world, tick, key);
+        return;
+    };
+    probe_some(world, tick, &candidates);
+    let candidate = candidates[chosen].clone();
+    if let Some(refusal) = overloaded(world, tick, key, &candidate) {
+        let text = format!("refused: wait_s={:.3} at {}", candidate.wait_s, candidate.endpoint);
+        world.tables.decisions.note(tick.now, key, text);
+        finish::end_without_turn(world, tick, key, work::Outcome::NotRun(refusal));
+        return;
+    }
+    dispatch(world, tick, key, &candidate);
+}
+
+/// Every endpoint that can take the call, with what it would cost there.
+fn candidates(
+    world: &mut world::World,
+    tick: &world::Tick,
+    key: &ids::CallKey,
+) -> Vec<policy::Candidate> {
+    let Some(call) = world.tables.calls.rows.get(key) else {
+        return Vec::new();
+    };
+    let call = call.clone();
+    let names: Vec<(ids::EndpointName, u32)> = match world.objects() {
+        Some(objects) => {
+            let serving = objects.endpoints_for(&call.work);
+            serving.map(|(name, endpoint)| (name.clone(), endpoint.slots)).collect()
+        }
+        None => return Vec::new(),
+    };
+    let open: Vec<policy::Candidate> = names
+        .into_iter()
+        .filter_map(|(name, slots)| candidate(world, tick, key, &call, name, slots))
+        .collect();
+    let fresh: Vec<policy::Candidate> = open
+        .iter()
+        .filter(|candidate| !call.avoid.contains(&candidate.endpoint))
+        .cloned()
+        .collect();
+    if fresh.is_empty() {
+        open
+    } else {
+        fresh
+    }
+}
+
+fn candidate(
+    world: &mut world::World,
+    tick: &world::Tick,
+    key: &ids::CallKey,
+    call: &calls::Call,
+    endpoint: ids::EndpointName,
+    slots: u32,
+) -> Option<policy::Candidate> {
+    let instance = world.tables.instances.by_endpoint.get(&endpoint)?.clone();
+    let is_self = instance == world.identity.peer.instance;
+    if !is_self && !world.tables.instances.is_open(&instance) {
+        return None;
+    }
+    if is_self && !world.is_open() {
+        return None;
+    }
+    let incarnation = match is_self {
+        true => world.identity.peer.incarnation,
+        false => match world.tables.instances.incarnation(&instance) {
+            Some(incarnation) => incarnation,
+            None => {
+                membership::ping(world, tick, &instance);
+                return None;
+            }
+        },
+    };
+    let listed = world.tables.instances.rows.get(&instance).and_then(|row| row.listed.as_ref());
+    let remote = listed.is_some_and(|listed| listed.region != world.identity.region);
+    let delay_s = if remote { remote_delay_s(world) } else { 0.0 };
+    let (cached, prompt) = prompt_tokens(world, key, call, &endpoint);
+    let row = world.tables.endpoints.row(&endpoint);
+    if row.closed_until.is_some_and(|until| until > tick.now) {
+        return None;
+    }
+    let age_s = row.told_at.map_or(0.0, |at| tick.now.since(at).as_secs_f64());
+    let rate =
+        if row.load.prefill_rate > 0.0 { row.load.prefill_rate } else { DEFAULT_PREFILL_RATE };
+    Some(policy::Candidate {
+        endpoint,
+        instance,
+        incarnation,
+        slots: slots.max(1),
+        running: row.load.running,
+        queued: row.load.queued,
+        told_wait_s: row.load.wait_s,
+        age_s,
+        outstanding: row.outstanding,
+        sent_since: row.sent_since,
+        mean_run_s: row.mean_run_s,
+        prefill_s: f64::from(prompt.saturating_sub(cached)) / rate,
+        cached_tokens: cached,
+        prompt_tokens: prompt,
+        delay_s,
+        remote,
+        wait_s: 0.0,
+    })
+}
+
+fn remote_delay_s(world: &world::World) -> f64 {
+    let region = world.objects().and_then(|o| o.regions.get(&world.identity.region));
+    region.map_or(0.0, |region| region.remote_delay.as_secs_f64())
+}
+
+/// Tokens of the prompt that the endpoint is likely to have, and of the whole prompt.
+fn prompt_tokens(
+    world: &world::World,
+    key: &ids::CallKey,
+    call: &calls::Call,
+    endpoint: &ids::EndpointName,
+) -> (u32, u32) {
+    let work::Work::Model { messages, .. } = &call.work else {
+        return (0, 0);
+    };
+    let row = world.tables.conversations.rows.get(&key.conversation);
+    let place = row.and_then(|row| row.place.as_ref());
+    let known = place.map_or(0, |place| place.tokens);
+    let cached = place.filter(|place| place.endpoint == *endpoint).map_or(0, |place| place.tokens);
+    let new: u64 = messages.iter().map(|message| message.content.len() as u64).sum();
+    let history = match place {
+        Some(_) => u64::from(known),
+        None => budgets::prompt_bound(world, key, &[]),
+    };
+    let prompt = history + new / BYTES_PER_TOKEN + 1;
+    (cached, u32::try_from(prompt).unwrap_or(u32::MAX))
+}
+
+fn choose(
+    world: &mut world::World,
+    key: &ids::CallKey,
+    candidates: &[policy::Candidate],
+) -> Option<usize> {
+    if candidates.is_empty() {
+        return None;
+    }
+    world.tables.endpoints.turn += 1;
+    let cx = policy::PlacementContext {
+        conversation: &key.conversation,
+        turn: world.tables.endpoints.turn,
+        rng: &mut world.rng,
+    };
+    Some(world.policies.placement.choose(candidates, cx).min(candidates.len() - 1))
+}
+
+/// Asks a few endpoints with old loads for a new one, for the calls that follow.
+fn probe_some(world: &mut world::World, tick: &world::Tick, candidates: &[policy::Candidate]) {
+    for _ in 0..PROBES.min(candidates.len()) {
+        let index = usize::try_from(world.rng.below(candidates.len() as u64)).unwrap_or(0);
+        let candidate = &candidates[index];
+        let stale = candidate.age_s >= STALE_LOAD.as_secs_f64();
+        if stale && candidate.instance != world.identity.peer.instance {
+            membership::ping(world, tick, &candidate.instance);
+        }
+    }
+}
+
+fn overloaded(
+    world: &mut world::World,
+    tick: &world::Tick,
+    key: &ids::CallKey,
+    candidate: &policy::Candidate,
+) -> Option<errors::Refusal> {
+    let wait_s = candidate.expected_wait_s();
+    let call = world.tables.calls.rows.get(key)?;
+    let (root, deadline, attempts) = (call.root.clone(), call.deadline, call.attempts);
+    let time_left = deadline.since(tick.now).as_secs_f64();
+    let account = world.tables.programs.account(&root)?;
+    let is_new = account.attained == 0 && account.turns <= 1 && attempts == 0;
+    if wait_s < time_left && !(is_new && wait_s > NEW_PROGRAM_WAIT_S) {
+        return None;
+    }
+    let retry_after = std_time::Duration::from_secs_f64(wait_s.clamp(0.1, 30.0));
+    Some(errors::Refusal::Overloaded { retry_after })
+}
+
+/// No endpoint is open: tries again until the deadline.
+fn wait_for_endpoint(world: &mut world::World, tick: &world::Tick, key: &ids::CallKey) {
+    let Some(call) = world.tables.calls.rows.get_mut(key) else {
+        return;
+    };
+    let what = match &call.work {
+        work::Work::Model { model, .. } => model.to_string(),
+        work::Work::Service { service, .. } => service.to_string(),
+        work::Work::EndProgram => String::new(),
+    };
+    call.refusal.get_or_insert(errors::Refusal::NoEndpoint(what));
+    finish::set_state(world, tick, key, calls::State::Delayed);
+    let at = tick.now.after(NO_ENDPOINT_DELAY);
+    world.tables.timers.set(timers::Timer::CallRetry(key.clone()), at);
+}
+
+fn dispatch(
+    world: &mut world::World,
+    tick: &world::Tick,
+    key: &ids::CallKey,
+    candidate: &policy::Candidate,
+) {
+    let Some(epoch) = world.tables.partitions.epoch(&key.conversation.home) else {
+        return;
+    };
+    let Some(job) = job(world, tick, key, candidate) else {
+        return;
+    };
+    let Some(call) = world.tables.calls.rows.get_mut(key) else {
+        return;
+    };
+    call.attempts += 1;
+    let is_first = call.attempts == 1;
+    let attempt = ids::AttemptId { call: key.clone(), epoch, number: call.attempts };
+    let root = call.root.clone();
+    let workspace = call.workspace.clone();
+    let time_left = call.deadline.since(tick.now);
+    let mut dispatch = messages::Dispatch {
+        attempt: attempt.clone(),
+        workspace: workspace.clone(),
+        program: call.program.clone(),
+        attained: 0,
+        time_left,
+        fingerprint: call.work.fingerprint(),
+        expected_prefill: candidate.prompt_tokens.saturating_sub(candidate.cached_tokens),
+        job,
+    };
+    dispatch.attained = world.tables.programs.account(&root).map_or(0, |a| a.attained);
+    if is_first {
+        recovery::earn_allowance(world, &workspace);
+    }
+    let row = world.tables.endpoints.row(&candidate.endpoint);
+    row.outstanding += 1;
+    row.sent_since += 1;
+    note(world, tick, key, candidate);
+    let peer =
+        ids::Peer { instance: candidate.instance.clone(), incarnation: candidate.incarnation };
+    let state = calls::State::Running {
+        attempt,
+        endpoint: candidate.endpoint.clone(),
+        peer: peer.clone(),
+        sent_at: tick.now,
+    };
+    finish::set_state(world, tick, key, state);
+    finish::route(world, key);
+    let message = messages::Message::Dispatch(Box::new(dispatch));
+    outbox::confirm(world, tick, &peer.instance, Some(peer.incarnation), message, time_left);
+}
+
+fn note(
+    world: &mut world::World,
+    tick: &world::Tick,
+    key: &ids::CallKey,
+    candidate: &policy::Candidate,
+) {
+    let text = format!(
+        "placed on {} wait_s={:.3} prefill_s={:.3} delay_s={:.3} cached_tokens={} outstanding={}",
+        candidate.endpoint,
+        candidate.expected_wait_s(),
+        candidate.prefill_s,
+        candidate.delay_s,
+        candidate.cached_tokens,
+        candidate.outstanding
+    );
+    world.tables.decisions.note(tick.now, key, text);
+}
+
+fn job(
+    world: &mut world::World,
+    tick: &world::Tick,
+    key: &ids::CallKey,
+    candidate: &policy::Candidate,
+) -> Option<messages::Job> {
+    let call = world.tables.calls.rows.get(key)?.clone();
+    match &call.work {
+        work::Work::Model { model, messages, .. } => {
+            let mut prompt: Vec<history::Message> =
+                world.tables.conversations.rows.get(&key.conversation)?.messages();
+            prompt.extend(messages.iter().cloned());
+            let replaces = holds::leave_place(world, tick, key, &candidate.endpoint);
+            let hold = holds::terms(world, key, candidate);
+            world.tables.calls.rows.get_mut(key)?.hold = hold.map(|terms| terms.id);
+            Some(messages::Job::Model {
+                model: model.clone(),
+                messages: prompt,
+                prefix: call.prefix.clone(),
+                max_tokens: call.max_tokens,
+                budget_bound: call.budget_bound,
+                hold,
+                replaces,
+            })
+        }
+        work::Work::Service { service, operation, body } => {
+            let timeout = world.objects()?.services.get(service)?.timeout;
+            let idempotency_key =
+                call.idempotency_key.clone().unwrap_or_else(|| format!("call:{key}"));
+            Some(messages::Job::Service {
+                service: service.clone(),
+                operation: operation.clone(),
+                body: body.clone(),
+                idempotency_key,
+                timeout,
+            })
+        }
+        work::Work::EndProgram => None,
+    }
+}
--- /dev/null
+++ b/crates/flamingotrail-core/src/systems/replay.rs
@@ -0,0 +1,88 @@
+//! Reads partition streams: which entries count, and what they say.
+
+use crate::ids;
+use crate::input;
+use crate::journal;
+use crate::systems::ownership;
+use crate::systems::programs;
+use crate::time;
+use crate::world;
+
+/// Takes one page: claims change the epoch, records of another epoch are void.
+pub fn take_page(
+    world: &mut world::World,
+    tick: &world::Tick,
+    partition: &ids::Partition,
+    page: &input::Page,
+) {
+    learn_forgotten_epoch(world, partition, page);
+    for positioned in &page.entries {
+        let replay = &mut ownership::row(world, partition).replay;
+        if positioned.offset < replay.cursor {
+            continue;
+        }
+        replay.cursor = ids::Offset(positioned.offset.0 + 1);
+        take_entry(world, tick, partition, positioned);
+    }
+    let replay = &mut ownership::row(world, partition).replay;
+    replay.cursor = replay.cursor.max(page.next);
+}
+
+/// Where the log has forgotten the newest claim, records still name it: the highest epoch before
+/// the first entry is in force there, since a claim stands before every record under it.
+fn learn_forgotten_epoch(world: &mut world::World, partition: &ids::Partition, page: &input::Page) {
+    let replay = &mut ownership::row(world, partition).replay;
+    if replay.cursor >= page.start {
+        return;
+    }
+    for positioned in &page.entries {
+        let Some(journal::Entry { body: journal::Body::Records { epoch, .. }, .. }) =
+            &positioned.entry
+        else {
+            continue;
+        };
+        if epoch.0 < page.start.0 && replay.epoch.is_none_or(|known| known < *epoch) {
+            replay.epoch = Some(*epoch);
+            replay.owner = positioned.entry.as_ref().map(|entry| entry.writer.clone());
+        }
+    }
+}
+
+fn take_entry(
+    world: &mut world::World,
+    tick: &world::Tick,
+    partition: &ids::Partition,
+    positioned: &input::Positioned,
+) {
+    let Some(entry) = &positioned.entry else {
+        return;
+    };
+    let row = ownership::row(world, partition);
+    if !row.replay.note(entry.nonce) {
+        return;
+    }
+    match &entry.body {
+        journal::Body::Claim => {
+            row.replay.epoch = Some(ids::Epoch(positioned.offset.0));
+            row.replay.owner = Some(entry.writer.clone());
+        }
+        journal::Body::Records { epoch, records } => {
+            if row.replay.epoch != Some(*epoch) {
+                return;
+            }
+            if row.epoch().is_some() {
+                return;
+            }
+            row.replay.owner = Some(entry.writer.clone());
+            let logged_at = time::Timestamp::new(
+                tick.now
+                    .micros()
+                    .saturating_sub(time::Timestamp::ZERO.after(positioned.age).micros()),
+            );
+            for record in records {
+                programs::restore(world, partition, record, logged_at);
+            }
+        }
+        _ => {}
+    }
+}
--- /dev/null
+++ b/crates/flamingotrail-core/src/systems/suspects.rs
@@ -0,0 +1,204 @@
+//! Content that was in flight when an endpoint crashed: suspected content runs alone, a second
+//! crash alone convicts it, and the region shares the verdicts through a stream.
+
+use std::time as std_time;
+
+use crate::digest;
+use crate::ids;
+use crate::input;
+use crate::journal;
+use crate::messages;
+use crate::output;
+use crate::systems::outbox;
+use crate::systems::timers as due;
+use crate::tables::timers;
+use crate::work;
+use crate::world;
+
+/// Interval between reads of the stream.
+const READ_INTERVAL: std_time::Duration = std_time::Duration::from_secs(30);
+/// Delay before an append that was refused or lost is sent again.
+const RETRY: std_time::Duration = std_time::Duration::from_secs(1);
+
+/// The region's stream of suspects.
+pub fn stream(region: &ids::RegionName) -> ids::StreamName {
+    ids::StreamName::new(format!("suspects.{region}"))
+}
+
+/// Takes notices from peers and the stream; appends the own ones.
+pub fn run(world: &mut world::World, tick: &world::Tick) {
+    for notice in std::mem::take(&mut world.tables.inbox.notices) {
+        world.tables.suspects.take(&notice);
+    }
+    take_reads(world, tick);
+    take_appended(world, tick);
+    let due = due::take_due(world, |timer| match timer {
+        timers::Timer::SuspectsRead => Some(true),
+        timers::Timer::SuspectsFlush => Some(false),
+        _ => None,
+    });
+    for is_read in due {
+        if is_read {
+            read(world);
+        } else {
+            flush(world, tick);
+        }
+    }
+}
+
+fn read(world: &mut world::World) {
+    let suspects = &mut world.tables.suspects;
+    if suspects.reading {
+        return;
+    }
+    suspects.reading = true;
+    let from = suspects.cursor;
+    let stream = stream(&world.identity.region);
+    world.emit(output::Output::Read { stream, from, wait: std_time::Duration::ZERO });
+}
+
+fn take_reads(world: &mut world::World, tick: &world::Tick) {
+    let stream = stream(&world.identity.region);
+    let reads = std::mem::take(&mut world.tables.inbox.reads);
+    for (read_stream, page) in reads {
+        if read_stream != stream {
+            continue;
+        }
+        world.tables.suspects.reading = false;
+        world.tables.timers.set(timers::Timer::SuspectsRead, tick.now.after(READ_INTERVAL));
+        let Some(page) = page else {
+            continue;
+        };
+        for positioned in &page.entries {
+            take_entry(world, positioned);
+        }
+        let suspects = &mut world.tables.suspects;
+        suspects.cursor = suspects.cursor.max(page.next);
+    }
+}
+
+fn take_entry(world: &mut world::World, positioned: &input::Positioned) {
+    if positioned.offset < world.tables.suspects.cursor {
+        return;
+    }
+    let Some(entry) = &positioned.entry else {
+        return;
+    };
+    let journal::Body::Suspects { notices } = &entry.body else {
+        return;
+    };
+    for notice in notices {
+        world.tables.suspects.take(notice);
+    }
+}
+
+/// An attempt on the own endpoint ended: a crash suspects all that was in flight; one that ran
+/// alone is convicted by a crash and cleared by its end.
+pub fn attempt_ended(
+    world: &mut world::World,
+    tick: &world::Tick,
+    attempt: &ids::AttemptId,
+    end: &work::AttemptEnd,
+) {
+    let crashed = matches!(end, work::AttemptEnd::Broken { endpoint_crashed: true, .. });
+    let Some(run) = world.tables.runs.rows.get(attempt) else {
+        return;
+    };
+    let fingerprint = run.dispatch.fingerprint;
+    let is_suspect = world.tables.suspects.rows.contains_key(&fingerprint);
+    let alone = world.tables.runs.alone;
+    if crashed && alone {
+        publish(world, tick, vec![(fingerprint, journal::Verdict::Convicted)]);
+        return;
+    }
+    if crashed {
+        let in_flight: Vec<(digest::Digest, journal::Verdict)> = world
+            .tables
+            .runs
+            .rows
+            .values()
+            .filter(|run| run.started_at.is_some())
+            .map(|run| (run.dispatch.fingerprint, journal::Verdict::Suspected))
+            .filter(|(fingerprint, _)| !world.tables.suspects.rows.contains_key(fingerprint))
+            .collect();
+        publish(world, tick, in_flight);
+        return;
+    }
+    if is_suspect && alone && matches!(end, work::AttemptEnd::Answered(_)) {
+        publish(world, tick, vec![(fingerprint, journal::Verdict::Cleared)]);
+    }
+}
+
+/// Tells the region's processes at once, and the stream.
+fn publish(
+    world: &mut world::World,
+    tick: &world::Tick,
+    verdicts: Vec<(digest::Digest, journal::Verdict)>,
+) {
+    let notices: Vec<journal::SuspectNotice> = verdicts
+        .into_iter()
+        .map(|(fingerprint, verdict)| journal::SuspectNotice { fingerprint, verdict })
+        .collect();
+    if notices.is_empty() {
+        return;
+    }
+    for notice in &notices {
+        world.event("content_verdict", notice.fingerprint, format!("{:?}", notice.verdict));
+        world.tables.suspects.take(notice);
+    }
+    let own = world.identity.peer.instance.clone();
+    let peers: Vec<ids::InstanceName> = world
+        .tables
+        .instances
+        .rows
+        .iter()
+        .filter(|(name, row)| {
+            **name != own && row.listed.as_ref().is_some_and(|listed| listed.endpoint.is_some())
+        })
+        .map(|(name, _)| name.clone())
+        .collect();
+    for peer in peers {
+        let message = messages::Message::Suspects { notices: notices.clone() };
+        let lasting = world.settings.suspect_after;
+        outbox::confirm(world, tick, &peer, None, message, lasting);
+    }
+    world.tables.suspects.pending.extend(notices);
+    flush(world, tick);
+}
+
+fn flush(world: &mut world::World, _tick: &world::Tick) {
+    let suspects = &mut world.tables.suspects;
+    if suspects.flight.is_none() {
+        if suspects.pending.is_empty() {
+            return;
+        }
+        let notices = std::mem::take(&mut suspects.pending);
+        suspects.flight = Some((ids::Nonce(world.rng.next()), notices));
+    }
+    let Some((nonce, notices)) = world.tables.suspects.flight.clone() else {
+        return;
+    };
+    let body = journal::Body::Suspects { notices };
+    let entry = journal::Entry { nonce, writer: world.identity.peer.clone(), body };
+    let stream = stream(&world.identity.region);
+    world.emit(output::Output::Append { stream, entry });
+}
+
+fn take_appended(world: &mut world::World, tick: &world::Tick) {
+    for (_, nonce, result) in std::mem::take(&mut world.tables.inbox.appended) {
+        let Some((mine, _)) = &world.tables.suspects.flight else {
+            continue;
+        };
+        if *mine != nonce {
+            continue;
+        }
+        if matches!(result, input::AppendResult::At(_)) {
+            world.tables.suspects.flight = None;
+        }
+        let more =
+            world.tables.suspects.flight.is_some() || !world.tables.suspects.pending.is_empty();
+        if more {
+            world.tables.timers.set(timers::Timer::SuspectsFlush, tick.now.after(RETRY));
+        }
+    }
+}
--- /dev/null
+++ b/crates/flamingotrail-core/src/tables/timers.rs
@@ -0,0 +1,118 @@
+//! When rows are due again.
+
+use std::collections;
+
+use crate::ids;
+use crate::time;
+
+/// What a timer is for. One timer of a kind and row exists at most.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Timer {
+    /// Fetch the platform's list.
+    List,
+    /// Read the configuration stream.
+    ConfigRead,
+    /// Ask peers for the configuration.
+    ConfigAsk,
+    /// Carry the configuration forward.
+    ConfigCarry,
+    /// Fetch a report of the own endpoint.
+    Report,
+    /// Claim the own endpoint.
+    EndpointClaim,
+    /// Read the stream of suspects.
+    SuspectsRead,
+    /// Write or read suspects.
+    SuspectsFlush,
+    /// Probe a process.
+    Probe(ids::InstanceName),
+    /// A process has been silent for too long.
+    Silence(ids::InstanceName),
+    /// Send a message again.
+    Resend(u64),
+    /// A partition's next step: read, claim or append.
+    Partition(ids::Partition),
+    /// A partition's rows are to be carried forward.
+    Carry(ids::Partition),
+    /// Deadline of a call.
+    CallDeadline(ids::CallKey),
+    /// A call may be placed again.
+    CallRetry(ids::CallKey),
+    /// Deadline of an entry's request.
+    RequestDeadline(ids::RequestId),
+    /// The owner has not taken a request.
+    RequestAccept(ids::RequestId),
+    /// Deadline of a queued attempt.
+    RunDeadline(ids::AttemptId),
+    /// A hold's lease ends.
+    Hold(ids::HoldId),
+    /// An order to release a hold is to be repeated.
+    HoldRelease(ids::HoldId),
+    /// A program has been idle.
+    ProgramIdle(ids::ProgramId),
+    /// Next step of a graceful shutdown.
+    Drain,
+    /// The queue of the own endpoint may move on.
+    Queue,
+}
+
+/// Timers by time, with the time of each.
+#[derive(Debug, Default)]
+pub struct Timers {
+    by_time: collections::BTreeSet<(time::Timestamp, Timer)>,
+    times: collections::BTreeMap<Timer, time::Timestamp>,
+}
+
+impl Timers {
+    /// Sets `timer` to `at`, replacing its earlier time.
+    pub fn set(&mut self, timer: Timer, at: time::Timestamp) {
+        self.clear(&timer);
+        self.by_time.insert((at, timer.clone()));
+        self.times.insert(timer, at);
+    }
+
+    /// Sets `timer` to `at` unless it is set to an earlier time.
+    pub fn set_earlier(&mut self, timer: Timer, at: time::Timestamp) {
+        if self.times.get(&timer).is_some_and(|set| *set <= at) {
+            return;
+        }
+        self.set(timer, at);
+    }
+
+    /// Removes `timer`.
+    pub fn clear(&mut self, timer: &Timer) {
+        if let Some(at) = self.times.remove(timer) {
+            self.by_time.remove(&(at, timer.clone()));
+        }
+    }
+
+    /// Whether `timer` is set.
+    pub fn is_set(&self, timer: &Timer) -> bool {
+        self.times.contains_key(timer)
+    }
+
+    /// The earliest time that is set.
+    pub fn next(&self) -> Option<time::Timestamp> {
+        self.by_time.first().map(|(at, _)| *at)
+    }
+
+    /// Removes and returns the earliest timer that is due at `now`.
+    pub fn pop(&mut self, now: time::Timestamp) -> Option<Timer> {
+        if self.next()? > now {
+            return None;
+        }
+        let (_, timer) = self.by_time.pop_first()?;
+        self.times.remove(&timer);
+        Some(timer)
+    }
+
+    /// Number of timers.
+    pub fn len(&self) -> usize {
+        self.times.len()
+    }
+
+    /// Whether no timer is set.
+    pub fn is_empty(&self) -> bool {
+        self.times.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/flamingotrail/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
