--- a/crates/flamingotrail-config/src/check.rs
+++ b/crates/flamingotrail-config/src/check.rs
@@ -270,13 +270,16 @@
             let problem = format!("endpoint `{name}` has no slot");
             self.mistake(place, problem, "give `slots` above 0");
         }
-        let serves = match (&config.service, config.models.is_empty()) {
-            (Some(service), true) => objects::Serves::Service(ids::ServiceName::new(service)),
-            (None, false) => {
+        let serves = match (config.services.is_empty(), config.models.is_empty()) {
+            (false, true) => {
+                let services = config.services.iter().map(ids::ServiceName::new);
+                objects::Serves::Services(services.collect())
+            }
+            (true, false) => {
                 objects::Serves::Models(config.models.iter().map(ids::ModelName::new).collect())
             }
             _ => {
-                let problem = format!("endpoint `{name}` needs either `models` or `service`");
+                let problem = format!("endpoint `{name}` needs either `models` or `services`");
                 self.mistake(place, problem, "give exactly one of the two");
                 return;
             }
@@ -353,8 +356,10 @@
                         self.missing(from.clone(), "model", model.as_str());
                     }
                 }
-                objects::Serves::Service(service) => {
-                    self.missing(from, "service", service.as_str());
+                objects::Serves::Services(services) => {
+                    for service in services {
+                        self.missing(from.clone(), "service", service.as_str());
+                    }
                 }
             }
         }
--- a/crates/flamingotrail-config/src/configs/endpoint.rs
+++ b/crates/flamingotrail-config/src/configs/endpoint.rs
@@ -9,8 +9,9 @@
     /// Names of the models that it serves.
     #[serde(default)]
     pub models: Vec<String>,
-    /// Name of the plain service that it runs; exactly one of `models` and `service` is given.
-    pub service: Option<String>,
+    /// Names of the plain services that it runs; exactly one of `models` and `services` is given.
+    #[serde(default)]
+    pub services: Vec<String>,
     /// Calls that run on it at the same time.
     pub slots: u32,
     /// Whether it refuses orders that carry an old fencing number.
--- a/crates/flamingotrail-core/src/lib.rs
+++ b/crates/flamingotrail-core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod objects;
 pub mod output;
 pub mod policy;
+pub mod publication;
 pub mod rng;
 pub mod schedule;
 pub mod settings;
--- a/crates/flamingotrail-core/src/objects.rs
+++ b/crates/flamingotrail-core/src/objects.rs
@@ -69,8 +69,8 @@
 pub enum Serves {
     /// Models, one engine.
     Models(collections::BTreeSet<ids::ModelName>),
-    /// A plain service.
-    Service(ids::ServiceName),
+    /// Plain services, one runner.
+    Services(collections::BTreeSet<ids::ServiceName>),
 }
 
 /// An endpoint as configured.
@@ -189,7 +189,9 @@
     ) -> impl Iterator<Item = (&'a ids::EndpointName, &'a Endpoint)> {
         self.endpoints.iter().filter(move |(_, endpoint)| match (&endpoint.serves, work) {
             (Serves::Models(models), work::Work::Model { model, .. }) => models.contains(model),
-            (Serves::Service(name), work::Work::Service { service, .. }) => name == service,
+            (Serves::Services(services), work::Work::Service { service, .. }) => {
+                services.contains(service)
+            }
             _ => false,
         })
     }
--- a/crates/flamingotrail-core/src/output.rs
+++ b/crates/flamingotrail-core/src/output.rs
@@ -84,6 +84,8 @@
     Respond(Box<messages::Reply>),
     /// Something worth a log line and a count.
     Event(Event),
+    /// A figure for the metrics.
+    Measure(Measure),
     /// Nothing is left to do after a drain.
     Stopped,
 }
@@ -105,3 +107,12 @@
         Event { name, about: about.to_string(), detail: detail.to_string() }
     }
 }
+
+/// A figure for the metrics.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Measure {
+    /// A program ended this many seconds after it started here.
+    ProgramSeconds(f64),
+    /// Prompt tokens were computed again, though an engine had held them.
+    WastedCacheTokens(u64),
+}
--- a/crates/flamingotrail-core/src/systems/configuration.rs
+++ b/crates/flamingotrail-core/src/systems/configuration.rs
@@ -12,6 +12,7 @@
 use crate::messages;
 use crate::output;
 use crate::policy;
+use crate::publication;
 use crate::systems::outbox;
 use crate::systems::timers as due;
 use crate::tables::configuration;
@@ -98,22 +99,22 @@
         tick.now.micros().saturating_sub(time::Timestamp::ZERO.after(positioned.age).micros()),
     );
     let current = world.tables.configuration.version();
-    match &entry.body {
-        journal::Body::Publication { base, source, .. } if *base == current => {
-            accept(world, tick, ids::ConfigVersion(base.0 + 1), source, false, logged_at);
+    let source = match &entry.body {
+        journal::Body::Publication { source, .. } | journal::Body::Carry { source, .. } => source,
+        _ => return,
+    };
+    match publication::judge(current, &entry.body) {
+        publication::Judgement::Accept { version, tentative } => {
+            accept(world, tick, version, source, tentative, logged_at);
         }
-        journal::Body::Publication { base, source, .. } if *base > current => {
-            // Its predecessors are forgotten: only a carried set or a successor settles it.
-            accept(world, tick, ids::ConfigVersion(base.0 + 1), source, true, logged_at);
+        publication::Judgement::Carry { version } => {
+            take_carry(world, tick, version, source, logged_at);
         }
-        journal::Body::Publication { base, author, .. } => {
-            let detail = format!("base={base} current={current} author={author}");
+        publication::Judgement::LostRace => {
+            let detail = format!("current={current} writer={}", entry.writer.instance);
             world.event("publication_lost_race", positioned.offset, detail);
         }
-        journal::Body::Carry { version, source } => {
-            take_carry(world, tick, *version, source, logged_at);
-        }
-        _ => {}
+        publication::Judgement::Ignore => {}
     }
 }
 
--- a/crates/flamingotrail-core/src/systems/holds.rs
+++ b/crates/flamingotrail-core/src/systems/holds.rs
@@ -217,11 +217,20 @@
     instance: &ids::InstanceName,
     usage: &work::Usage,
 ) {
-    let hold = world.tables.calls.rows.get(key).and_then(|call| call.hold);
+    let Some(call) = world.tables.calls.rows.get(key) else {
+        return;
+    };
+    if !matches!(call.work, work::Work::Model { .. }) {
+        return;
+    }
+    let hold = call.hold;
     let Some(row) = world.tables.conversations.rows.get_mut(&key.conversation) else {
         return;
     };
     row.answered_at = Some(tick.now);
+    // Cached tokens of the last call that had to be computed again.
+    let had = row.place.as_ref().map_or(0, |place| place.tokens);
+    let again = had.min(usage.prompt_tokens).saturating_sub(usage.cached_tokens);
     row.place = Some(conversations::Place {
         endpoint: endpoint.clone(),
         instance: instance.clone(),
@@ -229,4 +238,8 @@
         tokens: usage.prompt_tokens.saturating_add(usage.completion_tokens),
         at: tick.now,
     });
+    if again > 0 {
+        let measure = output::Measure::WastedCacheTokens(u64::from(again));
+        world.emit(output::Output::Measure(measure));
+    }
 }
--- a/crates/flamingotrail-core/src/systems/intake.rs
+++ b/crates/flamingotrail-core/src/systems/intake.rs
@@ -15,7 +15,6 @@
 use crate::systems::programs;
 use crate::tables::calls;
 use crate::tables::effects;
-use crate::tables::partitions;
 use crate::tables::timers;
 use crate::work;
 use crate::world;
@@ -55,10 +54,7 @@
             return;
         }
         row.waiting.push((from, submit, deadline));
-        if row.standing == partitions::Standing::Asking {
-            world.tables.dirty.partitions.insert(partition.clone());
-        }
-        world.tables.timers.set_earlier(timers::Timer::Partition(partition), deadline);
+        world.tables.dirty.partitions.insert(partition);
         return;
     };
     let stale = row.read_at.is_none_or(|at| tick.now.since(at) > world.settings.ownership_recheck);
--- a/crates/flamingotrail-core/src/systems/journal.rs
+++ b/crates/flamingotrail-core/src/systems/journal.rs
@@ -30,6 +30,16 @@
         if world.tables.partitions.epoch(&partition).is_some() {
             step(world, tick, &partition);
         }
+        arm(world, &partition);
+    }
+}
+
+/// Sets the timer of a partition to its next step.
+fn arm(world: &mut world::World, partition: &ids::Partition) {
+    let timer = timers::Timer::Partition(partition.clone());
+    match ownership::row(world, partition).wakes_at() {
+        Some(at) => world.tables.timers.set(timer, at),
+        None => world.tables.timers.clear(&timer),
     }
 }
 
@@ -98,7 +108,6 @@
 }
 
 fn step(world: &mut world::World, tick: &world::Tick, partition: &ids::Partition) {
-    let waiting = timers::Timer::Partition(partition.clone());
     let row = ownership::row(world, partition);
     if row.reading {
         return;
@@ -106,7 +115,7 @@
     if let Some(flight) = row.flight.clone() {
         if row.replay.nonces.contains(&flight.nonce) {
             confirm(world, tick, partition, flight);
-        } else if flight.answered && !world.tables.timers.is_set(&waiting) {
+        } else if flight.answered && !row.is_backed_off(tick.now) {
             // Not in the stream as read to its end: send the same nonce again.
             send(world, tick, partition, flight.nonce, flight.records);
         }
@@ -117,7 +126,6 @@
     }
     let due = row.appended_at.map_or(tick.now, |at| at.after(row.interval));
     if due > tick.now {
-        world.tables.timers.set_earlier(waiting, due);
         return;
     }
     let records = take_batch(row);
@@ -173,7 +181,6 @@
     let row = ownership::row(world, partition);
     row.flight = None;
     row.backoff = std_time::Duration::ZERO;
-    world.tables.timers.clear(&timers::Timer::Partition(partition.clone()));
     for record in &flight.records {
         programs::confirmed(world, tick, record);
     }
--- a/crates/flamingotrail-core/src/systems/ownership.rs
+++ b/crates/flamingotrail-core/src/systems/ownership.rs
@@ -93,6 +93,7 @@
     replay::take_page(world, tick, partition, page);
     let row = row(world, partition);
     row.backoff = std_time::Duration::ZERO;
+    row.retry_at = None;
     if row.replay.cursor < page.end {
         read(world, partition);
         return;
@@ -107,8 +108,8 @@
     let jitter = std_time::Duration::from_micros(world.rng.below(50_000));
     let row = row(world, partition);
     row.backoff = (row.backoff * 2).clamp(BACKOFF_MIN, BACKOFF_MAX);
-    let at = tick.now.after(row.backoff + jitter);
-    world.tables.timers.set(timers::Timer::Partition(partition.clone()), at);
+    row.retry_at = Some(tick.now.after(row.backoff + jitter));
+    world.tables.dirty.partitions.insert(partition.clone());
 }
 
 /// Compares the standing with what the stream says, read to its end.
@@ -134,6 +135,9 @@
 
 fn step(world: &mut world::World, tick: &world::Tick, partition: &ids::Partition) {
     let row = row(world, partition);
+    if !row.is_backed_off(tick.now) {
+        row.retry_at = None;
+    }
     match row.standing.clone() {
         partitions::Standing::Asking => ask(world, tick, partition),
         partitions::Standing::Probing { owner, until } => {
@@ -141,7 +145,7 @@
         }
         partitions::Standing::Claiming { nonce } => {
             let idle = !row.reading && row.flight.is_none();
-            if idle && !world.tables.timers.is_set(&timers::Timer::Partition(partition.clone())) {
+            if idle && !row.is_backed_off(tick.now) {
                 send_claim(world, tick, partition, nonce);
             }
         }
@@ -152,9 +156,8 @@
 
 /// Finds out who owns the partition, for the calls that wait.
 fn ask(world: &mut world::World, tick: &world::Tick, partition: &ids::Partition) {
-    let backed_off = world.tables.timers.is_set(&timers::Timer::Partition(partition.clone()));
     let row = row(world, partition);
-    if row.waiting.is_empty() || row.reading || backed_off {
+    if row.waiting.is_empty() || row.reading || row.is_backed_off(tick.now) {
         return;
     }
     if row.read_at != Some(tick.now) {
@@ -200,7 +203,6 @@
     } else if first {
         let standing = partitions::Standing::Probing { owner: owner.clone(), until };
         row(world, partition).standing = standing;
-        world.tables.timers.set(timers::Timer::Partition(partition.clone()), until);
         membership::ping(world, tick, &owner.instance);
     } else if tick.now >= until {
         claim(world, tick, partition);
@@ -269,7 +271,6 @@
     }
     let nonce = ids::Nonce(world.rng.next());
     row(world, partition).standing = partitions::Standing::Claiming { nonce };
-    world.tables.timers.clear(&timers::Timer::Partition(partition.clone()));
     send_claim(world, tick, partition, nonce);
 }
 
@@ -303,11 +304,7 @@
             back_off(world, tick, partition);
             read(world, partition);
         }
-        input::AppendResult::At(_) => {
-            let at = tick.now.after(BACKOFF_MAX);
-            world.tables.timers.set(timers::Timer::Partition(partition.clone()), at);
-            read(world, partition);
-        }
+        input::AppendResult::At(_) => read(world, partition),
     }
 }
 
@@ -323,7 +320,6 @@
     row.flight = None;
     row.asserted_at = tick.now;
     let waiting = std::mem::take(&mut row.waiting);
-    world.tables.timers.clear(&timers::Timer::Partition(partition.clone()));
     world.tables.timers.set(timers::Timer::Carry(partition.clone()), tick.now.after(carry));
     world.event("partition_owned", partition, format!("epoch={epoch}"));
     programs::adopt_partition(world, tick, partition);
--- a/crates/flamingotrail-core/src/systems/programs.rs
+++ b/crates/flamingotrail-core/src/systems/programs.rs
@@ -7,6 +7,7 @@
 use crate::ids;
 use crate::journal;
 use crate::messages;
+use crate::output;
 use crate::systems::finish;
 use crate::systems::journal as journaling;
 use crate::systems::outbox;
@@ -79,6 +80,7 @@
         root: record.root.clone(),
         workspace: record.workspace.clone(),
         ended: false,
+        started_at: logged_at,
         active_at: logged_at,
         carried_at: logged_at,
         account,
@@ -298,6 +300,7 @@
         root: root.clone(),
         workspace: workspace.clone(),
         ended: false,
+        started_at: tick.now,
         active_at: tick.now,
         carried_at: tick.now,
         account,
@@ -385,6 +388,7 @@
         cancel_calls(world, tick, member);
         release_places(world, tick, member);
     }
+    measure_end(world, tick, program);
     end_rows(world, program);
     let record = journal::Record::Ended { program: program.clone() };
     journaling::append(world, &program.home, record);
@@ -392,6 +396,14 @@
     world.tables.timers.set(timers::Timer::ProgramIdle(program.clone()), at);
 }
 
+fn measure_end(world: &mut world::World, tick: &world::Tick, program: &ids::ProgramId) {
+    let Some(row) = world.tables.programs.rows.get(program) else {
+        return;
+    };
+    let seconds = tick.now.since(row.started_at).as_secs_f64();
+    world.emit(output::Output::Measure(output::Measure::ProgramSeconds(seconds)));
+}
+
 fn tree_of(world: &world::World, program: &ids::ProgramId) -> Vec<ids::ProgramId> {
     match world.tables.programs.by_root.get(program) {
         Some(tree) => tree.iter().cloned().collect(),
--- a/crates/flamingotrail-core/src/tables/partitions.rs
+++ b/crates/flamingotrail-core/src/tables/partitions.rs
@@ -66,6 +66,8 @@
     pub appended_at: Option<time::Timestamp>,
     /// Delay after a failed step.
     pub backoff: std::time::Duration,
+    /// When a failed step may be tried again.
+    pub retry_at: Option<time::Timestamp>,
     /// Whether it is being handed over.
     pub handing_over: bool,
     /// Whether what is surely unspent was written for a successor.
@@ -139,6 +141,7 @@
             interval,
             appended_at: None,
             backoff: std::time::Duration::ZERO,
+            retry_at: None,
             handing_over: false,
             settled: false,
             asserted_at: time::Timestamp::ZERO,
@@ -146,6 +149,27 @@
         }
     }
 
+    /// Whether a failed step has to wait.
+    pub fn is_backed_off(&self, now: time::Timestamp) -> bool {
+        self.retry_at.is_some_and(|at| at > now)
+    }
+
+    /// When its next step is due without any input.
+    pub fn wakes_at(&self) -> Option<time::Timestamp> {
+        let probe = match &self.standing {
+            Standing::Probing { until, .. } => Some(*until),
+            _ => None,
+        };
+        let batch = match (&self.standing, &self.flight, self.pending.is_empty()) {
+            (Standing::Owned { .. }, None, false) => {
+                self.appended_at.map(|at| at.after(self.interval))
+            }
+            _ => None,
+        };
+        let deadline = self.waiting.iter().map(|(_, _, deadline)| *deadline).min();
+        [probe, batch, deadline, self.retry_at].into_iter().flatten().min()
+    }
+
     /// Epoch under which this process owns it.
     pub fn epoch(&self) -> Option<ids::Epoch> {
         match self.standing {
--- a/crates/flamingotrail-core/src/tables/programs.rs
+++ b/crates/flamingotrail-core/src/tables/programs.rs
@@ -24,6 +24,8 @@
     pub workspace: ids::WorkspaceName,
     /// Whether it has ended.
     pub ended: bool,
+    /// When this owner first saw it.
+    pub started_at: time::Timestamp,
     /// When it was last active.
     pub active_at: time::Timestamp,
     /// When its rows last stood in the log in full, as far as known.
--- /dev/null
+++ b/crates/flamingotrail-runtime/src/admin.rs
@@ -0,0 +1,124 @@
+//! The HTTP front end for operators: state dump, explanations, metrics, drain.
+
+use std::convert;
+use std::net;
+
+use actix_http::body;
+use actix_http::header;
+use actix_http::HttpService;
+use actix_http::Method;
+use actix_http::Request;
+use actix_http::Response;
+use actix_http::StatusCode;
+use actix_server::Server;
+use flamingotrail_core::input;
+use flamingotrail_wire::state;
+use tokio::sync::oneshot;
+
+use crate::control;
+use crate::metrics;
+use crate::respond;
+
+/// What the handlers need.
+#[derive(Clone)]
+pub struct Admin {
+    inlet: control::Inlet,
+    metrics: metrics::Metrics,
+}
+
+impl Admin {
+    /// A front end for operators.
+    pub fn new(inlet: control::Inlet, metrics: metrics::Metrics) -> Self {
+        Admin { inlet, metrics }
+    }
+
+    /// Listens for operators.
+    ///
+    /// # Errors
+    ///
+    /// An address that can't be used.
+    pub fn listen(self, address: net::SocketAddr) -> std::io::Result<Server> {
+        let server = Server::build()
+            .workers(1)
+            .disable_signals()
+            .bind("operators", address, move || {
+                let admin = self.clone();
+                HttpService::build()
+                    .finish(move |request: Request| {
+                        let admin = admin.clone();
+                        async move { Ok::<_, convert::Infallible>(admin.handle(request).await) }
+                    })
+                    .tcp()
+            })?
+            .run();
+        Ok(server)
+    }
+
+    async fn handle(&self, request: Request) -> respond::Boxed {
+        match (request.method(), request.path()) {
+            (&Method::GET, "/healthz") => plain(StatusCode::OK, "ok\n".to_owned()),
+            (&Method::GET, "/metrics") => plain(StatusCode::OK, self.metrics.render()),
+            (&Method::GET, "/dump") => self.dump().await,
+            (&Method::GET, "/explain") => {
+                self.explain(request.uri().query().unwrap_or_default()).await
+            }
+            (&Method::POST, "/drain") => self.drain(),
+            (_, path) => {
+                let text = format!("{path} is not served; see docs/OPERATING.md\n");
+                plain(StatusCode::NOT_FOUND, text)
+            }
+        }
+    }
+
+    async fn dump(&self) -> respond::Boxed {
+        let (tx, rx) = oneshot::channel();
+        if self.inlet.offer(control::Item::Dump(tx)).is_err() {
+            return busy();
+        }
+        match rx.await {
+            Ok(tables) => {
+                let tables: Vec<state::Table> = tables.into_iter().map(state::Table::from).collect();
+                json(&tables)
+            }
+            Err(_) => busy(),
+        }
+    }
+
+    /// Decisions on what the query `about=TEXT` names.
+    async fn explain(&self, query: &str) -> respond::Boxed {
+        let about = query.strip_prefix("about=").unwrap_or_default().to_owned();
+        let (tx, rx) = oneshot::channel();
+        if self.inlet.offer(control::Item::Explain(about, tx)).is_err() {
+            return busy();
+        }
+        match rx.await {
+            Ok(table) => json(&state::Table::from(table)),
+            Err(_) => busy(),
+        }
+    }
+
+    fn drain(&self) -> respond::Boxed {
+        match self.inlet.offer(control::Item::Input(input::Input::Drain)) {
+            Ok(()) => plain(StatusCode::ACCEPTED, "draining\n".to_owned()),
+            Err(_) => busy(),
+        }
+    }
+}
+
+fn busy() -> respond::Boxed {
+    plain(StatusCode::SERVICE_UNAVAILABLE, format!("{}\n", control::Full))
+}
+
+fn plain(code: StatusCode, text: String) -> respond::Boxed {
+    Response::build(code)
+        .insert_header((header::CONTENT_TYPE, "text/plain; charset=utf-8"))
+        .body(text)
+        .map_into_boxed_body()
+}
+
+fn json<T: serde::Serialize>(value: &T) -> Response<body::BoxBody> {
+    Response::build(StatusCode::OK)
+        .insert_header((header::CONTENT_TYPE, "application/json"))
+        .body(respond::json(value))
+        .map_into_boxed_body()
+}
--- /dev/null
+++ b/crates/flamingotrail-runtime/src/configs/mod.rs
@@ -0,0 +1,3 @@
+//! Settings of the daemon.
+
+pub mod daemon;
--- /dev/null
+++ b/crates/flamingotrail-runtime/src/front.rs
@@ -0,0 +1,332 @@
+//! The HTTP front end for callers, on traffic threads of its own.
+
+use std::convert;
+use std::net;
+use std::pin;
+use std::sync;
+use std::sync::atomic;
+use std::task;
+use std::time;
+
+use actix_http::body;
+use actix_http::header;
+use actix_http::HttpMessage as _;
+use actix_http::HttpService;
+use actix_http::Method;
+use actix_http::Request;
+use actix_http::Response;
+use actix_http::StatusCode;
+use actix_server::Server;
+use flamingotrail_core::errors;
+use flamingotrail_core::ids;
+use flamingotrail_core::input;
+use flamingotrail_core::messages;
+use flamingotrail_core::work;
+use futures_util::Stream;
+use futures_util::StreamExt as _;
+use tokio::sync::mpsc;
+
+use crate::control;
+use crate::metrics;
+use crate::parse;
+use crate::relay;
+use crate::respond;
+
+/// How long a caller may take to send its headers.
+const REQUEST_TIMEOUT: time::Duration = time::Duration::from_secs(10);
+
+/// What every handler needs.
+#[derive(Clone)]
+pub struct Front {
+    inlet: control::Inlet,
+    relay: relay::Relay,
+    metrics: metrics::Metrics,
+    entry: ids::Incarnation,
+    next: sync::Arc<atomic::AtomicU64>,
+    max_body_bytes: usize,
+}
+
+/// Closes a request when its connection goes away.
+struct Guard {
+    front: Front,
+    request: ids::RequestId,
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        if self.front.relay.close(self.request) {
+            self.front.inlet.deliver(input::Input::CallerGone(self.request));
+        }
+    }
+}
+
+impl Front {
+    /// A front end of the process with this start.
+    pub fn new(
+        inlet: control::Inlet,
+        relay: relay::Relay,
+        metrics: metrics::Metrics,
+        entry: ids::Incarnation,
+        max_body_bytes: usize,
+    ) -> Self {
+        let next = sync::Arc::new(atomic::AtomicU64::new(1));
+        Front { inlet, relay, metrics, entry, next, max_body_bytes }
+    }
+
+    /// Listens for callers.
+    ///
+    /// # Errors
+    ///
+    /// An address that can't be used.
+    pub fn listen(self, address: net::SocketAddr, threads: usize) -> std::io::Result<Server> {
+        let server = Server::build()
+            .workers(threads)
+            .disable_signals()
+            .bind("callers", address, move || {
+                let front = self.clone();
+                HttpService::build()
+                    .client_request_timeout(REQUEST_TIMEOUT)
+                    .h1_allow_half_closed(false)
+                    .finish(move |request: Request| {
+                        let front = front.clone();
+                        async move { Ok::<_, convert::Infallible>(front.handle(request).await) }
+                    })
+                    .tcp()
+            })?
+            .run();
+        Ok(server)
+    }
+
+    async fn handle(&self, mut request: Request) -> respond::Boxed {
+        let path = request.path().to_owned();
+        if path == "/healthz" {
+            return Response::build(StatusCode::OK).body("ok\n").map_into_boxed_body();
+        }
+        let body = match self.read_body(&mut request).await {
+            Ok(body) => body,
+            Err(refusal) => return self.refuse(refusal),
+        };
+        let number = self.next.fetch_add(1, atomic::Ordering::Relaxed);
+        let id = ids::RequestId { entry: self.entry, number };
+        let headers = request.headers();
+        let parsed = if request.method() == Method::POST && path == "/v1/chat/completions" {
+            parse::chat(headers, id, &body)
+        } else if let Some(rest) = path.strip_prefix("/v1/services/") {
+            parse::service(headers, id, rest, &body)
+        } else if let Some(rest) = path.strip_prefix("/v1/programs/") {
+            match *request.method() {
+                Method::DELETE => parse::end_program(headers, id, rest),
+                _ => Err(unknown_path(&path)),
+            }
+        } else {
+            Err(unknown_path(&path))
+        };
+        match parsed {
+            Ok(parsed) => self.run(parsed).await,
+            Err(refusal) => self.refuse(refusal),
+        }
+    }
+
+    fn refuse(&self, refusal: errors::Refusal) -> respond::Boxed {
+        self.metrics.calls.with_label_values(&["not_run", refusal.kind()]).inc();
+        respond::refusal(&respond::Ids::default(), refusal)
+    }
+
+    async fn read_body(&self, request: &mut Request) -> Result<bytes::BytesMut, errors::Refusal> {
+        let limit = self.max_body_bytes;
+        let mut body = bytes::BytesMut::new();
+        let mut payload = request.take_payload();
+        while let Some(piece) = payload.next().await {
+            let piece = piece.map_err(|error| errors::Refusal::BadField {
+                field: "body".to_owned(),
+                detail: error.to_string(),
+            })?;
+            if body.len() + piece.len() > limit {
+                return Err(errors::Refusal::TooLarge { limit: limit as u64 });
+            }
+            body.extend_from_slice(&piece);
+        }
+        Ok(body)
+    }
+
+    async fn run(&self, parsed: parse::Parsed) -> respond::Boxed {
+        let parse::Parsed { request, stream } = parsed;
+        let id = request.request;
+        let (is_chat, model) = match &request.work {
+            work::Work::Model { model, .. } => (true, model.to_string()),
+            _ => (false, String::new()),
+        };
+        let rx = self.relay.open(id);
+        let guard = Guard { front: self.clone(), request: id };
+        let item = control::Item::Input(input::Input::Caller(Box::new(request)));
+        if self.inlet.offer(item).is_err() {
+            // It never reached the control thread: surely not run, and nobody to tell.
+            self.relay.close(id);
+            let retry_after = time::Duration::from_millis(200);
+            return self.refuse(errors::Refusal::Overloaded { retry_after });
+        }
+        let answer = Answer {
+            front: self.clone(),
+            rx,
+            _guard: guard,
+            ids: respond::Ids::default(),
+            text: String::new(),
+            start: time::Instant::now(),
+            last: None,
+        };
+        if stream {
+            answer.stream().await
+        } else {
+            answer.whole(&model, is_chat).await
+        }
+    }
+}
+
+fn unknown_path(path: &str) -> errors::Refusal {
+    errors::Refusal::BadField {
+        field: "path".to_owned(),
+        detail: format!("{path} is not served; docs/API.md lists the paths"),
+    }
+}
+
+/// An answer under way.
+struct Answer {
+    front: Front,
+    rx: mpsc::UnboundedReceiver<relay::CallerEvent>,
+    _guard: Guard,
+    ids: respond::Ids,
+    text: String,
+    start: time::Instant,
+    last: Option<time::Instant>,
+}
+
+impl Answer {
+    /// Takes an event: the reply when it is the end.
+    fn take(&mut self, event: relay::CallerEvent) -> Option<messages::Reply> {
+        match event {
+            relay::CallerEvent::Admitted { program, conversation } => {
+                self.ids = respond::Ids {
+                    program: Some(program),
+                    conversation: Some(conversation),
+                };
+                None
+            }
+            relay::CallerEvent::Text(text) => {
+                self.measure_text();
+                self.text.push_str(&text);
+                None
+            }
+            relay::CallerEvent::Reply(reply) => {
+                self.measure_end(&reply);
+                Some(*reply)
+            }
+        }
+    }
+
+    fn measure_text(&mut self) {
+        let now = time::Instant::now();
+        match self.last.replace(now) {
+            None => {
+                let seconds = (now - self.start).as_secs_f64();
+                self.front.metrics.first_token_seconds.observe(seconds);
+            }
+            Some(last) => {
+                let seconds = (now - last).as_secs_f64();
+                self.front.metrics.inter_token_seconds.observe(seconds);
+            }
+        }
+    }
+
+    fn measure_end(&self, reply: &messages::Reply) {
+        let metrics = &self.front.metrics;
+        metrics.call_seconds.observe(self.start.elapsed().as_secs_f64());
+        let reason = match &reply.outcome {
+            work::Outcome::Done(_) => "",
+            work::Outcome::NotRun(refusal) => refusal.kind(),
+            work::Outcome::Unknown(doubt) => doubt.kind(),
+        };
+        metrics.calls.with_label_values(&[reply.outcome.kind(), reason]).inc();
+    }
+
+    async fn whole(mut self, model: &str, is_chat: bool) -> respond::Boxed {
+        while let Some(event) = self.rx.recv().await {
+            if let Some(reply) = self.take(event) {
+                return respond::whole(&self.ids, &reply, model, is_chat);
+            }
+        }
+        respond::refusal(&self.ids, errors::Refusal::Draining)
+    }
+
+    /// Waits for the first text or the end: an end without text is a whole answer with its status.
+    async fn stream(mut self) -> respond::Boxed {
+        while let Some(event) = self.rx.recv().await {
+            let reply = self.take(event);
+            if let Some(reply) = reply {
+                if !matches!(reply.outcome, work::Outcome::Done(_)) {
+                    return respond::whole(&self.ids, &reply, "", true);
+                }
+                let events = respond::end_events(&self.ids, &reply, "");
+                let events = futures_util::stream::iter(events);
+                return event_stream(events.map(Ok::<_, convert::Infallible>));
+            }
+            if !self.text.is_empty() {
+                let first = respond::text_event(&self.text);
+                let rest = EventStream { answer: self, ready: vec![first], ended: false };
+                return event_stream(rest);
+            }
+        }
+        respond::refusal(&self.ids, errors::Refusal::Draining)
+    }
+}
+
+fn event_stream<S>(stream: S) -> respond::Boxed
+where
+    S: Stream<Item = Result<bytes::Bytes, convert::Infallible>> + 'static,
+{
+    Response::build(StatusCode::OK)
+        .insert_header((header::CONTENT_TYPE, "text/event-stream"))
+        .insert_header((header::CACHE_CONTROL, "no-cache"))
+        .body(body::BodyStream::new(Box::pin(stream)))
+        .map_into_boxed_body()
+}
+
+/// The rest of a streamed answer.
+struct EventStream {
+    answer: Answer,
+    ready: Vec<bytes::Bytes>,
+    ended: bool,
+}
+
+impl Stream for EventStream {
+    type Item = Result<bytes::Bytes, convert::Infallible>;
+
+    fn poll_next(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<Option<Self::Item>> {
+        let this = &mut *self;
+        if !this.ready.is_empty() {
+            return task::Poll::Ready(Some(Ok(this.ready.remove(0))));
+        }
+        if this.ended {
+            return task::Poll::Ready(None);
+        }
+        match this.answer.rx.poll_recv(cx) {
+            task::Poll::Pending => task::Poll::Pending,
+            task::Poll::Ready(None) => task::Poll::Ready(None),
+            task::Poll::Ready(Some(event)) => {
+                let before = this.answer.text.len();
+                if let Some(reply) = this.answer.take(event) {
+                    this.ended = true;
+                    let text = &this.answer.text;
+                    this.ready = respond::end_events(&this.answer.ids, &reply, text);
+                } else if this.answer.text.len() > before {
+                    let event = respond::text_event(&this.answer.text[before..]);
+                    return task::Poll::Ready(Some(Ok(event)));
+                }
+                cx.waker().wake_by_ref();
+                task::Poll::Pending
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/flamingotrail-standins/examples/local.rs
@@ -0,0 +1,290 @@
+//! Runs the whole path on this machine: stand-ins in this process, real daemons beside it, programs
+//! of the users' kinds over HTTP, and faults on request. `scripts/local --help` tells the options.
+
+use std::collections;
+use std::path;
+use std::process;
+use std::rc;
+use std::sync;
+use std::time;
+
+use clap::Parser as _;
+use flamingotrail_standins::deployment;
+use flamingotrail_standins::engine;
+use flamingotrail_standins::http;
+use flamingotrail_standins::local::caller;
+use flamingotrail_standins::local::faults;
+use flamingotrail_standins::local::processes;
+use flamingotrail_standins::local::relay;
+use flamingotrail_standins::log;
+use flamingotrail_standins::tools;
+use flamingotrail_standins::workload;
+
+/// Runs programs through real daemons on loopback.
+#[derive(Debug, clap::Parser)]
+#[command(name = "scripts/local")]
+struct Args {
+    /// `fjordhest` or `wasadat`.
+    #[arg(long, default_value = "fjordhest")]
+    deployment: String,
+    /// Programs to run.
+    #[arg(long, default_value_t = 40)]
+    programs: usize,
+    /// Programs that start in a second.
+    #[arg(long, default_value_t = 4.0)]
+    rate: f64,
+    /// Seed of the programs and faults.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Regions.
+    #[arg(long, default_value_t = 3)]
+    regions: usize,
+    /// Entry processes.
+    #[arg(long, default_value_t = 2)]
+    entries: usize,
+    /// Engines, each with a process beside it.
+    #[arg(long, default_value_t = 6)]
+    engines: usize,
+    /// Runners of plain services, each with a process beside it.
+    #[arg(long, default_value_t = 3)]
+    runners: usize,
+    /// Faults to cause one after the other while programs run.
+    #[arg(long, value_enum)]
+    fault: Vec<faults::Fault>,
+    /// Folder for keys and logs; a new one below the system's folder for temporary files where it
+    /// is left out.
+    #[arg(long)]
+    folder: Option<path::PathBuf>,
+    /// Keeps daemons and stand-ins running after the programs, until a line on standard input.
+    #[arg(long)]
+    stay: bool,
+}
+
+fn main() -> process::ExitCode {
+    let args = Args::parse();
+    match actix_rt::System::new().block_on(run(&args)) {
+        Ok(true) => process::ExitCode::SUCCESS,
+        Ok(false) => process::ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("the run could not be set up: {error}");
+            process::ExitCode::FAILURE
+        }
+    }
+}
+
+fn outside(deployment: &deployment::Deployment) -> http::Outside {
+    let log = log::FakeLog::new(300.0, time::Duration::from_secs(7 * 24 * 3600));
+    let engines = deployment.engines().map(|endpoint| {
+        let config = engine::EngineConfig {
+            slots: usize::try_from(deployment.slots).unwrap_or(1),
+            cache_tokens: deployment.cache_tokens,
+            ..engine::EngineConfig::new()
+        };
+        (endpoint.name.clone(), config)
+    });
+    let services = collections::BTreeMap::from([(
+        "all".to_owned(),
+        tools::FakeTools::new(time::Duration::from_millis(30)),
+    )]);
+    http::Outside::new(log, time::Duration::from_secs(1), engines.collect(), services)
+}
+
+async fn run(args: &Args) -> std::io::Result<bool> {
+    let Some(deployment) = deployment::named(&args.deployment) else {
+        return Err(std::io::Error::other("--deployment: give fjordhest or wasadat"));
+    };
+    let deployment =
+        deployment.with_regions(args.regions).with_endpoints(args.engines, args.runners);
+    let folder = args.folder.clone().unwrap_or_else(|| {
+        std::env::temp_dir().join(format!("flamingotrail-local-{}", process::id()))
+    });
+    let programs_folder = std::env::current_exe()?;
+    let programs_folder = programs_folder.ancestors().nth(2).map(path::Path::to_owned);
+    let programs_folder = programs_folder.unwrap_or_default();
+
+    let outside = sync::Arc::new(outside(&deployment));
+    let address = processes::free_address()?;
+    actix_rt::spawn(http::server::serve(outside.clone(), address)?);
+    let cuts = relay::Cuts::new();
+    let mut daemons = processes::Daemons::new(
+        &deployment,
+        args.entries,
+        &programs_folder,
+        &folder,
+        outside.clone(),
+        address,
+    )?;
+    publish(&daemons, &deployment, &folder).await?;
+    daemons.start(&cuts).await?;
+    println!("stand-ins={address} folder={}", folder.display());
+    for row in &daemons.rows {
+        let listen = if row.endpoint.is_none() { row.listen.to_string() } else { String::new() };
+        println!("process={} listen={listen} admin={}", row.name, row.admin);
+    }
+    wait_ready(&daemons).await;
+
+    let caller = caller::Caller::new(daemons.entries(), &deployment.model);
+    let mut workload = workload::Workload::new(&deployment, args.seed);
+    let programs = workload.programs(args.programs, args.rate);
+    let running = start_programs(&caller, &deployment, programs);
+    cause_faults(args, &mut daemons, &outside, &cuts).await?;
+    progress(&caller, args.programs, running).await;
+    if args.stay {
+        stay().await;
+    }
+    let wasted = wasted_cache_tokens(&daemons).await;
+    let bad = daemons.stop().await;
+    Ok(report(args, &caller.tally(), &outside, wasted, &bad))
+}
+
+async fn publish(
+    daemons: &processes::Daemons,
+    deployment: &deployment::Deployment,
+    folder: &path::Path,
+) -> std::io::Result<()> {
+    std::fs::create_dir_all(folder)?;
+    let path = folder.join("objects.toml");
+    std::fs::write(&path, deployment.objects_toml())?;
+    let path = path.to_string_lossy().into_owned();
+    let (good, text) = daemons.client(&["publish", &path, "--author", "local"]).await?;
+    print!("{text}");
+    if good {
+        Ok(())
+    } else {
+        Err(std::io::Error::other(text))
+    }
+}
+
+/// Waits until every entry runs a configuration and sees the endpoints' processes.
+async fn wait_ready(daemons: &processes::Daemons) {
+    const TRIES: u32 = 100;
+    const PAUSE: time::Duration = time::Duration::from_millis(100);
+    for _ in 0..TRIES {
+        let (_, text) = daemons.client(&["status"]).await.unwrap_or_default();
+        let ready = !text.contains("unreachable") && text.lines().count() > daemons.rows.len();
+        let configured = text.lines().filter(|line| line.contains("  1  ")).count();
+        if ready && configured >= daemons.rows.len() {
+            return;
+        }
+        actix_rt::time::sleep(PAUSE).await;
+    }
+}
+
+type Running = Vec<actix_rt::task::JoinHandle<()>>;
+
+fn start_programs(
+    caller: &caller::Caller,
+    deployment: &deployment::Deployment,
+    programs: Vec<workload::Program>,
+) -> Running {
+    let tokens: rc::Rc<collections::BTreeMap<String, String>> = rc::Rc::new(
+        deployment.workspaces.iter().map(|w| (w.name.clone(), w.token.clone())).collect(),
+    );
+    programs
+        .into_iter()
+        .map(|program| {
+            let (caller, tokens) = (caller.clone(), tokens.clone());
+            actix_rt::spawn(async move {
+                actix_rt::time::sleep(program.starts).await;
+                caller.run(&program, &tokens[&program.workspace]).await;
+            })
+        })
+        .collect()
+}
+
+async fn cause_faults(
+    args: &Args,
+    daemons: &mut processes::Daemons,
+    outside: &http::Outside,
+    cuts: &relay::Cuts,
+) -> std::io::Result<()> {
+    const BEFORE: time::Duration = time::Duration::from_secs(2);
+    let beside: Vec<usize> =
+        (0..daemons.rows.len()).filter(|index| daemons.rows[*index].endpoint.is_some()).collect();
+    for (number, fault) in args.fault.iter().enumerate() {
+        actix_rt::time::sleep(BEFORE).await;
+        let chosen = (usize::try_from(args.seed).unwrap_or(0) + number) % beside.len();
+        let index = beside[chosen];
+        println!("fault={fault:?} process={}", daemons.rows[index].name);
+        faults::cause(*fault, index, daemons, outside, cuts).await?;
+    }
+    Ok(())
+}
+
+async fn progress(caller: &caller::Caller, programs: usize, running: Running) {
+    const PAUSE: time::Duration = time::Duration::from_secs(2);
+    while running.iter().any(|handle| !handle.is_finished()) {
+        actix_rt::time::sleep(PAUSE).await;
+        let tally = caller.tally();
+        let ended = tally.done + tally.not_run + tally.unknown;
+        println!("ended={ended}/{programs} done={} repeats={}", tally.done, tally.repeats);
+    }
+}
+
+async fn stay() {
+    println!("the programs have ended; daemons and stand-ins run until a line on standard input");
+    let (tx, rx) = tokio::sync::oneshot::channel();
+    std::thread::spawn(move || {
+        let mut line = String::new();
+        let _ = std::io::stdin().read_line(&mut line);
+        let _ = tx.send(());
+    });
+    let _ = rx.await;
+}
+
+async fn wasted_cache_tokens(daemons: &processes::Daemons) -> u64 {
+    const NAME: &str = "flamingotrail_wasted_cache_tokens_total ";
+    let client = awc::Client::default();
+    let mut total = 0;
+    for row in &daemons.rows {
+        let url = format!("http://{}/metrics", row.admin);
+        let Ok(mut response) = client.get(&url).send().await else {
+            continue;
+        };
+        let body = response.body().await.unwrap_or_default();
+        let text = String::from_utf8_lossy(&body);
+        let line = text.lines().find_map(|line| line.strip_prefix(NAME));
+        total += line.and_then(|value| value.trim().parse::<u64>().ok()).unwrap_or(0);
+    }
+    total
+}
+
+fn percentile(sorted: &[f64], share: f64) -> f64 {
+    if sorted.is_empty() {
+        return 0.0;
+    }
+    let index = (sorted.len() as f64 * share).ceil() as usize;
+    sorted[index.clamp(1, sorted.len()) - 1]
+}
+
+fn report(
+    args: &Args,
+    tally: &caller::Tally,
+    outside: &http::Outside,
+    wasted: u64,
+    bad: &[String],
+) -> bool {
+    for wrong in &tally.wrong {
+        println!("wrong_answer={wrong:?}");
+    }
+    for name in bad {
+        println!("ended_badly={name}");
+    }
+    let repeated = outside.repeated_effects_of("write");
+    let mut latencies = tally.latencies.clone();
+    latencies.sort_by(f64::total_cmp);
+    println!(
+        "programs={} done={} not_run={} unknown={} repeated_effects={repeated} \
+         program_p50_s={:.3} program_p95_s={:.3} wasted_cache_tokens={wasted}",
+        args.programs,
+        tally.done,
+        tally.not_run,
+        tally.unknown,
+        percentile(&latencies, 0.5),
+        percentile(&latencies, 0.95),
+    );
+    let complete = tally.done + tally.not_run + tally.unknown == args.programs;
+    let faultless = args.fault.is_empty();
+    let all_done = tally.done == args.programs || !faultless;
+    complete && all_done && repeated == 0 && tally.wrong.is_empty() && bad.is_empty()
+}
--- /dev/null
+++ b/crates/flamingotrail-standins/src/deployment.rs
@@ -0,0 +1,262 @@
+//! The two users' deployments at today's sizes: regions, endpoints and their objects.
+
+use std::time as std_time;
+
+use flamingotrail_core::digest;
+use flamingotrail_core::objects;
+
+/// One endpoint with its place.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EndpointSpec {
+    /// Name.
+    pub name: String,
+    /// Region.
+    pub region: String,
+    /// Failure domain.
+    pub domain: String,
+    /// Services that it runs; none for an engine.
+    pub services: Vec<String>,
+}
+
+/// One workspace.
+#[derive(Clone, Debug, PartialEq)]
+pub struct WorkspaceSpec {
+    /// Name.
+    pub name: String,
+    /// Its bearer token.
+    pub token: String,
+    /// Its priority class.
+    pub priority: String,
+    /// Its share.
+    pub weight: f64,
+}
+
+/// A deployment.
+#[derive(Clone, Debug)]
+pub struct Deployment {
+    /// Name.
+    pub name: String,
+    /// Regions with their failure domain.
+    pub regions: Vec<(String, String)>,
+    /// The model of the engines.
+    pub model: String,
+    /// Services with whether their calls may be repeated.
+    pub services: Vec<(String, bool)>,
+    /// Workspaces.
+    pub workspaces: Vec<WorkspaceSpec>,
+    /// Endpoints.
+    pub endpoints: Vec<EndpointSpec>,
+    /// Partitions of each region.
+    pub partitions: u16,
+    /// Slots of an engine.
+    pub slots: u32,
+    /// Cache of an engine, in tokens.
+    pub cache_tokens: u64,
+    /// Cost units of a program.
+    pub budget: u64,
+    /// One-way delay within a region.
+    pub near_delay: std_time::Duration,
+    /// One-way delay between regions.
+    pub far_delay: std_time::Duration,
+    /// One-way delay to clients.
+    pub client_delay: std_time::Duration,
+    /// Policies.
+    pub policies: objects::Policies,
+}
+
+fn workspace(name: &str, priority: &str) -> WorkspaceSpec {
+    let token = format!("{name}-token");
+    WorkspaceSpec { name: name.to_owned(), token, priority: priority.to_owned(), weight: 1.0 }
+}
+
+fn spread(
+    kind: &str,
+    count: usize,
+    services: &[&str],
+    regions: &[(String, String)],
+) -> Vec<EndpointSpec> {
+    let place = |index: usize| {
+        let (region, domain) = regions[index % regions.len()].clone();
+        EndpointSpec {
+            name: format!("{kind}-{}", index + 1),
+            region,
+            domain,
+            services: services.iter().map(|service| (*service).to_owned()).collect(),
+        }
+    };
+    (0..count).map(place).collect()
+}
+
+fn regions(names: &[&str]) -> Vec<(String, String)> {
+    names.iter().map(|name| ((*name).to_owned(), format!("{name}-a"))).collect()
+}
+
+/// Fjordhest: 9 stable-assistant runners and 7 ledger runners in three regions.
+pub fn fjordhest() -> Deployment {
+    let regions = regions(&["vestland", "trondelag", "ostland"]);
+    let mut endpoints = spread("stable", 9, &[], &regions);
+    endpoints.extend(spread("ledger", 7, &["ledger-lookup", "ledger-book"], &regions));
+    Deployment {
+        name: "fjordhest".to_owned(),
+        regions,
+        model: "stable-assistant".to_owned(),
+        services: vec![("ledger-lookup".to_owned(), true), ("ledger-book".to_owned(), false)],
+        workspaces: vec![workspace("desk", "normal"), workspace("booking", "normal")],
+        endpoints,
+        partitions: 6,
+        slots: 16,
+        cache_tokens: 100_000,
+        budget: 4_000_000,
+        near_delay: std_time::Duration::from_micros(500),
+        far_delay: std_time::Duration::from_millis(30),
+        client_delay: std_time::Duration::from_millis(3),
+        policies: objects::Policies::default(),
+    }
+}
+
+/// Wasadat: 9 advisor model runners and 6 storefront runners in three regions.
+pub fn wasadat() -> Deployment {
+    let regions = regions(&["cai", "alx", "giz"]);
+    let mut endpoints = spread("advisor", 9, &[], &regions);
+    endpoints.extend(spread("storefront", 6, &["stock", "order", "refund"], &regions));
+    Deployment {
+        name: "wasadat".to_owned(),
+        regions,
+        model: "advisor".to_owned(),
+        services: vec![
+            ("stock".to_owned(), true),
+            ("order".to_owned(), false),
+            ("refund".to_owned(), false),
+        ],
+        workspaces: vec![workspace("fitting", "normal"), workspace("bulk", "shops")],
+        endpoints,
+        partitions: 6,
+        slots: 16,
+        cache_tokens: 100_000,
+        budget: 8_000_000,
+        near_delay: std_time::Duration::from_millis(1),
+        far_delay: std_time::Duration::from_millis(30),
+        client_delay: std_time::Duration::from_millis(3),
+        policies: objects::Policies::default(),
+    }
+}
+
+/// The deployment called `name`.
+pub fn named(name: &str) -> Option<Deployment> {
+    match name {
+        "fjordhest" => Some(fjordhest()),
+        "wasadat" => Some(wasadat()),
+        _ => None,
+    }
+}
+
+impl Deployment {
+    /// The same with a smaller number of engines and runners.
+    pub fn with_endpoints(mut self, engines: usize, runners: usize) -> Self {
+        let mut kept = Vec::new();
+        let (mut engines_left, mut runners_left) = (engines, runners);
+        for endpoint in self.endpoints {
+            let left = match endpoint.services.is_empty() {
+                true => &mut engines_left,
+                false => &mut runners_left,
+            };
+            if *left > 0 {
+                *left -= 1;
+                kept.push(endpoint);
+            }
+        }
+        self.endpoints = kept;
+        self
+    }
+
+    /// The same with only the first regions; endpoints elsewhere go.
+    pub fn with_regions(mut self, count: usize) -> Self {
+        self.regions.truncate(count.max(1));
+        let names: Vec<String> = self.regions.iter().map(|(name, _)| name.clone()).collect();
+        self.endpoints.retain(|endpoint| names.contains(&endpoint.region));
+        self
+    }
+
+    /// The same under other policies.
+    pub fn with_policies(mut self, policies: objects::Policies) -> Self {
+        self.policies = policies;
+        self
+    }
+
+    /// Names of the engines.
+    pub fn engines(&self) -> impl Iterator<Item = &EndpointSpec> {
+        self.endpoints.iter().filter(|endpoint| endpoint.services.is_empty())
+    }
+
+    /// The objects as operators write them.
+    pub fn objects_toml(&self) -> String {
+        let mut text = format!("[deployment]\nname = \"{}\"\n\n", self.name);
+        text.push_str(&policies_toml(&self.policies));
+        for (region, domain) in &self.regions {
+            let delay = self.far_delay.as_millis();
+            text.push_str(&format!(
+                "[region.{region}]\ndomains = [\"{domain}\"]\npartitions = {}\nremote_delay_ms = {delay}\n\n",
+                self.partitions
+            ));
+        }
+        text.push_str("[priority.normal]\nrank = 1\n\n[priority.shops]\nrank = 0\n\n");
+        text.push_str(&format!(
+            "[budget.program]\nlimit = {}\nchunk = {}\nmax_turns = 400\n\n",
+            self.budget,
+            self.budget / 4
+        ));
+        text.push_str(&format!("[model.{}]\ndefault_max_tokens = 256\n\n", self.model));
+        for (service, repeatable) in &self.services {
+            text.push_str(&format!(
+                "[service.{service}]\nrepeatable = {repeatable}\nprice = 10\ntimeout_ms = 10000\n\n"
+            ));
+        }
+        for workspace in &self.workspaces {
+            text.push_str(&format!(
+                "[workspace.{}]\nkey_digests = [\"{}\"]\nweight = {:?}\npriority = \"{}\"\nbudget = \"program\"\nmodels = [\"{}\"]\n\n",
+                workspace.name,
+                digest::of_token(&workspace.token),
+                workspace.weight,
+                workspace.priority,
+                self.model
+            ));
+        }
+        for endpoint in &self.endpoints {
+            text.push_str(&self.endpoint_toml(endpoint));
+        }
+        text
+    }
+
+    fn endpoint_toml(&self, endpoint: &EndpointSpec) -> String {
+        if endpoint.services.is_empty() {
+            return format!(
+                "[endpoint.{}]\nmodels = [\"{}\"]\nslots = {}\ncache_tokens = {}\n\n",
+                endpoint.name, self.model, self.slots, self.cache_tokens
+            );
+        }
+        let services: Vec<String> =
+            endpoint.services.iter().map(|service| format!("\"{service}\"")).collect();
+        let services = services.join(", ");
+        format!("[endpoint.{}]\nservices = [{services}]\nslots = 32\n\n", endpoint.name)
+    }
+}
+
+fn policies_toml(policies: &objects::Policies) -> String {
+    let queue = match policies.queue {
+        objects::QueuePolicy::Fifo => "fifo",
+        objects::QueuePolicy::LeastAttained => "least-attained",
+    };
+    let placement = match policies.placement {
+        objects::PlacementPolicy::RoundRobin => "round-robin",
+        objects::PlacementPolicy::LeastOutstanding => "least-outstanding",
+        objects::PlacementPolicy::Affinity => "affinity",
+        objects::PlacementPolicy::ExpectedCost => "expected-cost",
+    };
+    let retention = match policies.retention {
+        objects::RetentionPolicy::EngineOnly => "engine-only",
+        objects::RetentionPolicy::ExpectedWaste => "expected-waste",
+    };
+    format!(
+        "[deployment.policies]\nqueue = \"{queue}\"\nplacement = \"{placement}\"\nretention = \"{retention}\"\n\n"
+    )
+}
--- /dev/null
+++ b/crates/flamingotrail-standins/src/http/mod.rs
@@ -0,0 +1,96 @@
+//! The stand-ins over HTTP, in the outside systems' published protocols, for real processes.
+
+pub mod engines;
+pub mod platform;
+pub mod server;
+
+use std::collections;
+use std::sync;
+use std::time as std_time;
+
+use flamingotrail_core::time;
+use flamingotrail_wire::platform as wire;
+
+use crate::engine;
+use crate::list;
+use crate::log;
+use crate::tools;
+
+/// Locks a mutex; a panic of another holder does not spread.
+pub fn locked<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
+}
+
+/// All stand-ins of one set-up.
+pub struct Outside {
+    start: std_time::Instant,
+    /// The log.
+    pub log: sync::Mutex<log::FakeLog<String>>,
+    /// Wakes readers that wait for entries.
+    pub log_changed: tokio::sync::Notify,
+    /// The list of instances.
+    pub list: sync::Mutex<list::FakeList<wire::ListedInstance>>,
+    /// Engines by endpoint name.
+    pub engines: collections::BTreeMap<String, engines::Host>,
+    /// Services by name; every runner of a service shares its state.
+    pub services: collections::BTreeMap<String, sync::Mutex<tools::FakeTools>>,
+}
+
+impl Outside {
+    /// Stand-ins with these engines and services.
+    pub fn new(
+        log: log::FakeLog<String>,
+        list_lag: std_time::Duration,
+        engines: collections::BTreeMap<String, engine::EngineConfig>,
+        services: collections::BTreeMap<String, tools::FakeTools>,
+    ) -> Self {
+        let host = |(name, config)| (name, engines::Host::new(config));
+        Outside {
+            start: std_time::Instant::now(),
+            log: sync::Mutex::new(log),
+            log_changed: tokio::sync::Notify::new(),
+            list: sync::Mutex::new(list::FakeList::new(list_lag)),
+            engines: engines.into_iter().map(host).collect(),
+            services: services
+                .into_iter()
+                .map(|(name, tools)| (name, sync::Mutex::new(tools)))
+                .collect(),
+        }
+    }
+
+    /// The time on the stand-ins' clock.
+    pub fn now(&self) -> time::Timestamp {
+        time::Timestamp::ZERO.after(self.start.elapsed())
+    }
+
+    /// Adds or changes a row of the list.
+    pub fn set_listed(&self, row: wire::ListedInstance) {
+        let now = self.now();
+        locked(&self.list).change(now, |rows| {
+            rows.insert(row.instance.clone(), row);
+        });
+    }
+
+    /// Removes a row of the list.
+    pub fn remove_listed(&self, instance: &str) {
+        let now = self.now();
+        locked(&self.list).change(now, |rows| {
+            rows.remove(instance);
+        });
+    }
+
+    /// Starts or ends an outage of the log.
+    pub fn set_log_out(&self, out: bool) {
+        locked(&self.log).out = out;
+        self.log_changed.notify_waiters();
+    }
+
+    /// Bodies that services ran more than once under `operation`.
+    pub fn repeated_effects_of(&self, operation: &str) -> usize {
+        let count = |service: &sync::Mutex<tools::FakeTools>| {
+            let tools = locked(service);
+            tools.repeated().into_iter().filter(|((op, _), _)| op == operation).count()
+        };
+        self.services.values().map(count).sum()
+    }
+}
--- /dev/null
+++ b/crates/flamingotrail-standins/src/http/server.rs
@@ -0,0 +1,285 @@
+//! One HTTP server for all stand-ins: `/log/...`, `/list/...`, `/engines/{name}/...`,
+//! `/services/{name}/...`.
+
+use std::convert;
+use std::net;
+use std::sync;
+use std::time;
+
+use actix_http::body;
+use actix_http::header;
+use actix_http::HttpMessage as _;
+use actix_http::HttpService;
+use actix_http::Method;
+use actix_http::Request;
+use actix_http::Response;
+use actix_http::StatusCode;
+use actix_server::Server;
+use flamingotrail_wire::chat;
+use flamingotrail_wire::engine as wire_engine;
+use flamingotrail_wire::headers;
+use flamingotrail_wire::platform as wire;
+use futures_util::stream;
+use futures_util::StreamExt as _;
+use tokio::sync::mpsc;
+
+use crate::engine;
+use crate::http;
+use crate::http::platform;
+
+/// How long a request without an answer is kept waiting.
+const SILENCE: time::Duration = time::Duration::from_secs(3600);
+
+type Boxed = Response<body::BoxBody>;
+
+/// Serves the stand-ins at `address`, and runs their engines, on the current system.
+///
+/// # Errors
+///
+/// An address that can't be used.
+pub fn serve(
+    outside: sync::Arc<http::Outside>,
+    address: net::SocketAddr,
+) -> std::io::Result<Server> {
+    for name in outside.engines.keys().cloned() {
+        let outside = outside.clone();
+        actix_rt::spawn(async move { outside.engines[&name].run(&outside).await });
+    }
+    let server = Server::build()
+        .workers(2)
+        .disable_signals()
+        .bind("stand-ins", address, move || {
+            let outside = outside.clone();
+            HttpService::build()
+                .h1_allow_half_closed(false)
+                .finish(move |request: Request| {
+                    let outside = outside.clone();
+                    async move { Ok::<_, convert::Infallible>(handle(outside, request).await) }
+                })
+                .tcp()
+        })?
+        .run();
+    Ok(server)
+}
+
+async fn handle(outside: sync::Arc<http::Outside>, mut request: Request) -> Boxed {
+    let mut body = bytes::BytesMut::new();
+    let mut payload = request.take_payload();
+    while let Some(Ok(piece)) = payload.next().await {
+        body.extend_from_slice(&piece);
+    }
+    let path = request.path().to_owned();
+    let parts: Vec<&str> = path.trim_start_matches('/').splitn(3, '/').collect();
+    match parts.as_slice() {
+        ["log", "streams", rest] => handle_log(&outside, &request, rest, &body).await,
+        ["list", "instances"] => handle_list(&outside),
+        ["engines", name, rest] => handle_engine(outside.clone(), &request, name, rest, &body).await,
+        ["services", name, rest] => handle_service(&outside, name, rest, &body).await,
+        _ => empty(StatusCode::NOT_FOUND),
+    }
+}
+
+fn empty(code: StatusCode) -> Boxed {
+    Response::build(code).finish().map_into_boxed_body()
+}
+
+fn json<T: serde::Serialize>(value: &T) -> Boxed {
+    Response::build(StatusCode::OK)
+        .insert_header((header::CONTENT_TYPE, "application/json"))
+        .body(serde_json::to_string(value).unwrap_or_default())
+        .map_into_boxed_body()
+}
+
+fn number(request: &Request, name: &str) -> u64 {
+    let query = request.uri().query().unwrap_or_default();
+    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    let found = pairs.filter(|(key, _)| *key == name).find_map(|(_, value)| value.parse().ok());
+    found.unwrap_or(0)
+}
+
+async fn handle_log(
+    outside: &http::Outside,
+    request: &Request,
+    rest: &str,
+    body: &[u8],
+) -> Boxed {
+    let stream = rest.trim_end_matches("/entries");
+    if request.method() == Method::POST {
+        let Ok(entry) = serde_json::from_slice::<wire::AppendRequest>(body) else {
+            return empty(StatusCode::BAD_REQUEST);
+        };
+        return match platform::append(outside, stream, entry.data) {
+            platform::Append::At(offset) => json(&wire::AppendResponse { offset }),
+            platform::Append::Refused => empty(StatusCode::TOO_MANY_REQUESTS),
+            platform::Append::Silent => {
+                actix_rt::time::sleep(SILENCE).await;
+                empty(StatusCode::GATEWAY_TIMEOUT)
+            }
+        };
+    }
+    let wait = time::Duration::from_millis(number(request, "wait_ms"));
+    match platform::read(outside, stream, number(request, "from"), wait).await {
+        Some(page) => json(&page),
+        None => empty(StatusCode::SERVICE_UNAVAILABLE),
+    }
+}
+
+fn handle_list(outside: &http::Outside) -> Boxed {
+    match http::locked(&outside.list).tell(outside.now()) {
+        Some(rows) => json(&rows),
+        None => empty(StatusCode::SERVICE_UNAVAILABLE),
+    }
+}
+
+async fn handle_service(outside: &http::Outside, name: &str, rest: &str, body: &[u8]) -> Boxed {
+    let Some(service) = outside.services.get(name) else {
+        return empty(StatusCode::NOT_FOUND);
+    };
+    if rest == "report" {
+        let report = wire_engine::Report { prefill_rate: 1.0, ..wire_engine::Report::default() };
+        return json(&report);
+    }
+    let body = String::from_utf8_lossy(body);
+    let (answer, latency) = {
+        let mut tools = http::locked(service);
+        (tools.run(rest, &body), tools.latency)
+    };
+    actix_rt::time::sleep(if answer.is_some() { latency } else { SILENCE }).await;
+    Response::build(StatusCode::OK)
+        .insert_header((header::CONTENT_TYPE, "application/json"))
+        .body(answer.unwrap_or_default())
+        .map_into_boxed_body()
+}
+
+async fn handle_engine(
+    outside: sync::Arc<http::Outside>,
+    request: &Request,
+    name: &str,
+    rest: &str,
+    body: &[u8],
+) -> Boxed {
+    let Some(host) = outside.engines.get(name) else {
+        return empty(StatusCode::NOT_FOUND);
+    };
+    if let Some(hold) = rest.strip_prefix("holds/") {
+        let fence = header_number(request, headers::FENCE);
+        let Ok(hold) = hold.parse() else {
+            return empty(StatusCode::BAD_REQUEST);
+        };
+        let taken = http::locked(&host.engine).release(hold, fence);
+        return empty(if taken { StatusCode::NO_CONTENT } else { StatusCode::CONFLICT });
+    }
+    if rest == "report" {
+        let report = http::locked(&host.engine).report(outside.now());
+        return match report {
+            Some(report) => json(&wire_engine::Report {
+                running: report.running,
+                prefill_rate: report.prefill_rate,
+                pressure: report.pressure,
+                holds: report.holds,
+            }),
+            None => empty(StatusCode::SERVICE_UNAVAILABLE),
+        };
+    }
+    let Ok(chat) = serde_json::from_slice::<chat::Request>(body) else {
+        return empty(StatusCode::BAD_REQUEST);
+    };
+    let call = call(request, &chat);
+    match host.start(&outside, call) {
+        Some((id, rx)) => {
+            let name = name.to_owned();
+            completion(Stream { outside: outside.clone(), name, id, rx })
+        }
+        None => empty(StatusCode::SERVICE_UNAVAILABLE),
+    }
+}
+
+fn header_number(request: &Request, name: &str) -> Option<u64> {
+    request.headers().get(name)?.to_str().ok()?.parse().ok()
+}
+
+fn call(request: &Request, chat: &chat::Request) -> engine::Call {
+    let (prefix, messages) = match chat.messages.split_last() {
+        Some((last, rest)) if chat.continue_final_message => (last.content.clone(), rest),
+        _ => (String::new(), chat.messages.as_slice()),
+    };
+    let pairs = messages.iter().map(|m| (m.role.as_str(), m.content.as_str()));
+    engine::Call {
+        id: 0,
+        prompt: engine::prompt_text(pairs),
+        prefix,
+        max_tokens: chat.max_tokens.unwrap_or(u32::MAX),
+        hold: header_number(request, wire_engine::HOLD),
+        tag: 0,
+    }
+}
+
+/// A call's answer under way; dropping it stops the call.
+struct Stream {
+    outside: sync::Arc<http::Outside>,
+    name: String,
+    id: u64,
+    rx: mpsc::UnboundedReceiver<engine::Said>,
+}
+
+impl Drop for Stream {
+    fn drop(&mut self) {
+        self.outside.engines[&self.name].abort(self.id);
+    }
+}
+
+/// A call broke with its engine.
+#[derive(Debug, thiserror::Error)]
+#[error("the engine went down")]
+struct Down;
+
+fn completion(call: Stream) -> Boxed {
+    let events = stream::unfold((call, false), |(mut call, ended)| async move {
+        if ended {
+            return None;
+        }
+        let item = match call.rx.recv().await? {
+            engine::Said::Text { text, .. } => (Ok(event(&chunk(Some(text), None))), false),
+            engine::Said::Done {
+                prompt_tokens, cached_tokens, completion_tokens, by_length, ..
+            } => {
+                let usage = chat::ChatUsage {
+                    prompt_tokens,
+                    completion_tokens,
+                    total_tokens: prompt_tokens + completion_tokens,
+                    cached_tokens,
+                };
+                let reason = if by_length { "length" } else { "stop" };
+                let mut last = chunk(None, Some(reason.to_owned()));
+                last.usage = Some(usage);
+                let mut bytes = event(&last);
+                bytes.push_str("data: [DONE]\n\n");
+                (Ok(bytes), true)
+            }
+            engine::Said::Broken { .. } => (Err(Down), true),
+        };
+        let (bytes, ended) = item;
+        Some((bytes.map(bytes::Bytes::from), (call, ended)))
+    });
+    Response::build(StatusCode::OK)
+        .insert_header((header::CONTENT_TYPE, "text/event-stream"))
+        .body(body::BodyStream::new(Box::pin(events)))
+        .map_into_boxed_body()
+}
+
+fn chunk(text: Option<String>, finish_reason: Option<String>) -> chat::Chunk {
+    chat::Chunk {
+        object: "chat.completion.chunk".to_owned(),
+        choices: vec![chat::ChunkChoice {
+            index: 0,
+            delta: chat::Delta { content: text },
+            finish_reason,
+        }],
+        usage: None,
+        flamingotrail: None,
+    }
+}
+
+fn event(chunk: &chat::Chunk) -> String {
+    format!("data: {}\n\n", serde_json::to_string(chunk).unwrap_or_default())
+}
--- /dev/null
+++ b/crates/flamingotrail-standins/src/local/mod.rs
@@ -0,0 +1,7 @@
+//! The whole path on one machine: stand-ins in this process, real daemons beside it on loopback,
+//! and callers that run programs over HTTP.
+
+pub mod caller;
+pub mod faults;
+pub mod processes;
+pub mod relay;
--- /dev/null
+++ b/crates/flamingotrail-standins/src/local/processes.rs
@@ -0,0 +1,311 @@
+//! Daemons started on loopback, each ended by its id.
+
+use std::fs;
+use std::io;
+use std::net;
+use std::path;
+use std::process;
+use std::sync;
+use std::time;
+
+use flamingotrail_wire::platform as wire;
+
+use crate::deployment;
+use crate::http;
+use crate::local::relay;
+
+/// Secret of a local set-up.
+const SECRET: &str = "a secret for one local set-up only";
+/// How long a process may take to stop before it is killed.
+const STOP_TIMEOUT: time::Duration = time::Duration::from_secs(20);
+
+/// One daemon.
+pub struct Daemon {
+    /// Instance name.
+    pub name: String,
+    /// Region.
+    pub region: String,
+    /// Failure domain.
+    pub domain: String,
+    /// The endpoint beside it.
+    pub endpoint: Option<deployment::EndpointSpec>,
+    /// Address for callers.
+    pub listen: net::SocketAddr,
+    /// Address for links.
+    pub link: net::SocketAddr,
+    /// Address for links, through the relay.
+    pub advertised: net::SocketAddr,
+    /// Address for operators.
+    pub admin: net::SocketAddr,
+    child: Option<process::Child>,
+}
+
+/// All daemons of a set-up.
+pub struct Daemons {
+    /// The daemons.
+    pub rows: Vec<Daemon>,
+    folder: path::PathBuf,
+    programs: path::PathBuf,
+    outside_address: net::SocketAddr,
+    outside: sync::Arc<http::Outside>,
+    flags: Vec<String>,
+}
+
+fn free_port() -> io::Result<net::SocketAddr> {
+    net::TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0))?.local_addr()
+}
+
+/// An address with a free TCP port; the same number serves for UDP.
+///
+/// # Errors
+///
+/// No free port.
+pub fn free_address() -> io::Result<net::SocketAddr> {
+    free_port()
+}
+
+impl Daemons {
+    /// Daemons of `deployment` with `entries` entries, not started yet. `programs` is the folder of
+    /// the two programs; `folder` takes keys and logs.
+    ///
+    /// # Errors
+    ///
+    /// No free port.
+    pub fn new(
+        deployment: &deployment::Deployment,
+        entries: usize,
+        programs: &path::Path,
+        folder: &path::Path,
+        outside: sync::Arc<http::Outside>,
+        outside_address: net::SocketAddr,
+    ) -> io::Result<Self> {
+        let mut rows = Vec::new();
+        for index in 0..entries {
+            let (region, domain) = deployment.regions[index % deployment.regions.len()].clone();
+            rows.push(daemon(format!("entry-{}", index + 1), region, domain, None)?);
+        }
+        for endpoint in &deployment.endpoints {
+            let (region, domain) = (endpoint.region.clone(), endpoint.domain.clone());
+            let name = format!("at-{}", endpoint.name);
+            rows.push(daemon(name, region, domain, Some(endpoint.clone()))?);
+        }
+        Ok(Daemons {
+            rows,
+            folder: folder.to_owned(),
+            programs: programs.to_owned(),
+            outside_address,
+            outside,
+            flags: Vec::new(),
+        })
+    }
+
+    /// The same with flags for every daemon.
+    pub fn with_flags(mut self, flags: &[&str]) -> Self {
+        self.flags = flags.iter().map(|flag| (*flag).to_owned()).collect();
+        self
+    }
+
+    /// Makes keys, starts relays and every daemon, and lists them.
+    ///
+    /// # Errors
+    ///
+    /// A program that can't be run, or a port that can't be used.
+    pub async fn start(&mut self, cuts: &relay::Cuts) -> io::Result<()> {
+        fs::create_dir_all(&self.folder)?;
+        self.make_keys().await?;
+        for index in 0..self.rows.len() {
+            let row = &self.rows[index];
+            relay::start(row.advertised, row.link, cuts.clone()).await?;
+            self.start_one(index)?;
+        }
+        Ok(())
+    }
+
+    /// Runs the operators' client with `args`: whether it ended well, and what it said.
+    ///
+    /// # Errors
+    ///
+    /// A program that can't be run.
+    pub async fn client(&self, args: &[&str]) -> io::Result<(bool, String)> {
+        let mut command = process::Command::new(self.programs.join("flamingotrail"));
+        command
+            .args(args)
+            .env("FLAMINGOTRAIL_LOG_URL", format!("http://{}/log", self.outside_address))
+            .env("FLAMINGOTRAIL_LIST_URL", format!("http://{}/list", self.outside_address));
+        // The stand-ins answer on this thread, which therefore may not wait for the client.
+        let output = actix_rt::task::spawn_blocking(move || command.output()).await;
+        let output = output.map_err(io::Error::other)??;
+        let mut text = String::from_utf8_lossy(&output.stdout).into_owned();
+        text.push_str(&String::from_utf8_lossy(&output.stderr));
+        Ok((output.status.success(), text))
+    }
+
+    async fn make_keys(&self) -> io::Result<()> {
+        let out = self.folder.join("keys");
+        let out = out.to_string_lossy().into_owned();
+        let mut args = vec!["keys", "--out", &out];
+        args.extend(self.rows.iter().map(|row| row.name.as_str()));
+        match self.client(&args).await? {
+            (true, _) => Ok(()),
+            (false, text) => Err(io::Error::other(text)),
+        }
+    }
+
+    /// Starts one daemon and lists it.
+    ///
+    /// # Errors
+    ///
+    /// A program that can't be run.
+    pub fn start_one(&mut self, index: usize) -> io::Result<()> {
+        let row = &self.rows[index];
+        let keys = self.folder.join("keys");
+        let log = fs::File::options()
+            .create(true)
+            .append(true)
+            .open(self.folder.join(format!("{}.log", row.name)))?;
+        let mut command = process::Command::new(self.programs.join("flamingotraild"));
+        command
+            .args(["--instance", &row.name, "--region", &row.region, "--domain", &row.domain])
+            .args(["--link", &row.link.to_string(), "--admin", &row.admin.to_string()])
+            .args(["--link-advertised", &row.advertised.to_string()])
+            .args(["--log-url", &format!("http://{}/log", self.outside_address)])
+            .args(["--list-url", &format!("http://{}/list", self.outside_address)])
+            .arg("--tls-cert")
+            .arg(keys.join(format!("{}.pem", row.name)))
+            .arg("--tls-key")
+            .arg(keys.join(format!("{}.key", row.name)))
+            .arg("--tls-authority")
+            .arg(keys.join("authority.pem"))
+            .env("FLAMINGOTRAIL_CONTINUATION_SECRET", SECRET)
+            .args(&self.flags)
+            .stdin(process::Stdio::null())
+            .stdout(process::Stdio::null())
+            .stderr(log);
+        match &row.endpoint {
+            None => {
+                command.args(["--role", "entry", "--listen", &row.listen.to_string()]);
+            }
+            Some(endpoint) => {
+                let (kind, url) = self.endpoint_url(endpoint);
+                command.args(["--role", "endpoint", "--endpoint", &endpoint.name]);
+                command.args(["--endpoint-kind", kind, "--endpoint-url", &url]);
+            }
+        }
+        let child = command.spawn()?;
+        self.list(index, "live");
+        self.rows[index].child = Some(child);
+        Ok(())
+    }
+
+    fn endpoint_url(&self, endpoint: &deployment::EndpointSpec) -> (&'static str, String) {
+        let base = format!("http://{}", self.outside_address);
+        match endpoint.services.is_empty() {
+            true => ("engine", format!("{base}/engines/{}", endpoint.name)),
+            false => ("service", format!("{base}/services/all")),
+        }
+    }
+
+    /// Sets a daemon's row in the platform's list.
+    pub fn list(&self, index: usize, state: &str) {
+        let row = &self.rows[index];
+        self.outside.set_listed(wire::ListedInstance {
+            instance: row.name.clone(),
+            region: row.region.clone(),
+            domain: row.domain.clone(),
+            endpoint: row.endpoint.as_ref().map(|endpoint| endpoint.name.clone()),
+            address: row.advertised.to_string(),
+            admin: row.admin.to_string(),
+            state: state.to_owned(),
+        });
+    }
+
+    /// Sends a signal to a daemon that this process started.
+    pub fn signal(&self, index: usize, signal: rustix::process::Signal) {
+        let Some(child) = &self.rows[index].child else {
+            return;
+        };
+        let id = i32::try_from(child.id()).ok().and_then(rustix::process::Pid::from_raw);
+        if let Some(id) = id {
+            let _ = rustix::process::kill_process(id, signal);
+        }
+    }
+
+    /// Waits until a daemon has ended: its exit status, or none where it had to be killed.
+    pub async fn wait(&mut self, index: usize) -> Option<process::ExitStatus> {
+        let until = time::Instant::now() + STOP_TIMEOUT;
+        let child = self.rows[index].child.as_mut()?;
+        loop {
+            if let Ok(Some(status)) = child.try_wait() {
+                self.rows[index].child = None;
+                return Some(status);
+            }
+            if time::Instant::now() >= until {
+                let _ = child.kill();
+                let _ = child.wait();
+                self.rows[index].child = None;
+                return None;
+            }
+            actix_rt::time::sleep(time::Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Kills a daemon.
+    pub fn kill(&mut self, index: usize) {
+        if let Some(mut child) = self.rows[index].child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Stops every daemon gracefully: names of those that had to be killed or ended badly.
+    pub async fn stop(&mut self) -> Vec<String> {
+        for index in 0..self.rows.len() {
+            self.signal(index, rustix::process::Signal::CONT);
+            self.signal(index, rustix::process::Signal::TERM);
+        }
+        let mut bad = Vec::new();
+        for index in 0..self.rows.len() {
+            if self.rows[index].child.is_none() {
+                continue;
+            }
+            let status = self.wait(index).await;
+            if !status.is_some_and(|status| status.success()) {
+                bad.push(self.rows[index].name.clone());
+            }
+        }
+        bad
+    }
+
+    /// Addresses of the entries.
+    pub fn entries(&self) -> Vec<net::SocketAddr> {
+        let entries = self.rows.iter().filter(|row| row.endpoint.is_none());
+        entries.map(|row| row.listen).collect()
+    }
+}
+
+impl Drop for Daemons {
+    fn drop(&mut self) {
+        for index in 0..self.rows.len() {
+            self.kill(index);
+        }
+    }
+}
+
+fn daemon(
+    name: String,
+    region: String,
+    domain: String,
+    endpoint: Option<deployment::EndpointSpec>,
+) -> io::Result<Daemon> {
+    Ok(Daemon {
+        name,
+        region,
+        domain,
+        endpoint,
+        listen: free_port()?,
+        link: free_port()?,
+        advertised: free_port()?,
+        admin: free_port()?,
+        child: None,
+    })
+}
--- a/crates/flamingotrail-wire/src/frames.rs
+++ b/crates/flamingotrail-wire/src/frames.rs
@@ -30,3 +30,12 @@
     /// The piece.
     pub text: String,
 }
+
+/// The first frame of every stream: who sends.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hello {
+    /// Instance name of the sender.
+    pub instance: ids::Name,
+    /// Address at which the sender accepts links.
+    pub address: String,
+}
--- /dev/null
+++ b/crates/flamingotrail/src/configs/mod.rs
@@ -0,0 +1,3 @@
+//! Settings of the client.
+
+pub mod client;
--- a/crates/flamingotrail/src/main.rs
+++ b/crates/flamingotrail/src/main.rs
@@ -1,2 +1,56 @@
-//! Placeholder.
-fn main() {}
+//! `flamingotrail`: the operators' client.
+
+mod client;
+mod configs;
+mod keys;
+mod output;
+mod processes;
+mod sets;
+
+use std::process;
+
+use clap::CommandFactory as _;
+use clap::Parser as _;
+
+use crate::configs::client as settings;
+
+fn main() -> process::ExitCode {
+    let args = settings::ClientArgs::parse();
+    let format = args.output;
+    match actix_rt::System::new().block_on(run(args)) {
+        Ok(report) => {
+            print!("{}", report.render(format));
+            if report.is_good { process::ExitCode::SUCCESS } else { process::ExitCode::FAILURE }
+        }
+        Err(error) => {
+            eprintln!("{error}");
+            process::ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(args: settings::ClientArgs) -> Result<output::Report, client::ClientError> {
+    let client = client::Client::new(&args.log_url, &args.list_url);
+    match args.command {
+        settings::Command::Check { path } => sets::check(&path),
+        settings::Command::Diff { path } => sets::diff(&client, &path).await,
+        settings::Command::Publish { path, base, author } => {
+            sets::publish(&client, &path, base, &author).await
+        }
+        settings::Command::History => sets::history(&client).await,
+        settings::Command::Status => processes::status(&client).await,
+        settings::Command::Dump { admin, table } => processes::dump(&client, &admin, &table).await,
+        settings::Command::Drain { admin } => processes::drain(&client, &admin).await,
+        settings::Command::Explain { admin, about } => {
+            processes::explain(&client, &admin, &about).await
+        }
+        settings::Command::Keys { out, names } => keys::make(&out, &names),
+        settings::Command::Digest { token } => Ok(keys::digest(&token)),
+        settings::Command::Completions { shell } => {
+            let mut text = Vec::new();
+            let mut command = settings::ClientArgs::command();
+            clap_complete::generate(shell, &mut command, "flamingotrail", &mut text);
+            Ok(output::Report::text(String::from_utf8_lossy(&text).into_owned()))
+        }
+    }
+}
--- /dev/null
+++ b/crates/flamingotrail/src/output.rs
@@ -0,0 +1,78 @@
+//! Reports for people and programs.
+
+use flamingotrail_wire::state;
+use serde::Serialize;
+
+use crate::configs::client;
+
+/// What a command has to say.
+#[derive(Clone, Debug, Serialize)]
+pub struct Report {
+    /// Whether all is well: the exit status.
+    pub is_good: bool,
+    /// Lines of text.
+    pub lines: Vec<String>,
+    /// Tables.
+    pub tables: Vec<state::Table>,
+}
+
+impl Report {
+    /// A report of text.
+    pub fn text(text: String) -> Self {
+        let lines = text.lines().map(str::to_owned).collect();
+        Report { is_good: true, lines, tables: Vec::new() }
+    }
+
+    /// A report of lines.
+    pub fn lines(is_good: bool, lines: Vec<String>) -> Self {
+        Report { is_good, lines, tables: Vec::new() }
+    }
+
+    /// A report of tables.
+    pub fn tables(tables: Vec<state::Table>) -> Self {
+        Report { is_good: true, lines: Vec::new(), tables }
+    }
+
+    /// The report in a form.
+    pub fn render(&self, format: client::OutputFormat) -> String {
+        match format {
+            client::OutputFormat::Json => {
+                let text = serde_json::to_string_pretty(self).unwrap_or_default();
+                format!("{text}\n")
+            }
+            client::OutputFormat::Text => self.render_text(),
+        }
+    }
+
+    fn render_text(&self) -> String {
+        let mut text = String::new();
+        for line in &self.lines {
+            text.push_str(line);
+            text.push('\n');
+        }
+        for table in &self.tables {
+            text.push_str(&render_table(table));
+        }
+        text
+    }
+}
+
+fn render_table(table: &state::Table) -> String {
+    let mut widths: Vec<usize> = table.columns.iter().map(String::len).collect();
+    for row in &table.rows {
+        for (width, value) in widths.iter_mut().zip(row) {
+            *width = (*width).max(value.len());
+        }
+    }
+    let line = |values: &[String]| {
+        let padded = values.iter().zip(&widths).map(|(value, width)| format!("{value:<width$}"));
+        let joined: Vec<String> = padded.collect();
+        format!("  {}\n", joined.join("  ").trim_end())
+    };
+    let mut text = format!("{} ({})\n", table.name, table.rows.len());
+    text.push_str(&line(&table.columns));
+    for row in &table.rows {
+        text.push_str(&line(row));
+    }
+    text
+}
--- /dev/null
+++ b/crates/flamingotrail/src/processes.rs
@@ -0,0 +1,176 @@
+//! Commands on processes: status, dump, drain, explain.
+
+use awc::http::Method;
+use flamingotrail_platform::http;
+use flamingotrail_wire::platform;
+use flamingotrail_wire::state;
+
+use crate::client;
+use crate::output;
+
+fn parse<T: serde::de::DeserializeOwned>(admin: &str, body: &[u8]) -> Result<T, client::ClientError> {
+    let read = serde_json::from_slice(body);
+    Ok(read.map_err(|error| http::HttpError::broken(admin, error))?)
+}
+
+async fn tables(
+    client: &client::Client,
+    admin: &str,
+) -> Result<Vec<state::Table>, client::ClientError> {
+    let body = client.ask(Method::GET, admin, "/dump").await?;
+    parse(admin, &body)
+}
+
+/// `dump`.
+pub async fn dump(
+    client: &client::Client,
+    admin: &str,
+    table: &str,
+) -> Result<output::Report, client::ClientError> {
+    let mut tables = tables(client, admin).await?;
+    if !table.is_empty() {
+        tables.retain(|other| other.name == table);
+    }
+    Ok(output::Report::tables(tables))
+}
+
+/// `drain`.
+pub async fn drain(
+    client: &client::Client,
+    admin: &str,
+) -> Result<output::Report, client::ClientError> {
+    let body = client.ask(Method::POST, admin, "/drain").await?;
+    Ok(output::Report::text(String::from_utf8_lossy(&body).into_owned()))
+}
+
+/// `explain`.
+pub async fn explain(
+    client: &client::Client,
+    admin: &str,
+    about: &str,
+) -> Result<output::Report, client::ClientError> {
+    let admins = match admin {
+        "" => client.list().await?.into_iter().map(|row| row.admin).collect(),
+        admin => vec![admin.to_owned()],
+    };
+    let mut reports = Vec::new();
+    for admin in admins.iter().filter(|admin| !admin.is_empty()) {
+        let path = format!("/explain?about={about}");
+        let Ok(body) = client.ask(Method::GET, admin, &path).await else {
+            continue;
+        };
+        let mut table: state::Table = parse(admin, &body)?;
+        if !table.rows.is_empty() {
+            table.name = format!("decisions of {admin}");
+            reports.push(table);
+        }
+    }
+    if reports.is_empty() {
+        let line = format!("no process remembers a decision on `{about}`");
+        return Ok(output::Report::lines(false, vec![line]));
+    }
+    Ok(output::Report::tables(reports))
+}
+
+/// `status`.
+pub async fn status(client: &client::Client) -> Result<output::Report, client::ClientError> {
+    let listed = client.list().await?;
+    let mut instances = table(
+        "instances",
+        &["instance", "state", "role", "region", "domain", "config_version", "draining", "admin"],
+    );
+    let mut partitions = table("partitions", &["partition", "owner", "epoch", "pending"]);
+    let mut endpoints =
+        table("endpoints", &["endpoint", "instance", "fence", "running", "waiting", "holds"]);
+    for row in &listed {
+        match tables(client, &row.admin).await {
+            Ok(tables) => {
+                let view = View { row, tables: &tables };
+                instances.rows.push(view.instance());
+                partitions.rows.extend(view.partitions());
+                endpoints.rows.extend(view.endpoint());
+            }
+            Err(_) => instances.rows.push(unreachable(row)),
+        }
+    }
+    partitions.rows.sort();
+    Ok(output::Report::tables(vec![instances, partitions, endpoints]))
+}
+
+fn table(name: &str, columns: &[&str]) -> state::Table {
+    let columns = columns.iter().map(|column| (*column).to_owned()).collect();
+    state::Table { name: name.to_owned(), columns, rows: Vec::new() }
+}
+
+fn unreachable(row: &platform::ListedInstance) -> Vec<String> {
+    let blank = String::new;
+    let role = if row.endpoint.is_some() { "endpoint" } else { "entry" };
+    vec![
+        row.instance.clone(),
+        "unreachable".to_owned(),
+        role.to_owned(),
+        row.region.clone(),
+        row.domain.clone(),
+        blank(),
+        blank(),
+        row.admin.clone(),
+    ]
+}
+
+/// One process's tables beside its row in the list.
+struct View<'a> {
+    row: &'a platform::ListedInstance,
+    tables: &'a [state::Table],
+}
+
+impl View<'_> {
+    fn rows(&self, name: &str) -> Vec<std::collections::BTreeMap<&str, &str>> {
+        let found = self.tables.iter().find(|table| table.name == name);
+        found.map(state::Table::objects).unwrap_or_default()
+    }
+
+    fn process(&self, column: &str) -> String {
+        let rows = self.rows("process");
+        let value = rows.first().and_then(|row| row.get(column).copied());
+        value.unwrap_or_default().to_owned()
+    }
+
+    fn instance(&self) -> Vec<String> {
+        vec![
+            self.row.instance.clone(),
+            self.row.state.clone(),
+            self.process("role"),
+            self.row.region.clone(),
+            self.row.domain.clone(),
+            self.process("config_version"),
+            self.process("draining"),
+            self.row.admin.clone(),
+        ]
+    }
+
+    fn partitions(&self) -> Vec<Vec<String>> {
+        let rows = self.rows("partitions");
+        let owned = rows.iter().filter(|row| row.get("standing") == Some(&"owned"));
+        owned
+            .map(|row| {
+                let value = |column| row.get(column).copied().unwrap_or_default().to_owned();
+                let owner = self.row.instance.clone();
+                vec![value("partition"), owner, value("epoch"), value("pending")]
+            })
+            .collect()
+    }
+
+    fn endpoint(&self) -> Option<Vec<String>> {
+        let endpoint = self.row.endpoint.clone()?;
+        let runs = self.rows("runs");
+        let running = runs.iter().filter(|row| row.get("started") == Some(&"true")).count();
+        Some(vec![
+            endpoint,
+            self.row.instance.clone(),
+            self.process("fence"),
+            running.to_string(),
+            (runs.len() - running).to_string(),
+            self.rows("holds").len().to_string(),
+        ])
+    }
+}
