--- a/crates/flamingotrail-core/src/lib.rs
+++ b/crates/flamingotrail-core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod output;
 pub mod policy;
 pub mod publication;
+pub mod relay;
 pub mod rng;
 pub mod schedule;
 pub mod settings;
--- a/crates/flamingotrail-core/src/systems/drain.rs
+++ b/crates/flamingotrail-core/src/systems/drain.rs
@@ -9,12 +9,18 @@
 use crate::systems::entry;
 use crate::systems::execution;
 use crate::systems::outbox;
+use crate::systems::ownership;
 use crate::systems::programs;
 use crate::tables::timers;
+use crate::time;
 use crate::world;
 
 /// Interval between looks at what is left.
 const STEP: std_time::Duration = std_time::Duration::from_millis(100);
+/// How long a successor may take to claim before another one is asked.
+const CLAIM_PATIENCE: std_time::Duration = std_time::Duration::from_secs(1);
+/// Successors asked at most; then the partition is left for whoever needs it to claim.
+const MAX_SUCCESSORS: usize = 3;
 
 /// Starts a shutdown and moves it on.
 pub fn run(world: &mut world::World, tick: &world::Tick) {
@@ -85,9 +91,8 @@
         let calls = programs::calls_of(world, &partition);
         let row = &world.tables.partitions.rows[&partition];
         let flushed = row.pending.is_empty() && row.flight.is_none();
-        if row.handing_over {
-            // The successor's claim is seen by reading the stream.
-            crate::systems::ownership::read(world, &partition);
+        if let Some(since) = row.handing_over {
+            await_successor(world, tick, &partition, epoch, since);
             continue;
         }
         if !calls.is_empty() && elapsed < patience {
@@ -114,7 +119,7 @@
         .filter(|(id, row)| id.home == *partition && row.root == **id && !row.ended)
         .map(|(id, row)| (id.clone(), row.account.available()))
         .collect();
-    let row = crate::systems::ownership::row(world, partition);
+    let row = ownership::row(world, partition);
     if std::mem::replace(&mut row.settled, true) || roots.is_empty() {
         return false;
     }
@@ -124,6 +129,21 @@
     true
 }
 
+/// Looks for the successor's claim by reading the stream; asks another one after a while.
+fn await_successor(
+    world: &mut world::World,
+    tick: &world::Tick,
+    partition: &ids::Partition,
+    epoch: ids::Epoch,
+    since: time::Timestamp,
+) {
+    if tick.now.since(since) < CLAIM_PATIENCE {
+        ownership::read(world, partition);
+    } else {
+        ask_successor(world, tick, partition, epoch);
+    }
+}
+
 fn ask_successor(
     world: &mut world::World,
     tick: &world::Tick,
@@ -131,15 +151,22 @@
     epoch: ids::Epoch,
 ) {
     let own = world.identity.peer.instance.clone();
+    let asked = ownership::row(world, partition).successors.clone();
     let instances = &world.tables.instances;
-    let open = |name: &ids::InstanceName| *name != own && instances.is_open(name);
+    let open =
+        |name: &ids::InstanceName| *name != own && !asked.contains(name) && instances.is_open(name);
     let successor = entry::preferred(world, partition, open);
-    crate::systems::ownership::row(world, partition).handing_over = true;
-    let Some(successor) = successor else {
+    let Some(successor) = successor.filter(|_| asked.len() < MAX_SUCCESSORS) else {
+        // Nobody takes it now: whoever is asked for it next finds this start gone, and claims.
+        world.event("partition_left", partition, "no successor");
+        ownership::leave(world, partition);
         return;
     };
+    let row = ownership::row(world, partition);
+    row.handing_over = Some(tick.now);
+    row.successors.insert(successor.clone());
     world.event("partition_handed_over", partition, format!("to={successor}"));
     let message = messages::Message::HandOver { partition: partition.clone(), epoch };
-    let lasting = world.settings.drain_timeout;
+    let lasting = CLAIM_PATIENCE;
     outbox::confirm(world, tick, &successor, None, message, lasting);
 }
--- a/crates/flamingotrail-core/src/systems/intake.rs
+++ b/crates/flamingotrail-core/src/systems/intake.rs
@@ -48,7 +48,7 @@
     let deadline = tick.now.after(submit.time_left);
     let draining = !world.is_open();
     let row = ownership::row(world, &partition);
-    let Some(epoch) = row.epoch().filter(|_| !row.handing_over) else {
+    let Some(epoch) = row.epoch().filter(|_| row.handing_over.is_none()) else {
         if draining {
             ownership::redirect(world, tick, &from, submit.request, submit.hop, None);
             return;
@@ -89,15 +89,16 @@
     let fingerprint = fingerprint_of(&submit, &placed);
     let key = ids::CallKey { conversation: submit.conversation.clone(), turn: placed.turn };
     let waiter = calls::Waiter { entry: from.clone(), request: submit.request, hop: submit.hop };
-    if answer_repeat(world, tick, &key, &fingerprint, &waiter)? {
-        return Ok(());
-    }
+    // The effect's own record goes first: after a take-over it knows of a call whose turn does not.
     let effect_key = effect_key(world, &submit, &key);
     if let Some(effect_key) = &effect_key {
         if answer_effect(world, tick, &key, effect_key, &placed.work, fingerprint, &waiter)? {
             return Ok(());
         }
     }
+    if answer_repeat(world, tick, &key, &fingerprint, &waiter)? {
+        return Ok(());
+    }
     check_limits(world, &submit)?;
     start(world, tick, submit, placed, key, fingerprint, effect_key, waiter);
     Ok(())
--- a/crates/flamingotrail-core/src/systems/ownership.rs
+++ b/crates/flamingotrail-core/src/systems/ownership.rs
@@ -263,6 +263,12 @@
     row.reading = reading;
 }
 
+/// Gives up a partition that nobody takes over.
+pub fn leave(world: &mut world::World, partition: &ids::Partition) {
+    world.tables.timers.clear(&timers::Timer::Carry(partition.clone()));
+    forget(world, partition);
+}
+
 /// Sets out to claim the partition.
 fn claim(world: &mut world::World, tick: &world::Tick, partition: &ids::Partition) {
     if !world.is_open() {
--- a/crates/flamingotrail-core/src/tables/partitions.rs
+++ b/crates/flamingotrail-core/src/tables/partitions.rs
@@ -68,8 +68,10 @@
     pub backoff: std::time::Duration,
     /// When a failed step may be tried again.
     pub retry_at: Option<time::Timestamp>,
-    /// Whether it is being handed over.
-    pub handing_over: bool,
+    /// Since when it is being handed over.
+    pub handing_over: Option<time::Timestamp>,
+    /// Processes that were asked to claim it.
+    pub successors: collections::BTreeSet<ids::InstanceName>,
     /// Whether what is surely unspent was written for a successor.
     pub settled: bool,
     /// When its owner's epoch last stood in the log, as far as known.
@@ -142,7 +144,8 @@
             appended_at: None,
             backoff: std::time::Duration::ZERO,
             retry_at: None,
-            handing_over: false,
+            handing_over: None,
+            successors: collections::BTreeSet::new(),
             settled: false,
             asserted_at: time::Timestamp::ZERO,
             appends: 0,
@@ -161,7 +164,8 @@
             _ => None,
         };
         let batch = match (&self.standing, &self.flight, self.pending.is_empty()) {
-            (Standing::Owned { .. }, None, false) => {
+            // A read under way ends in a step of its own.
+            (Standing::Owned { .. }, None, false) if !self.reading => {
                 self.appended_at.map(|at| at.after(self.interval))
             }
             _ => None,
--- a/crates/flamingotrail-platform/src/log_service.rs
+++ b/crates/flamingotrail-platform/src/log_service.rs
@@ -103,7 +103,9 @@
         offset: ids::Offset(read.offset),
         age: time::Duration::from_millis(read.age_ms),
         entry: codec::entry_from_text(&read.data)
-            .inspect_err(|error| log::warn!("event=entry_skipped offset={} error={error:?}", read.offset))
+            .inspect_err(|error| {
+                log::warn!("event=entry_skipped offset={} error={error:?}", read.offset)
+            })
             .ok(),
     });
     input::Page {
@@ -123,7 +125,9 @@
         Box::pin(async move {
             match self.try_append(stream, entry).await {
                 Ok(offset) => input::AppendResult::At(ids::Offset(offset)),
-                Err(http::HttpError::Status { status: REFUSED, .. }) => input::AppendResult::Refused,
+                Err(http::HttpError::Status { status: REFUSED, .. }) => {
+                    input::AppendResult::Refused
+                }
                 Err(error) => {
                     log::debug!("event=append_lost stream={stream} error={:?}", error.to_string());
                     input::AppendResult::Lost
--- a/crates/flamingotrail-runtime/src/address.rs
+++ b/crates/flamingotrail-runtime/src/address.rs
@@ -26,9 +26,7 @@
         AddressBook::default()
     }
 
-    fn rows(
-        &self,
-    ) -> sync::MutexGuard<'_, collections::BTreeMap<ids::InstanceName, Addresses>> {
+    fn rows(&self) -> sync::MutexGuard<'_, collections::BTreeMap<ids::InstanceName, Addresses>> {
         self.rows.lock().unwrap_or_else(sync::PoisonError::into_inner)
     }
 
@@ -37,7 +35,11 @@
         let mut rows = self.rows();
         for listed in list {
             let Ok(address) = listed.address.parse() else {
-                log::warn!("event=address_skipped peer={} address={:?}", listed.instance, listed.address);
+                log::warn!(
+                    "event=address_skipped peer={} address={:?}",
+                    listed.instance,
+                    listed.address
+                );
                 continue;
             };
             rows.entry(listed.instance.clone()).or_default().listed = Some(address);
--- a/crates/flamingotrail-runtime/src/admin.rs
+++ b/crates/flamingotrail-runtime/src/admin.rs
@@ -77,7 +77,8 @@
         }
         match rx.await {
             Ok(tables) => {
-                let tables: Vec<state::Table> = tables.into_iter().map(state::Table::from).collect();
+                let tables: Vec<state::Table> =
+                    tables.into_iter().map(state::Table::from).collect();
                 json(&tables)
             }
             Err(_) => busy(),
--- a/crates/flamingotrail-runtime/src/configs/daemon.rs
+++ b/crates/flamingotrail-runtime/src/configs/daemon.rs
@@ -63,7 +63,12 @@
     #[arg(long, env = "FLAMINGOTRAIL_TLS_AUTHORITY", default_value = "")]
     pub tls_authority: String,
     /// Secret that authenticates continuations, at least 32 bytes; the same at every process.
-    #[arg(long, env = "FLAMINGOTRAIL_CONTINUATION_SECRET", default_value = "", hide_env_values = true)]
+    #[arg(
+        long,
+        env = "FLAMINGOTRAIL_CONTINUATION_SECRET",
+        default_value = "",
+        hide_env_values = true
+    )]
     pub continuation_secret: String,
     /// Deadline of a call that names none, such as `60s`.
     #[arg(long, env = "FLAMINGOTRAIL_DEFAULT_DEADLINE", default_value = "60s")]
--- a/crates/flamingotrail-runtime/src/control.rs
+++ b/crates/flamingotrail-runtime/src/control.rs
@@ -165,4 +165,3 @@
     let version = i64::try_from(tables.configuration.version().0).unwrap_or(i64::MAX);
     metrics.config_version.set(version);
 }
-
--- a/crates/flamingotrail-runtime/src/daemon.rs
+++ b/crates/flamingotrail-runtime/src/daemon.rs
@@ -76,7 +76,12 @@
         actix_rt::spawn(front.listen(address, config.threads)?);
     }
     actix_rt::spawn(drain_on_signal(inlet.clone()));
-    log::info!("event=started role={:?} link={} admin={}", identity.role, config.link, config.admin);
+    log::info!(
+        "event=started role={:?} link={} admin={}",
+        identity.role,
+        config.link,
+        config.admin
+    );
 
     let outside = outside(&config);
     let executor = executor::Executor::new(outside, links, relay, book, inlet, metrics);
--- a/crates/flamingotrail-runtime/src/executor.rs
+++ b/crates/flamingotrail-runtime/src/executor.rs
@@ -84,13 +84,17 @@
             output::Output::FetchReport => self.fetch_report(),
             output::Output::ReleaseHold { hold, fence } => self.release(hold, fence),
             output::Output::Route { attempt, entry, request, prefix } => {
-                if let Some(forward) = self.relay.route(&attempt, entry, request, prefix) {
+                let so_far =
+                    self.relay.attempts(|texts| texts.route(&attempt, entry, request, prefix));
+                if let Some(forward) = so_far {
                     self.links.forward(forward);
                 }
             }
-            output::Output::Unroute(attempt) => self.relay.unroute(&attempt),
+            output::Output::Unroute(attempt) => {
+                self.relay.attempts(|texts| texts.unroute(&attempt));
+            }
             output::Output::TakePartial(attempt) => {
-                let text = self.relay.partial(&attempt);
+                let text = self.relay.attempts(|texts| texts.partial(&attempt));
                 self.inlet.deliver(input::Input::Partial { attempt, text });
             }
             output::Output::TakeDelivered(request) => {
--- a/crates/flamingotrail-runtime/src/front.rs
+++ b/crates/flamingotrail-runtime/src/front.rs
@@ -205,10 +205,8 @@
     fn take(&mut self, event: relay::CallerEvent) -> Option<messages::Reply> {
         match event {
             relay::CallerEvent::Admitted { program, conversation } => {
-                self.ids = respond::Ids {
-                    program: Some(program),
-                    conversation: Some(conversation),
-                };
+                self.ids =
+                    respond::Ids { program: Some(program), conversation: Some(conversation) };
                 None
             }
             relay::CallerEvent::Text(text) => {
--- a/crates/flamingotrail-runtime/src/links.rs
+++ b/crates/flamingotrail-runtime/src/links.rs
@@ -14,6 +14,7 @@
 use flamingotrail_core::ids;
 use flamingotrail_core::input;
 use flamingotrail_core::messages;
+use flamingotrail_core::relay as core_relay;
 use flamingotrail_wire::codec;
 use flamingotrail_wire::frames;
 use flamingotrail_wire::messages as wire_messages;
@@ -150,7 +151,7 @@
     }
 
     /// Sends a piece of text on to the entry that has the caller.
-    pub fn forward(&self, forward: relay::Forward) {
+    pub fn forward(&self, forward: core_relay::Forward) {
         let chunk = frames::TextChunk {
             attempt: None,
             request: Some(forward.request.into()),
@@ -162,7 +163,7 @@
     }
 
     fn take_attempt_text(&self, attempt: &ids::AttemptId, at: usize, text: &str) {
-        if let Some(forward) = self.relay.attempt_text(attempt, at, text) {
+        if let Some(forward) = self.relay.attempts(|texts| texts.take(attempt, at, text)) {
             self.forward(forward);
         }
     }
@@ -198,8 +199,7 @@
         to: &ids::InstanceName,
         mut rx: mpsc::Receiver<Queued>,
     ) -> Result<(), LinkError> {
-        let unreachable =
-            |detail: String| LinkError::Unreachable { peer: to.clone(), detail };
+        let unreachable = |detail: String| LinkError::Unreachable { peer: to.clone(), detail };
         let connection = self.connect(to).await?;
         let mut control = self.open(&connection, to).await?;
         let mut text = self.open(&connection, to).await?;
@@ -227,8 +227,7 @@
 
     async fn connect(&self, to: &ids::InstanceName) -> Result<quinn::Connection, LinkError> {
         let address = self.book.find(to).ok_or_else(|| LinkError::NoAddress(to.clone()))?;
-        let unreachable =
-            |detail: String| LinkError::Unreachable { peer: to.clone(), detail };
+        let unreachable = |detail: String| LinkError::Unreachable { peer: to.clone(), detail };
         let connecting = self
             .endpoint
             .connect(address, tls::SERVER_NAME)
@@ -246,8 +245,7 @@
         to: &ids::InstanceName,
     ) -> Result<framing::FramedWrite<quinn::SendStream, framing::LengthDelimitedCodec>, LinkError>
     {
-        let unreachable =
-            |detail: String| LinkError::Unreachable { peer: to.clone(), detail };
+        let unreachable = |detail: String| LinkError::Unreachable { peer: to.clone(), detail };
         let stream = connection.open_uni().await.map_err(|error| unreachable(error.to_string()))?;
         let mut framed = framing::FramedWrite::new(stream, frame_codec());
         let hello = frames::Hello {
@@ -270,7 +268,9 @@
                 }
             }
             Ok(frames::Frame::Text(chunk)) => self.take_text(chunk),
-            Err(error) => log::warn!("event=frame_skipped peer={from} error={:?}", error.to_string()),
+            Err(error) => {
+                log::warn!("event=frame_skipped peer={from} error={:?}", error.to_string())
+            }
         }
     }
 
--- a/crates/flamingotrail-runtime/src/logging.rs
+++ b/crates/flamingotrail-runtime/src/logging.rs
@@ -9,7 +9,10 @@
 /// # Errors
 ///
 /// A logger that was set up before.
-pub fn init(level: log::LevelFilter, instance: &ids::InstanceName) -> Result<(), log::SetLoggerError> {
+pub fn init(
+    level: log::LevelFilter,
+    instance: &ids::InstanceName,
+) -> Result<(), log::SetLoggerError> {
     let instance = instance.clone();
     fern::Dispatch::new()
         .level(log::LevelFilter::Warn)
@@ -20,7 +23,8 @@
             let at = humantime::format_rfc3339_millis(std::time::SystemTime::now());
             let level = record.level().as_str().to_ascii_lowercase();
             let text = message.to_string().replace('\n', " ");
-            let text = if text.contains("event=") { text } else { format!("event=library text={text:?}") };
+            let text =
+                if text.contains("event=") { text } else { format!("event=library text={text:?}") };
             out.finish(format_args!("ts={at} level={level} instance={instance} {text}"));
         })
         .chain(io::stderr())
--- a/crates/flamingotrail-runtime/src/metrics.rs
+++ b/crates/flamingotrail-runtime/src/metrics.rs
@@ -65,7 +65,12 @@
                 "Time between tokens.",
                 GAPS,
             )?,
-            program_seconds: histogram(&registry, "program_seconds", "Latency of programs.", SECONDS)?,
+            program_seconds: histogram(
+                &registry,
+                "program_seconds",
+                "Latency of programs.",
+                SECONDS,
+            )?,
             wasted_cache_tokens: counter(
                 &registry,
                 "wasted_cache_tokens_total",
--- a/crates/flamingotrail-runtime/src/parse.rs
+++ b/crates/flamingotrail-runtime/src/parse.rs
@@ -30,10 +30,7 @@
     errors::Refusal::BadField { field: field.to_owned(), detail: detail.to_string() }
 }
 
-fn text<'a>(
-    map: &'a header::HeaderMap,
-    name: &str,
-) -> Result<Option<&'a str>, errors::Refusal> {
+fn text<'a>(map: &'a header::HeaderMap, name: &str) -> Result<Option<&'a str>, errors::Refusal> {
     match map.get(name) {
         None => Ok(None),
         Some(value) => {
--- a/crates/flamingotrail-runtime/src/respond.rs
+++ b/crates/flamingotrail-runtime/src/respond.rs
@@ -96,7 +96,9 @@
     let status = status(ids, reply);
     let answer = match &reply.outcome {
         work::Outcome::Done(answer) => answer,
-        work::Outcome::NotRun(refusal) => return error(status_of(refusal), refusal.retry_after(), status),
+        work::Outcome::NotRun(refusal) => {
+            return error(status_of(refusal), refusal.retry_after(), status)
+        }
         work::Outcome::Unknown(_) => return error(StatusCode::BAD_GATEWAY, None, status),
     };
     if !is_chat {
@@ -115,7 +117,10 @@
         model: model.to_owned(),
         choices: vec![chat::Choice {
             index: 0,
-            message: chat::ChatMessage { role: "assistant".to_owned(), content: answer.text.clone() },
+            message: chat::ChatMessage {
+                role: "assistant".to_owned(),
+                content: answer.text.clone(),
+            },
             finish_reason: Some(chat::finish_reason(answer.finish).to_owned()),
         }],
         usage: Some(answer.usage.into()),
--- a/crates/flamingotrail-standins/src/engine.rs
+++ b/crates/flamingotrail-standins/src/engine.rs
@@ -174,9 +174,8 @@
 }
 
 fn identity_of(prompt: &str) -> u64 {
-    let digest = flamingotrail_core::digest::Hasher::new("prompt")
-        .with_bytes(prompt.as_bytes())
-        .finish();
+    let digest =
+        flamingotrail_core::digest::Hasher::new("prompt").with_bytes(prompt.as_bytes()).finish();
     let mut first = [0; 8];
     first.copy_from_slice(&digest.0[..8]);
     u64::from_le_bytes(first)
--- a/crates/flamingotrail-standins/src/http/server.rs
+++ b/crates/flamingotrail-standins/src/http/server.rs
@@ -73,7 +73,9 @@
     match parts.as_slice() {
         ["log", "streams", rest] => handle_log(&outside, &request, rest, &body).await,
         ["list", "instances"] => handle_list(&outside),
-        ["engines", name, rest] => handle_engine(outside.clone(), &request, name, rest, &body).await,
+        ["engines", name, rest] => {
+            handle_engine(outside.clone(), &request, name, rest, &body).await
+        }
         ["services", name, rest] => handle_service(&outside, name, rest, &body).await,
         _ => empty(StatusCode::NOT_FOUND),
     }
@@ -97,12 +99,7 @@
     found.unwrap_or(0)
 }
 
-async fn handle_log(
-    outside: &http::Outside,
-    request: &Request,
-    rest: &str,
-    body: &[u8],
-) -> Boxed {
+async fn handle_log(outside: &http::Outside, request: &Request, rest: &str, body: &[u8]) -> Boxed {
     let stream = rest.trim_end_matches("/entries");
     if request.method() == Method::POST {
         let Ok(entry) = serde_json::from_slice::<wire::AppendRequest>(body) else {
@@ -241,7 +238,11 @@
         let item = match call.rx.recv().await? {
             engine::Said::Text { text, .. } => (Ok(event(&chunk(Some(text), None))), false),
             engine::Said::Done {
-                prompt_tokens, cached_tokens, completion_tokens, by_length, ..
+                prompt_tokens,
+                cached_tokens,
+                completion_tokens,
+                by_length,
+                ..
             } => {
                 let usage = chat::ChatUsage {
                     prompt_tokens,
--- a/crates/flamingotrail-standins/src/lib.rs
+++ b/crates/flamingotrail-standins/src/lib.rs
@@ -11,5 +11,7 @@
 pub mod local;
 pub mod log;
 pub mod prefix_cache;
+pub mod rig;
+pub mod scenario;
 pub mod tools;
 pub mod workload;
--- a/crates/flamingotrail-standins/src/local/caller.rs
+++ b/crates/flamingotrail-standins/src/local/caller.rs
@@ -301,7 +301,9 @@
 
 async fn read_answer<S>(mut response: Response<S>) -> Option<Answer>
 where
-    S: futures_util::Stream<Item = Result<bytes::Bytes, awc::error::PayloadError>> + Unpin + 'static,
+    S: futures_util::Stream<Item = Result<bytes::Bytes, awc::error::PayloadError>>
+        + Unpin
+        + 'static,
 {
     let header = |name: &str| {
         let value = response.headers().get(name)?;
@@ -328,7 +330,9 @@
 
 async fn read_stream<S>(response: Response<S>) -> Option<Answer>
 where
-    S: futures_util::Stream<Item = Result<bytes::Bytes, awc::error::PayloadError>> + Unpin + 'static,
+    S: futures_util::Stream<Item = Result<bytes::Bytes, awc::error::PayloadError>>
+        + Unpin
+        + 'static,
 {
     let mut answer = Answer { status: None, text: String::new() };
     let mut events = response.eventsource();
--- /dev/null
+++ b/crates/flamingotrail-standins/src/rig/callers.rs
@@ -0,0 +1,759 @@
+//! Callers on the virtual clock: they run programs, repeat what was not run, and check every
+//! answer against their own view of the conversation.
+
+use std::collections;
+use std::time as std_time;
+
+use flamingotrail_core::digest;
+use flamingotrail_core::errors;
+use flamingotrail_core::history;
+use flamingotrail_core::ids;
+use flamingotrail_core::input;
+use flamingotrail_core::messages;
+use flamingotrail_core::time;
+use flamingotrail_core::work;
+
+use crate::engine;
+use crate::rig;
+use crate::rig::watch;
+use crate::workload;
+
+/// Where a caller takes its history from.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum HistoryMode {
+    /// It carries continuations.
+    #[default]
+    Carry,
+    /// It sends all messages each time.
+    Full,
+    /// It relies on the journal.
+    Journal,
+}
+
+/// How a caller behaves.
+#[derive(Clone, Debug)]
+pub struct Manner {
+    /// Where its history comes from.
+    pub history: HistoryMode,
+    /// Sendings of one call at most.
+    pub max_sendings: u32,
+    /// Deadline of a call.
+    pub deadline: std_time::Duration,
+    /// Whether it ends its programs.
+    pub ends: bool,
+    /// Whether a refused first call gives the program up.
+    pub gives_up_when_refused: bool,
+}
+
+impl Default for Manner {
+    fn default() -> Self {
+        Manner {
+            history: HistoryMode::Carry,
+            max_sendings: 30,
+            deadline: std_time::Duration::from_secs(30),
+            ends: true,
+            gives_up_when_refused: false,
+        }
+    }
+}
+
+/// Something that a caller does or hears.
+#[derive(Clone, Debug)]
+pub enum CallerEvent {
+    /// It goes on with its program.
+    Go(usize),
+    /// It sends its call, again or for the first time.
+    Send(usize),
+    /// A reply arrives.
+    Reply(usize, Box<messages::Reply>),
+    /// Text arrives.
+    Text(usize, ids::RequestId, String),
+    /// Its connection broke, or it waited long enough.
+    Lost(usize, ids::RequestId),
+}
+
+/// How a program ended for its caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ProgramEnd {
+    /// All steps were done.
+    Done,
+    /// A call was refused for good.
+    NotRun(String),
+    /// A call's outcome stayed unknown.
+    Unknown(String),
+}
+
+/// One conversation as its caller sees it.
+#[derive(Clone, Debug, Default)]
+struct Talk {
+    program: Option<ids::ProgramId>,
+    parent: Option<ids::ProgramId>,
+    conversation: Option<ids::ConversationId>,
+    continuation: Option<history::Continuation>,
+    turn: ids::Turn,
+    messages: Vec<history::Message>,
+}
+
+/// Steps under way: the root's, or a sub-agent's.
+#[derive(Clone, Debug)]
+struct Frame {
+    steps: Vec<workload::Step>,
+    next: usize,
+    talk: Talk,
+    ending: bool,
+}
+
+/// A call under way.
+#[derive(Clone, Debug)]
+struct Current {
+    request: ids::RequestId,
+    entry: String,
+    sendings: u32,
+    work: work::Work,
+    answer: Option<String>,
+    is_effect: bool,
+    text: String,
+    issued_at: time::Timestamp,
+    sent_at: time::Timestamp,
+    last_text_at: Option<time::Timestamp>,
+    /// Whether every sending so far was refused.
+    only_refused: bool,
+    full: bool,
+    open: bool,
+}
+
+/// One caller with one program.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    /// Name, for scenarios.
+    pub name: String,
+    /// Kind of program.
+    pub kind: String,
+    /// Its workspace.
+    pub workspace: String,
+    /// When it began.
+    pub started_at: time::Timestamp,
+    /// When its last step ended.
+    pub ended_at: Option<time::Timestamp>,
+    /// How its program ended.
+    pub end: Option<ProgramEnd>,
+    /// Time that it paused by itself.
+    pub paused: std_time::Duration,
+    /// Its root program.
+    pub program: Option<ids::ProgramId>,
+    /// Calls answered.
+    pub answered: u32,
+    /// Outcomes that stayed unknown.
+    pub unknown: u32,
+    /// Refusals by kind.
+    pub refusals: collections::BTreeMap<&'static str, u32>,
+    region: String,
+    token: digest::Digest,
+    manner: Manner,
+    frames: Vec<Frame>,
+    current: Option<Current>,
+}
+
+/// All callers.
+#[derive(Debug, Default)]
+pub struct Callers {
+    /// Callers.
+    pub rows: Vec<Caller>,
+    by_request: collections::BTreeMap<ids::RequestId, usize>,
+    /// Time to first token of each call, in microseconds.
+    pub first_tokens: Vec<u64>,
+    /// Gaps between tokens, in microseconds.
+    pub gaps: Vec<u32>,
+    /// Time from sending to a refusal, in microseconds.
+    pub refusal_times: Vec<u64>,
+    /// Time of each call that may not be repeated, in microseconds.
+    pub effect_times: Vec<u64>,
+    /// Whether gaps are kept.
+    pub measures: bool,
+}
+
+/// Least delay before a call is sent again.
+const RETRY: std_time::Duration = std_time::Duration::from_millis(200);
+
+impl rig::Rig {
+    /// Adds a caller that starts its program after `starts`.
+    pub fn add_caller(
+        &mut self,
+        name: &str,
+        program: &workload::Program,
+        token: &str,
+        manner: Manner,
+    ) {
+        let at = self.now.after(program.starts);
+        let root =
+            Frame { steps: program.steps.clone(), next: 0, talk: Talk::default(), ending: false };
+        let number = self.callers.rows.len();
+        self.callers.rows.push(Caller {
+            name: name.to_owned(),
+            kind: program.kind.to_owned(),
+            workspace: program.workspace.clone(),
+            started_at: at,
+            ended_at: None,
+            end: None,
+            paused: std_time::Duration::ZERO,
+            program: None,
+            answered: 0,
+            unknown: 0,
+            refusals: collections::BTreeMap::new(),
+            region: program.region.clone(),
+            token: digest::of_token(token),
+            manner,
+            frames: vec![root],
+            current: None,
+        });
+        self.schedule(at, rig::Event::Caller(CallerEvent::Go(number)));
+    }
+
+    pub(super) fn take_caller_event(&mut self, event: CallerEvent) {
+        match event {
+            CallerEvent::Go(number) => self.caller_go(number),
+            CallerEvent::Send(number) => self.caller_send(number),
+            CallerEvent::Reply(number, reply) => self.caller_take_reply(number, *reply),
+            CallerEvent::Text(number, request, text) => {
+                self.caller_take_text(number, request, &text);
+            }
+            CallerEvent::Lost(number, request) => self.caller_take_lost(number, request),
+        }
+    }
+
+    /// Takes the caller's next step.
+    fn caller_go(&mut self, number: usize) {
+        let caller = &mut self.callers.rows[number];
+        let Some(frame) = caller.frames.last_mut() else {
+            return;
+        };
+        let Some(step) = frame.steps.get(frame.next).cloned() else {
+            self.caller_end_frame(number);
+            return;
+        };
+        frame.next += 1;
+        match step {
+            workload::Step::Pause(pause) => {
+                caller.paused += pause;
+                self.after(pause, rig::Event::Caller(CallerEvent::Go(number)));
+            }
+            workload::Step::Model { text, tokens } => self.caller_issue_model(number, text, tokens),
+            workload::Step::Service { service, operation, body, repeatable } => {
+                let service = ids::ServiceName::new(service);
+                let work = work::Work::Service { service, operation, body };
+                self.caller_issue(number, work, None, !repeatable);
+            }
+            workload::Step::SubAgent(steps) => {
+                let parent = frame.talk.program.clone();
+                let talk = Talk { parent, ..Talk::default() };
+                caller.frames.push(Frame { steps, next: 0, talk, ending: false });
+                self.schedule(self.now, rig::Event::Caller(CallerEvent::Go(number)));
+            }
+        }
+    }
+
+    fn caller_issue_model(&mut self, number: usize, text: String, tokens: u32) {
+        let model = ids::ModelName::new(self.config.deployment.model.as_str());
+        let Some(frame) = self.callers.rows[number].frames.last_mut() else {
+            return;
+        };
+        let message = history::Message::new(history::Role::User, text);
+        frame.talk.messages.push(message.clone());
+        let pairs = frame.talk.messages.iter().map(|m| (m.role.as_str(), m.content.as_str()));
+        let prompt = engine::prompt_text(pairs);
+        let answer = engine::answer_to(&prompt, usize::try_from(tokens).unwrap_or(0));
+        let work = work::Work::Model { model, max_tokens: tokens + 8, messages: vec![message] };
+        self.caller_issue(number, work, Some(answer), false);
+    }
+
+    fn caller_issue(
+        &mut self,
+        number: usize,
+        work: work::Work,
+        answer: Option<String>,
+        is_effect: bool,
+    ) {
+        let now = self.now;
+        let caller = &mut self.callers.rows[number];
+        caller.current = Some(Current {
+            request: ids::RequestId::default(),
+            entry: String::new(),
+            sendings: 0,
+            work,
+            answer,
+            is_effect,
+            text: String::new(),
+            issued_at: now,
+            sent_at: now,
+            last_text_at: None,
+            only_refused: true,
+            full: false,
+            open: false,
+        });
+        self.caller_send(number);
+    }
+
+    /// Entries in the caller's order: its own region's first.
+    fn caller_entry(&self, number: usize, sending: u32) -> Option<String> {
+        let region = &self.callers.rows[number].region;
+        let entries = self.nodes.iter().filter(|(_, node)| node.listed.endpoint.is_none());
+        let (mut near, far): (Vec<String>, Vec<String>) = entries
+            .map(|(name, node)| (name.clone(), node.listed.region.as_str() == region))
+            .fold((Vec::new(), Vec::new()), |(mut near, mut far), (name, is_near)| {
+                if is_near {
+                    near.push(name);
+                } else {
+                    far.push(name);
+                }
+                (near, far)
+            });
+        near.extend(far);
+        let index = usize::try_from(sending).unwrap_or(0) % near.len().max(1);
+        near.get(index).cloned()
+    }
+
+    fn caller_send(&mut self, number: usize) {
+        let Some(sendings) = self.callers.rows[number].current.as_ref().map(|c| c.sendings) else {
+            return;
+        };
+        let Some(entry) = self.caller_entry(number, sendings) else {
+            return;
+        };
+        let incarnation = self.nodes[&entry].incarnation;
+        self.numbers += 1;
+        let request = ids::RequestId { entry: incarnation, number: self.numbers };
+        let now = self.now;
+        let caller = &mut self.callers.rows[number];
+        let Some(current) = &mut caller.current else {
+            return;
+        };
+        current.sendings += 1;
+        current.request = request;
+        current.entry = entry.clone();
+        current.text.clear();
+        current.sent_at = now;
+        current.last_text_at = None;
+        current.open = true;
+        let message = caller_request(caller, request);
+        let give_up = caller.manner.deadline + std_time::Duration::from_secs(2);
+        self.callers.by_request.insert(request, number);
+        self.after(give_up, rig::Event::Caller(CallerEvent::Lost(number, request)));
+        let Some(node) = self.nodes.get_mut(&entry).filter(|node| node.is_up()) else {
+            self.after(RETRY, rig::Event::Caller(CallerEvent::Lost(number, request)));
+            return;
+        };
+        node.callers.open(request);
+        let delay = self.config.deployment.client_delay;
+        let input = Box::new(input::Input::Caller(Box::new(message)));
+        self.after(delay, rig::Event::Deliver { node: entry, incarnation, input });
+    }
+
+    pub(super) fn caller_admitted(
+        &mut self,
+        request: ids::RequestId,
+        program: ids::ProgramId,
+        conversation: ids::ConversationId,
+    ) {
+        let Some(number) = self.callers.by_request.get(&request).copied() else {
+            return;
+        };
+        let caller = &mut self.callers.rows[number];
+        let Some(current) = caller.current.as_ref().filter(|c| c.request == request) else {
+            return;
+        };
+        let is_model = current.answer.is_some();
+        let Some(frame) = caller.frames.last() else {
+            return;
+        };
+        let parent = frame.talk.parent.clone();
+        let root = parent.map(|parent| self.watch.roots.get(&parent).cloned().unwrap_or(parent));
+        let root = root.unwrap_or_else(|| program.clone());
+        if root == program {
+            caller.program = Some(program.clone());
+        }
+        self.watch.roots.insert(program, root);
+        let prompt = is_model.then(|| {
+            let messages = &frame.talk.messages;
+            let pairs = messages.iter().map(|m| (m.role.as_str(), m.content.as_str()));
+            watch::prompt_digest(&engine::prompt_text(pairs))
+        });
+        let key = ids::CallKey { conversation, turn: frame.talk.turn + 1 };
+        self.watch.expected.insert(key, watch::Expected { prompt });
+    }
+
+    pub(super) fn caller_text(&mut self, request: ids::RequestId, text: String) {
+        let Some(number) = self.callers.by_request.get(&request).copied() else {
+            return;
+        };
+        let delay = self.config.deployment.client_delay;
+        self.after(delay, rig::Event::Caller(CallerEvent::Text(number, request, text)));
+    }
+
+    pub(super) fn caller_reply(&mut self, reply: messages::Reply) {
+        let Some(number) = self.callers.by_request.get(&reply.request).copied() else {
+            return;
+        };
+        let delay = self.config.deployment.client_delay;
+        self.after(delay, rig::Event::Caller(CallerEvent::Reply(number, Box::new(reply))));
+    }
+
+    /// Connections to an entry that went down break.
+    pub(super) fn callers_lost(&mut self, entry: &str) {
+        let lost: Vec<(usize, ids::RequestId)> = self
+            .callers
+            .rows
+            .iter()
+            .enumerate()
+            .filter_map(|(number, caller)| Some((number, caller.current.as_ref()?)))
+            .filter(|(_, current)| current.open && current.entry == entry)
+            .map(|(number, current)| (number, current.request))
+            .collect();
+        for (number, request) in lost {
+            self.after(RETRY, rig::Event::Caller(CallerEvent::Lost(number, request)));
+        }
+    }
+
+    fn caller_take_text(&mut self, number: usize, request: ids::RequestId, text: &str) {
+        let now = self.now;
+        let measures = self.callers.measures;
+        let caller = &mut self.callers.rows[number];
+        let Some(current) = caller.current.as_mut().filter(|c| c.request == request && c.open)
+        else {
+            return;
+        };
+        current.text.push_str(text);
+        let before = current.last_text_at.replace(now);
+        let sent_at = current.sent_at;
+        if !measures {
+            return;
+        }
+        match before {
+            None => self.callers.first_tokens.push(now.since(sent_at).as_micros() as u64),
+            Some(before) => {
+                let gap = now.since(before).as_micros();
+                self.callers.gaps.push(u32::try_from(gap).unwrap_or(u32::MAX));
+            }
+        }
+    }
+
+    fn caller_take_lost(&mut self, number: usize, request: ids::RequestId) {
+        let caller = &mut self.callers.rows[number];
+        let Some(current) = caller.current.as_mut().filter(|c| c.request == request && c.open)
+        else {
+            return;
+        };
+        current.open = false;
+        current.only_refused = false;
+        let entry = current.entry.clone();
+        self.callers.by_request.remove(&request);
+        let closed = self.nodes.get_mut(&entry).is_some_and(|node| node.callers.close(request));
+        if closed {
+            let delay = self.config.deployment.client_delay;
+            let incarnation = self.nodes[&entry].incarnation;
+            let input = Box::new(input::Input::CallerGone(request));
+            self.after(delay, rig::Event::Deliver { node: entry, incarnation, input });
+        }
+        self.caller_again(number, RETRY, "no answer");
+    }
+
+    /// Sends the call again, or gives the program up.
+    fn caller_again(&mut self, number: usize, wait: std_time::Duration, reason: &str) {
+        let caller = &mut self.callers.rows[number];
+        let Some(current) = &caller.current else {
+            return;
+        };
+        if current.sendings < caller.manner.max_sendings {
+            self.after(wait.max(RETRY), rig::Event::Caller(CallerEvent::Send(number)));
+            return;
+        }
+        let end = match current.only_refused {
+            true => ProgramEnd::NotRun(reason.to_owned()),
+            false => ProgramEnd::Unknown(reason.to_owned()),
+        };
+        self.caller_end(number, end);
+    }
+
+    fn caller_end(&mut self, number: usize, end: ProgramEnd) {
+        let now = self.now;
+        let caller = &mut self.callers.rows[number];
+        if caller.end.is_none() {
+            caller.end = Some(end);
+            caller.ended_at = Some(now);
+        }
+        // What is left is to end the program, without waiting for it.
+        caller.current = None;
+        if let Some(root) = caller.frames.first_mut() {
+            root.next = root.steps.len();
+        }
+        caller.frames.truncate(1);
+        self.schedule(now, rig::Event::Caller(CallerEvent::Go(number)));
+    }
+
+    fn caller_end_frame(&mut self, number: usize) {
+        let now = self.now;
+        let caller = &mut self.callers.rows[number];
+        let is_root = caller.frames.len() == 1;
+        if is_root && caller.end.is_none() {
+            caller.end = Some(ProgramEnd::Done);
+            caller.ended_at = Some(now);
+        }
+        let ends = caller.manner.ends;
+        let Some(frame) = caller.frames.last_mut() else {
+            return;
+        };
+        if frame.ending || !ends || frame.talk.program.is_none() {
+            caller.frames.pop();
+            if !is_root {
+                self.schedule(now, rig::Event::Caller(CallerEvent::Go(number)));
+            }
+            return;
+        }
+        frame.ending = true;
+        self.caller_issue(number, work::Work::EndProgram, None, false);
+    }
+
+    fn caller_take_reply(&mut self, number: usize, reply: messages::Reply) {
+        let caller = &mut self.callers.rows[number];
+        let Some(current) =
+            caller.current.as_mut().filter(|c| c.request == reply.request && c.open)
+        else {
+            return;
+        };
+        current.open = false;
+        self.callers.by_request.remove(&reply.request);
+        match reply.outcome.clone() {
+            work::Outcome::Done(answer) => self.caller_done(number, &reply, answer),
+            work::Outcome::NotRun(refusal) => self.caller_refused(number, &refusal),
+            work::Outcome::Unknown(doubt) => self.caller_in_doubt(number, &reply, doubt.kind()),
+        }
+    }
+
+    fn caller_done(&mut self, number: usize, reply: &messages::Reply, answer: work::Answer) {
+        let now = self.now;
+        let caller = &mut self.callers.rows[number];
+        let Some(current) = caller.current.take() else {
+            return;
+        };
+        let Some(frame) = caller.frames.last_mut() else {
+            return;
+        };
+        if current.work == work::Work::EndProgram {
+            self.schedule(now, rig::Event::Caller(CallerEvent::Go(number)));
+            return;
+        }
+        caller.answered += 1;
+        let (name, answered) = (caller.name.clone(), caller.answered);
+        frame.talk.turn += 1;
+        adopt_ids(&mut frame.talk, reply);
+        let turn = frame.talk.turn;
+        if let Some(expected) = &current.answer {
+            let assistant = history::Message::new(history::Role::Assistant, expected.as_str());
+            frame.talk.messages.push(assistant);
+        }
+        if current.is_effect {
+            let micros = now.since(current.issued_at).as_micros() as u64;
+            self.callers.effect_times.push(micros);
+        }
+        self.check_answer(&name, turn, &current, reply, &answer);
+        self.see(watch::Sight::Answered { caller: name, calls: answered });
+        self.schedule(now, rig::Event::Caller(CallerEvent::Go(number)));
+    }
+
+    fn check_answer(
+        &mut self,
+        name: &str,
+        turn: ids::Turn,
+        current: &Current,
+        reply: &messages::Reply,
+        answer: &work::Answer,
+    ) {
+        if reply.turn != turn {
+            self.violate(format!("{name}: answer of turn {} for turn {turn}", reply.turn));
+        }
+        if let Some(expected) = &current.answer {
+            if answer.text != *expected {
+                let (got, want) = (answer.text.len(), expected.len());
+                self.violate(format!("{name} turn {turn}: {got} bytes that differ from {want}"));
+            }
+            if !answer.text.starts_with(&current.text) {
+                self.violate(format!("{name} turn {turn}: streamed text is not in the answer"));
+            }
+        } else if let work::Work::Service { operation, .. } = &current.work {
+            if !answer.text.contains(operation.as_str()) {
+                self.violate(format!("{name} turn {turn}: the answer of another call"));
+            }
+        }
+        if current.is_effect && self.executions(&current.work) != 1 {
+            let count = self.executions(&current.work);
+            self.violate(format!("{name} turn {turn}: told done, ran {count} times"));
+        }
+    }
+
+    fn executions(&self, work: &work::Work) -> u32 {
+        let work::Work::Service { operation, body, .. } = work else {
+            return 0;
+        };
+        let key = (operation.clone(), body.clone());
+        self.tools.executions.get(&key).copied().unwrap_or(0)
+    }
+
+    fn caller_refused(&mut self, number: usize, refusal: &errors::Refusal) {
+        let now = self.now;
+        self.check_not_run(number, refusal);
+        let caller = &mut self.callers.rows[number];
+        *caller.refusals.entry(refusal.kind()).or_default() += 1;
+        let Some(current) = &mut caller.current else {
+            return;
+        };
+        let micros = now.since(current.sent_at).as_micros() as u64;
+        self.callers.refusal_times.push(micros);
+        if matches!(refusal, errors::Refusal::HistoryIncomplete(_)) {
+            current.full = true;
+        }
+        let first = caller.answered == 0;
+        let overloaded = matches!(refusal, errors::Refusal::Overloaded { .. });
+        let gives_up = caller.manner.gives_up_when_refused && first && overloaded;
+        let is_final = matches!(
+            refusal,
+            errors::Refusal::BudgetSpent { .. }
+                | errors::Refusal::TurnLimit { .. }
+                | errors::Refusal::Quarantined
+                | errors::Refusal::ProgramEnded(_)
+                | errors::Refusal::UnknownProgram(_)
+                | errors::Refusal::BadContinuation(_)
+                | errors::Refusal::HistoryContradicts(_)
+                | errors::Refusal::KeyReused { .. }
+        );
+        if is_final || gives_up {
+            let end = match current.only_refused {
+                true => ProgramEnd::NotRun(refusal.kind().to_owned()),
+                false => ProgramEnd::Unknown(refusal.kind().to_owned()),
+            };
+            self.caller_end(number, end);
+            return;
+        }
+        let wait = refusal.retry_after().unwrap_or(RETRY);
+        self.caller_again(number, wait, refusal.kind());
+    }
+
+    /// When a call is refused and said to be not run, it truly was not run.
+    fn check_not_run(&mut self, number: usize, refusal: &errors::Refusal) {
+        let caller = &self.callers.rows[number];
+        let Some(current) = caller.current.as_ref().filter(|c| c.only_refused) else {
+            return;
+        };
+        let name = caller.name.clone();
+        let Some(frame) = caller.frames.last() else {
+            return;
+        };
+        if current.is_effect && self.executions(&current.work) > 0 {
+            self.violate(format!("{name}: told not run ({}), yet it ran", refusal.kind()));
+            return;
+        }
+        let conversation = frame.talk.conversation.clone();
+        let turn = frame.talk.turn + 1;
+        let started = conversation.is_some_and(|conversation| {
+            let key = ids::CallKey { conversation, turn };
+            self.watch.started.contains_key(&key)
+        });
+        if started {
+            self.violate(format!("{name}: told not run ({}), yet it started", refusal.kind()));
+        }
+    }
+
+    fn caller_in_doubt(&mut self, number: usize, reply: &messages::Reply, doubt: &str) {
+        let caller = &mut self.callers.rows[number];
+        let Some(current) = &mut caller.current else {
+            return;
+        };
+        current.only_refused = false;
+        if !current.is_effect {
+            self.caller_again(number, RETRY, doubt);
+            return;
+        }
+        // The outcome of a call that may not be repeated stays unknown; its turn is used up.
+        caller.unknown += 1;
+        caller.answered += 1;
+        caller.current = None;
+        let (name, answered) = (caller.name.clone(), caller.answered);
+        if let Some(frame) = caller.frames.last_mut() {
+            frame.talk.turn += 1;
+            adopt_ids(&mut frame.talk, reply);
+        }
+        self.see(watch::Sight::Answered { caller: name, calls: answered });
+        self.schedule(self.now, rig::Event::Caller(CallerEvent::Go(number)));
+    }
+}
+
+fn adopt_ids(talk: &mut Talk, reply: &messages::Reply) {
+    if let Some(continuation) = &reply.continuation {
+        talk.program = Some(continuation.program.clone());
+        talk.conversation = Some(continuation.conversation.clone());
+        talk.continuation = Some(continuation.clone());
+    }
+}
+
+/// The request of a caller's current call.
+fn caller_request(caller: &Caller, request: ids::RequestId) -> input::CallerRequest {
+    let blank = input::CallerRequest {
+        request,
+        key: Some(caller.token),
+        program: None,
+        parent: None,
+        conversation: None,
+        turn: None,
+        work: work::Work::EndProgram,
+        history: history::HistorySource::Full,
+        time_left: Some(caller.manner.deadline),
+        cost_bound: None,
+        idempotency_key: None,
+    };
+    let (Some(current), Some(frame)) = (&caller.current, caller.frames.last()) else {
+        return blank;
+    };
+    let talk = &frame.talk;
+    let ended = current.work == work::Work::EndProgram;
+    let mode = if current.full { HistoryMode::Full } else { caller.manner.history };
+    let history = match (mode, &talk.continuation) {
+        _ if ended => history::HistorySource::Full,
+        (HistoryMode::Carry, Some(carried)) => {
+            history::HistorySource::Continuation(Box::new(carried.clone()))
+        }
+        (HistoryMode::Journal, _) => history::HistorySource::Journal,
+        _ => history::HistorySource::Full,
+    };
+    let mut work = current.work.clone();
+    if let (history::HistorySource::Full, work::Work::Model { messages, .. }) =
+        (&history, &mut work)
+    {
+        *messages = talk.messages.clone();
+    }
+    let scope = talk.program.as_ref().or(talk.parent.as_ref()).map(ids::ProgramId::to_string);
+    let key = format!("{}-{}-{}", caller.name, scope.unwrap_or_default(), talk.turn + 1);
+    input::CallerRequest {
+        program: talk.program.clone(),
+        parent: talk.parent.clone().filter(|_| talk.program.is_none()),
+        conversation: talk.conversation.clone().filter(|_| !ended),
+        turn: (!ended).then_some(talk.turn + 1),
+        work,
+        history,
+        idempotency_key: current.is_effect.then(|| key),
+        ..blank
+    }
+}
+
+impl Caller {
+    /// The entry that has its current call.
+    pub fn entry(&self) -> Option<String> {
+        self.current.as_ref().map(|current| current.entry.clone())
+    }
+}
+
+impl rig::Rig {
+    /// The node that runs the current call of a caller.
+    pub fn runner_of(&self, caller: &Caller) -> Option<String> {
+        let root = caller.program.as_ref()?;
+        self.runs_of(root).into_iter().next()
+    }
+}
--- /dev/null
+++ b/crates/flamingotrail-standins/src/rig/endpoints.rs
@@ -0,0 +1,372 @@
+//! Attempts of nodes at the endpoints beside them.
+
+use std::time as std_time;
+
+use flamingotrail_core::errors;
+use flamingotrail_core::ids;
+use flamingotrail_core::input;
+use flamingotrail_core::messages;
+use flamingotrail_core::work;
+
+use crate::engine;
+use crate::rig;
+use crate::rig::watch;
+
+/// One-way delay between a node and the endpoint beside it.
+const BESIDE: std_time::Duration = std_time::Duration::from_micros(100);
+
+/// Service calls that are remembered, for scenarios that name who ran one.
+const MAX_TOOL_CALLS: usize = 64;
+
+/// A model call that runs.
+#[derive(Clone, Debug)]
+pub struct EngineCall {
+    node: String,
+    incarnation: ids::Incarnation,
+    owner: String,
+    endpoint: String,
+    attempt: ids::AttemptId,
+    text: String,
+    root: ids::ProgramId,
+    prompt_tokens: u64,
+}
+
+/// A service call on its way to its runner.
+#[derive(Clone, Debug)]
+pub struct ToolCall {
+    node: String,
+    incarnation: ids::Incarnation,
+    attempt: ids::AttemptId,
+    dispatch: Box<messages::Dispatch>,
+}
+
+impl rig::Rig {
+    /// Starts an attempt on the endpoint beside `name`.
+    pub(super) fn execute(
+        &mut self,
+        name: &str,
+        owner: &ids::InstanceName,
+        dispatch: Box<messages::Dispatch>,
+    ) {
+        let Some(node) = self.nodes.get(name) else {
+            return;
+        };
+        let incarnation = node.incarnation;
+        let endpoint = node.listed.endpoint.clone().map(|e| e.to_string()).unwrap_or_default();
+        self.check_leaving(name);
+        if let messages::Job::Service { .. } = &dispatch.job {
+            let attempt = dispatch.attempt.clone();
+            let call = ToolCall { node: name.to_owned(), incarnation, attempt, dispatch };
+            self.after(BESIDE, rig::Event::ToolCall(call));
+            return;
+        }
+        self.start_engine_call(name, incarnation, &endpoint, owner, &dispatch);
+    }
+
+    fn start_engine_call(
+        &mut self,
+        name: &str,
+        incarnation: ids::Incarnation,
+        endpoint: &str,
+        owner: &ids::InstanceName,
+        dispatch: &messages::Dispatch,
+    ) {
+        let messages::Job::Model { messages, prefix, max_tokens, hold, .. } = &dispatch.job else {
+            return;
+        };
+        let pairs = messages.iter().map(|m| (m.role.as_str(), m.content.as_str()));
+        let prompt = engine::prompt_text(pairs);
+        self.numbers += 1;
+        let id = self.numbers;
+        let root = self.root_of(&dispatch.program);
+        let tag = root.key;
+        let call = engine::Call {
+            id,
+            prompt: prompt.clone(),
+            prefix: prefix.clone(),
+            max_tokens: *max_tokens,
+            hold: hold.map(|terms| terms.id.0),
+            tag,
+        };
+        let prompt_tokens = (prompt.len() + prefix.len()).div_ceil(4) as u64;
+        let now = self.now;
+        let Some(host) = self.engines.get_mut(endpoint) else {
+            return;
+        };
+        let up = host.is_up(now);
+        if !host.start(now, call) {
+            let refusal = match up {
+                true => errors::Refusal::Overloaded { retry_after: std_time::Duration::ZERO },
+                false => errors::Refusal::NoEndpoint(endpoint.to_owned()),
+            };
+            let end = work::AttemptEnd::NotRun(refusal);
+            self.end_attempt(name, incarnation, dispatch.attempt.clone(), end);
+            return;
+        }
+        self.see_started(&dispatch.attempt, &dispatch.program, endpoint, Some(&prompt));
+        let row = EngineCall {
+            node: name.to_owned(),
+            incarnation,
+            owner: owner.to_string(),
+            endpoint: endpoint.to_owned(),
+            attempt: dispatch.attempt.clone(),
+            text: String::new(),
+            root,
+            prompt_tokens,
+        };
+        self.engine_calls.insert(id, row);
+        self.schedule_engine(endpoint);
+    }
+
+    fn schedule_engine(&mut self, endpoint: &str) {
+        let Some(next) = self.engines.get(endpoint).and_then(engine::FakeEngine::next_event) else {
+            return;
+        };
+        if self.engine_due.get(endpoint).is_some_and(|due| *due == next) {
+            return;
+        }
+        self.engine_due.insert(endpoint.to_owned(), next);
+        self.schedule(next, rig::Event::Engine { endpoint: endpoint.to_owned() });
+    }
+
+    pub(super) fn advance_engine(&mut self, endpoint: &str) {
+        let now = self.now;
+        let Some(host) = self.engines.get_mut(endpoint) else {
+            return;
+        };
+        let crashes = host.crashes;
+        let said = host.advance(now);
+        if host.crashes > crashes {
+            self.see(watch::Sight::Crashed { endpoint: endpoint.to_owned() });
+        }
+        self.take_said(said);
+        self.schedule_engine(endpoint);
+    }
+
+    /// Nodes that run calls of a root program.
+    pub(super) fn runs_of(&self, root: &ids::ProgramId) -> Vec<String> {
+        let calls = self.engine_calls.values().filter(|call| call.root == *root);
+        let mut nodes: Vec<String> = calls.map(|call| call.node.clone()).collect();
+        nodes.extend(
+            self.tool_calls.iter().rev().filter(|(r, _)| r == root).map(|(_, n)| n.clone()),
+        );
+        nodes
+    }
+
+    /// Crashes an engine.
+    pub fn crash_engine(&mut self, endpoint: &str) {
+        self.note(|| format!("crash engine {endpoint}"));
+        let now = self.now;
+        let Some(host) = self.engines.get_mut(endpoint) else {
+            return;
+        };
+        let said = host.crash(now);
+        self.take_said(said);
+    }
+
+    fn take_said(&mut self, said: Vec<engine::Said>) {
+        for said in said {
+            match said {
+                engine::Said::Text { id, text } => self.take_engine_text(id, text),
+                engine::Said::Done {
+                    id,
+                    prompt_tokens,
+                    cached_tokens,
+                    completion_tokens,
+                    by_length,
+                } => {
+                    let usage = work::Usage { prompt_tokens, cached_tokens, completion_tokens };
+                    self.end_engine_call(id, usage, by_length);
+                }
+                engine::Said::Broken { id } => self.break_engine_call(id, true),
+            }
+        }
+    }
+
+    fn take_engine_text(&mut self, id: u64, text: String) {
+        let Some(call) = self.engine_calls.get_mut(&id) else {
+            return;
+        };
+        let at = call.text.len();
+        call.text.push_str(&text);
+        let (node, owner, attempt) = (call.node.clone(), call.owner.clone(), call.attempt.clone());
+        if self.is_silent(&node) || self.network.is_cut(&node, &owner) {
+            return;
+        }
+        let delay = match node == owner {
+            true => std_time::Duration::ZERO,
+            false => self.network.delay(&node, &owner),
+        };
+        if node != owner && self.network.is_far(&node, &owner) {
+            self.network.far_bytes += text.len() as u64;
+        }
+        self.after(delay, rig::Event::AttemptText { node: owner, attempt, at, text });
+    }
+
+    fn end_engine_call(&mut self, id: u64, usage: work::Usage, by_length: bool) {
+        let Some(call) = self.engine_calls.remove(&id) else {
+            return;
+        };
+        self.watch.recomputed(&call.attempt.call.conversation, &usage);
+        let tokens = u64::from(usage.prompt_tokens) + u64::from(usage.completion_tokens);
+        self.charge(&call.root, tokens);
+        let finish = if by_length { work::Finish::Length } else { work::Finish::Stop };
+        let answer = work::Answer { text: call.text, status: 200, usage, finish };
+        let end = work::AttemptEnd::Answered(answer);
+        self.end_attempt(&call.node, call.incarnation, call.attempt, end);
+    }
+
+    fn break_engine_call(&mut self, id: u64, endpoint_crashed: bool) {
+        let Some(call) = self.engine_calls.remove(&id) else {
+            return;
+        };
+        let generated = (call.text.len() / crate::prefix_cache::TOKEN_BYTES) as u64;
+        self.charge(&call.root, call.prompt_tokens + generated);
+        let end = work::AttemptEnd::Broken { partial: call.text, endpoint_crashed };
+        self.end_attempt(&call.node, call.incarnation, call.attempt, end);
+    }
+
+    fn end_attempt(
+        &mut self,
+        node: &str,
+        incarnation: ids::Incarnation,
+        attempt: ids::AttemptId,
+        end: work::AttemptEnd,
+    ) {
+        let input = Box::new(input::Input::AttemptEnded { attempt, end });
+        self.after(BESIDE, rig::Event::Deliver { node: node.to_owned(), incarnation, input });
+    }
+
+    /// Stops a running attempt.
+    pub(super) fn abort(&mut self, name: &str, attempt: &ids::AttemptId) {
+        let found = self
+            .engine_calls
+            .iter()
+            .find(|(_, call)| call.node == name && call.attempt == *attempt);
+        let Some((id, call)) = found.map(|(id, call)| (*id, call.endpoint.clone())) else {
+            // A service call can't be stopped: what is told is that it may have run.
+            let incarnation = self.nodes.get(name).map(|node| node.incarnation);
+            let end = work::AttemptEnd::Broken { partial: String::new(), endpoint_crashed: false };
+            self.end_attempt(name, incarnation.unwrap_or_default(), attempt.clone(), end);
+            return;
+        };
+        if let Some(host) = self.engines.get_mut(&call) {
+            host.abort(id);
+        }
+        self.break_engine_call(id, false);
+    }
+
+    /// The connections of a killed node break: its engine stops what it ran for it.
+    pub(super) fn drop_calls_of(&mut self, name: &str) {
+        let ids: Vec<(u64, String)> = self
+            .engine_calls
+            .iter()
+            .filter(|(_, call)| call.node == name)
+            .map(|(id, call)| (*id, call.endpoint.clone()))
+            .collect();
+        for (id, endpoint) in ids {
+            if let Some(host) = self.engines.get_mut(&endpoint) {
+                host.abort(id);
+            }
+            if let Some(call) = self.engine_calls.remove(&id) {
+                let generated = (call.text.len() / crate::prefix_cache::TOKEN_BYTES) as u64;
+                self.charge(&call.root, call.prompt_tokens + generated);
+            }
+        }
+    }
+
+    pub(super) fn take_tool_call(&mut self, call: ToolCall) {
+        let messages::Job::Service { service, operation, body, timeout, .. } = &call.dispatch.job
+        else {
+            return;
+        };
+        let endpoint = call.node.clone();
+        self.see_started(&call.attempt, &call.dispatch.program, &endpoint, None);
+        let root = self.root_of(&call.dispatch.program);
+        let price = self.watch.service_price;
+        self.charge(&root, price);
+        self.tool_calls.push_back((root, call.node.clone()));
+        if self.tool_calls.len() > MAX_TOOL_CALLS {
+            self.tool_calls.pop_front();
+        }
+        let answer = self.tools.run(operation, body);
+        self.check_effect(service, operation, body);
+        let limit = (*timeout).min(call.dispatch.time_left);
+        let (delay, end) = match answer {
+            Some(text) => {
+                let usage = work::Usage::default();
+                let answer = work::Answer { text, status: 200, usage, finish: work::Finish::Stop };
+                (self.tools.latency, work::AttemptEnd::Answered(answer))
+            }
+            None => {
+                let partial = String::new();
+                (limit, work::AttemptEnd::Broken { partial, endpoint_crashed: false })
+            }
+        };
+        let input = Box::new(input::Input::AttemptEnded { attempt: call.attempt, end });
+        let incarnation = call.incarnation;
+        self.after(delay, rig::Event::Deliver { node: call.node, incarnation, input });
+    }
+
+    /// Whether a node is down or paused, so that nothing passes through it.
+    pub(super) fn is_silent(&self, name: &str) -> bool {
+        self.nodes.get(name).is_none_or(|node| !node.is_up() || node.held.is_some())
+    }
+
+    pub(super) fn take_attempt_text(
+        &mut self,
+        name: &str,
+        attempt: &ids::AttemptId,
+        at: usize,
+        text: &str,
+    ) {
+        if self.is_silent(name) {
+            return;
+        }
+        let Some(node) = self.nodes.get_mut(name) else {
+            return;
+        };
+        if let Some(forward) = node.attempts.take(attempt, at, text) {
+            self.forward(name, forward);
+        }
+    }
+
+    /// Sends a piece of text on to an entry.
+    pub(super) fn forward(&mut self, from: &str, forward: flamingotrail_core::relay::Forward) {
+        let to = forward.entry.to_string();
+        if self.network.is_cut(from, &to) {
+            return;
+        }
+        let delay = self.network.delay(from, &to);
+        if self.network.is_far(from, &to) {
+            self.network.far_bytes += forward.text.len() as u64;
+        }
+        let (request, at, text) = (forward.request, forward.at, forward.text);
+        self.after(delay, rig::Event::EntryText { node: to, request, at, text });
+    }
+
+    pub(super) fn take_entry_text(
+        &mut self,
+        name: &str,
+        request: ids::RequestId,
+        at: usize,
+        text: &str,
+    ) {
+        if self.is_silent(name) {
+            return;
+        }
+        let Some(node) = self.nodes.get_mut(name) else {
+            return;
+        };
+        if let Some(new) = node.callers.take(request, at, text) {
+            self.caller_text(request, new);
+        }
+    }
+}
+
+impl EngineCall {
+    /// Whether the process `name` runs it.
+    pub(super) fn is_at(&self, name: &str) -> bool {
+        self.node == name
+    }
+}
--- /dev/null
+++ b/crates/flamingotrail-standins/src/rig/log_ops.rs
@@ -0,0 +1,176 @@
+//! Appends and reads of nodes at the log.
+
+use std::time as std_time;
+
+use flamingotrail_core::ids;
+use flamingotrail_core::input;
+use flamingotrail_core::journal;
+use flamingotrail_core::time;
+
+use crate::log;
+use crate::rig;
+use crate::rig::watch;
+
+/// When an append without an answer counts as lost.
+const GIVEN_UP: std_time::Duration = std_time::Duration::from_secs(2);
+/// When an append takes effect whose answer was given up before.
+const LATE: std_time::Duration = std_time::Duration::from_secs(3);
+
+/// A read of a node.
+#[derive(Clone, Debug)]
+pub struct Read {
+    /// The node.
+    pub node: String,
+    /// Its start.
+    pub incarnation: ids::Incarnation,
+    /// The stream.
+    pub stream: ids::StreamName,
+    /// First offset.
+    pub from: ids::Offset,
+    /// When the wait for an entry ends.
+    pub until: time::Timestamp,
+}
+
+impl rig::Rig {
+    pub(super) fn take_append(
+        &mut self,
+        node: &str,
+        incarnation: ids::Incarnation,
+        stream: ids::StreamName,
+        entry: journal::Entry,
+        late: bool,
+    ) {
+        if !late && self.late_appends > 0 {
+            self.late_appends -= 1;
+            self.note(|| format!("append of {node} to {stream} takes effect late"));
+            let nonce = entry.nonce;
+            let event = rig::Event::Append {
+                node: node.to_owned(),
+                incarnation,
+                stream: stream.clone(),
+                entry: Box::new(entry),
+                late: true,
+            };
+            self.after(LATE, event);
+            self.answer_append(node, incarnation, stream, nonce, input::AppendResult::Lost);
+            return;
+        }
+        let nonce = entry.nonce;
+        let appended = self.log.append(self.now, stream.as_str(), entry.clone());
+        let (result, stands) = match appended {
+            log::Appended::At(offset) => (input::AppendResult::At(ids::Offset(offset)), true),
+            log::Appended::Refused => (input::AppendResult::Refused, false),
+            log::Appended::AnswerLost(_) => (input::AppendResult::Lost, true),
+            log::Appended::Nothing => (input::AppendResult::Lost, false),
+        };
+        if stands {
+            self.see_entry(&stream, &entry);
+            self.answer_readers(stream.as_str());
+        }
+        if !late {
+            self.answer_append(node, incarnation, stream, nonce, result);
+        }
+    }
+
+    fn see_entry(&mut self, stream: &ids::StreamName, entry: &journal::Entry) {
+        let node = entry.writer.instance.to_string();
+        match &entry.body {
+            journal::Body::Claim => {
+                self.see(watch::Sight::Claimed { node, stream: stream.to_string() });
+            }
+            journal::Body::Records { records, .. } => {
+                for record in records {
+                    if let journal::Record::Intent { root, .. } = record {
+                        self.see(watch::Sight::Intent { program: root.clone() });
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn answer_append(
+        &mut self,
+        node: &str,
+        incarnation: ids::Incarnation,
+        stream: ids::StreamName,
+        nonce: ids::Nonce,
+        result: input::AppendResult,
+    ) {
+        let delay = match result {
+            input::AppendResult::Lost => GIVEN_UP,
+            _ => self.config.log_delay,
+        };
+        let input = input::Input::Appended { stream, nonce, result };
+        let event =
+            rig::Event::Deliver { node: node.to_owned(), incarnation, input: Box::new(input) };
+        self.after(delay, event);
+    }
+
+    pub(super) fn take_read(&mut self, read: Read) {
+        let page = self.log.read(self.now, read.stream.as_str(), read.from.0);
+        let empty = page.as_ref().is_some_and(|page| page.entries.is_empty());
+        if !empty || self.now >= read.until {
+            self.answer_read(read, page);
+            return;
+        }
+        self.numbers += 1;
+        let number = self.numbers;
+        self.schedule(read.until, rig::Event::ReadDue(number));
+        self.readers.insert(number, read);
+    }
+
+    /// A read that waits is answered with what is there.
+    pub(super) fn end_read(&mut self, number: u64) {
+        if let Some(read) = self.readers.remove(&number) {
+            let page = self.log.read(self.now, read.stream.as_str(), read.from.0);
+            self.answer_read(read, page);
+        }
+    }
+
+    fn answer_read(&mut self, read: Read, page: Option<log::Page<journal::Entry>>) {
+        let page = page.map(page_of);
+        let input = input::Input::Read { stream: read.stream, page };
+        let event = rig::Event::Deliver {
+            node: read.node,
+            incarnation: read.incarnation,
+            input: Box::new(input),
+        };
+        self.after(self.config.log_delay, event);
+    }
+
+    /// Answers those who wait for entries of `stream`.
+    pub(super) fn answer_readers(&mut self, stream: &str) {
+        let waiting = self.readers.iter().filter(|(_, read)| read.stream.as_str() == stream);
+        let numbers: Vec<u64> = waiting.map(|(number, _)| *number).collect();
+        for number in numbers {
+            self.schedule(self.now, rig::Event::ReadDue(number));
+        }
+    }
+
+    /// Starts or ends an outage of the log.
+    pub fn set_log_out(&mut self, out: bool) {
+        self.note(|| format!("log out={out}"));
+        self.log.out = out;
+        if out {
+            let numbers: Vec<u64> = self.readers.keys().copied().collect();
+            for number in numbers {
+                self.schedule(self.now, rig::Event::ReadDue(number));
+            }
+        }
+    }
+}
+
+fn page_of(page: log::Page<journal::Entry>) -> input::Page {
+    let entries = page.entries.into_iter().map(|(offset, age, entry)| input::Positioned {
+        offset: ids::Offset(offset),
+        age,
+        entry: Some(entry),
+    });
+    input::Page {
+        start: ids::Offset(page.start),
+        next: ids::Offset(page.next),
+        end: ids::Offset(page.end),
+        entries: entries.collect(),
+    }
+}
--- /dev/null
+++ b/crates/flamingotrail-standins/src/rig/node.rs
@@ -0,0 +1,279 @@
+//! Nodes: one process each, which can be killed, started again, paused and woken.
+
+use std::collections;
+
+use flamingotrail_config::Reader;
+use flamingotrail_core::ids;
+use flamingotrail_core::input;
+use flamingotrail_core::journal;
+use flamingotrail_core::output;
+use flamingotrail_core::relay;
+use flamingotrail_core::settings;
+use flamingotrail_core::time;
+use flamingotrail_core::world;
+
+use crate::rig;
+use crate::rig::watch;
+
+/// One process.
+pub struct Node {
+    /// Its row in the platform's list.
+    pub listed: input::Listed,
+    /// Its world; none while it is down.
+    pub world: Option<world::World>,
+    /// Its start.
+    pub incarnation: ids::Incarnation,
+    /// Inputs that wait while it is paused; none while it runs.
+    pub held: Option<Vec<input::Input>>,
+    /// Whether to pause at the next output that matches, keeping the outputs.
+    pub pause_at: Option<String>,
+    /// Outputs that wait while it is paused.
+    pub held_outputs: Vec<output::Output>,
+    /// Texts of attempts that pass through it.
+    pub attempts: relay::AttemptTexts,
+    /// Texts that its callers have.
+    pub callers: relay::CallerTexts,
+    /// When it was told to stop.
+    pub draining_since: Option<time::Timestamp>,
+    /// Latest configuration that it ran.
+    pub version: ids::ConfigVersion,
+    /// Time of the scheduled wake-up.
+    pub wake_at: Option<time::Timestamp>,
+    /// Ticks.
+    pub ticks: u64,
+}
+
+impl Node {
+    /// A node that is down.
+    pub fn new(listed: input::Listed) -> Self {
+        Node {
+            listed,
+            world: None,
+            incarnation: ids::Incarnation(0),
+            held: None,
+            pause_at: None,
+            held_outputs: Vec::new(),
+            attempts: relay::AttemptTexts::default(),
+            callers: relay::CallerTexts::default(),
+            draining_since: None,
+            version: ids::ConfigVersion(0),
+            wake_at: None,
+            ticks: 0,
+        }
+    }
+
+    /// Whether it is up.
+    pub fn is_up(&self) -> bool {
+        self.world.is_some()
+    }
+}
+
+impl rig::Rig {
+    /// Starts a node that is down.
+    pub fn start_node(&mut self, name: &str) {
+        self.starts += 1;
+        let incarnation = ids::Incarnation(self.starts);
+        let settings = self.settings();
+        let seed = self.rng.next();
+        let Some(node) = self.nodes.get_mut(name) else {
+            return;
+        };
+        let endpoint = node.listed.endpoint.clone();
+        let role = match endpoint {
+            Some(_) => settings::Role::Endpoint,
+            None => settings::Role::Entry,
+        };
+        let identity = settings::Identity {
+            peer: ids::Peer { instance: ids::InstanceName::new(name), incarnation },
+            role,
+            region: node.listed.region.clone(),
+            domain: node.listed.domain.clone(),
+            endpoint,
+        };
+        let reader = Box::new(Reader::new());
+        let listed = node.listed.clone();
+        *node = Node::new(listed.clone());
+        node.incarnation = incarnation;
+        node.world = Some(world::World::new(identity, settings, reader, seed));
+        self.list.change(self.now, |rows| {
+            rows.insert(name.to_owned(), listed);
+        });
+        self.note(|| format!("start {name} incarnation={incarnation}"));
+        self.tick(name, Vec::new());
+    }
+
+    /// Kills a node: nothing of it is left.
+    pub fn kill_node(&mut self, name: &str) {
+        self.note(|| format!("kill {name}"));
+        self.drop_calls_of(name);
+        if let Some(node) = self.nodes.get_mut(name) {
+            node.world = None;
+            node.held = None;
+            node.held_outputs.clear();
+        }
+        self.callers_lost(name);
+    }
+
+    /// Pauses a node; what reaches it waits.
+    pub fn pause_node(&mut self, name: &str) {
+        self.note(|| format!("pause {name}"));
+        if let Some(node) = self.nodes.get_mut(name).filter(|node| node.is_up()) {
+            node.held.get_or_insert_default();
+        }
+    }
+
+    /// Wakes a paused node: its timers act first, then what waited.
+    pub fn resume_node(&mut self, name: &str) {
+        self.note(|| format!("wake {name}"));
+        let Some(node) = self.nodes.get_mut(name) else {
+            return;
+        };
+        node.pause_at = None;
+        let held = node.held.take().unwrap_or_default();
+        let outputs = std::mem::take(&mut node.held_outputs);
+        self.carry_out(name, outputs);
+        self.tick(name, Vec::new());
+        for input in held {
+            self.tick(name, vec![input]);
+        }
+    }
+
+    /// Tells a node to stop gracefully; the list says so, with its lag.
+    pub fn drain_node(&mut self, name: &str, by_list_only: bool) {
+        self.note(|| format!("drain {name} by_list_only={by_list_only}"));
+        self.list.change(self.now, |rows| {
+            if let Some(row) = rows.get_mut(name) {
+                row.leaving = true;
+            }
+        });
+        let now = self.now;
+        if let Some(node) = self.nodes.get_mut(name) {
+            node.draining_since = Some(now);
+        }
+        if !by_list_only {
+            self.deliver_now(name, input::Input::Drain);
+        }
+    }
+
+    pub(super) fn wake_node(&mut self, name: &str) {
+        let now = self.now;
+        let Some(node) = self.nodes.get_mut(name) else {
+            return;
+        };
+        if node.wake_at.is_none_or(|at| at > now) {
+            return;
+        }
+        node.wake_at = None;
+        if node.held.is_none() {
+            self.tick(name, Vec::new());
+        }
+    }
+
+    pub(super) fn deliver(
+        &mut self,
+        name: &str,
+        incarnation: ids::Incarnation,
+        input: input::Input,
+    ) {
+        let current = self.nodes.get(name).map(|node| node.incarnation);
+        if current == Some(incarnation) {
+            self.deliver_now(name, input);
+        }
+    }
+
+    /// Hands an input to whatever start of the node is there.
+    pub(super) fn deliver_now(&mut self, name: &str, input: input::Input) {
+        let Some(node) = self.nodes.get_mut(name).filter(|node| node.is_up()) else {
+            return;
+        };
+        match &mut node.held {
+            Some(held) => held.push(input),
+            None => self.tick(name, vec![input]),
+        }
+    }
+
+    /// Ticks a node and carries out what it asks for.
+    pub(super) fn tick(&mut self, name: &str, inputs: Vec<input::Input>) {
+        let now = self.now;
+        let Some(node) = self.nodes.get_mut(name) else {
+            return;
+        };
+        let Some(world) = &mut node.world else {
+            return;
+        };
+        node.ticks += 1;
+        let start = std::time::Instant::now();
+        let outputs = world.tick(now, inputs);
+        self.watch.measure_tick(start.elapsed());
+        let version = world.tables.configuration.version();
+        let reverted = version < node.version;
+        node.version = node.version.max(version);
+        if reverted {
+            self.violate(format!("{name} went back to configuration {version}"));
+        }
+        self.hold_or_carry_out(name, outputs);
+        self.set_wake(name);
+    }
+
+    fn hold_or_carry_out(&mut self, name: &str, outputs: Vec<output::Output>) {
+        let Some(node) = self.nodes.get_mut(name) else {
+            return;
+        };
+        let pauses = node
+            .pause_at
+            .as_ref()
+            .is_some_and(|kind| outputs.iter().any(|output| watch::output_kind(output) == kind));
+        if pauses {
+            node.pause_at = None;
+            node.held = Some(Vec::new());
+            node.held_outputs = outputs;
+            self.note(|| format!("pause {name} with its outputs"));
+            return;
+        }
+        self.carry_out(name, outputs);
+    }
+
+    fn set_wake(&mut self, name: &str) {
+        let now = self.now;
+        let Some(node) = self.nodes.get_mut(name) else {
+            return;
+        };
+        let Some(due) = node.world.as_ref().and_then(world::World::next_due) else {
+            return;
+        };
+        let due = due.max(now);
+        if node.wake_at.is_some_and(|at| at <= due && at > now) {
+            return;
+        }
+        node.wake_at = Some(due);
+        self.schedule(due, rig::Event::Wake { node: name.to_owned() });
+    }
+
+    /// Name of the process that owns `partition` by the log.
+    pub fn owner_of(&self, partition: &ids::Partition) -> Option<String> {
+        let entries = self.log.peek(partition.stream().as_str());
+        let standing = entries.iter().filter_map(|(offset, entry)| match &entry.body {
+            journal::Body::Claim => Some((*offset, entry)),
+            journal::Body::Records { epoch, .. } => Some((epoch.0, entry)),
+            _ => None,
+        });
+        // The claim itself may be forgotten; what stands under it names its epoch.
+        let newest = standing.max_by_key(|(epoch, _)| *epoch);
+        newest.map(|(_, entry)| entry.writer.instance.to_string())
+    }
+
+    /// Names of all nodes.
+    pub fn node_names(&self) -> collections::BTreeSet<String> {
+        self.nodes.keys().cloned().collect()
+    }
+}
+
+impl rig::Rig {
+    /// Pauses a node, with its outputs, the next time that it is about to do `kind`.
+    pub fn pause_before(&mut self, name: &str, kind: &str) {
+        self.note(|| format!("{name} will pause before {kind}"));
+        if let Some(node) = self.nodes.get_mut(name).filter(|node| node.is_up()) {
+            node.pause_at = Some(kind.to_owned());
+        }
+    }
+}
--- /dev/null
+++ b/crates/flamingotrail-standins/src/rig/outputs.rs
@@ -0,0 +1,191 @@
+//! Carries out what a node's world asks for.
+
+use std::time as std_time;
+
+use flamingotrail_core::input;
+use flamingotrail_core::messages;
+use flamingotrail_core::output;
+
+use crate::rig;
+use crate::rig::log_ops;
+
+/// When a sender learns that a connection does not stand.
+const CONNECTION_LOST: std_time::Duration = std_time::Duration::from_millis(800);
+/// One-way delay between a node and the platform's list.
+const LIST_DELAY: std_time::Duration = std_time::Duration::from_millis(2);
+/// Delay of an order to the endpoint beside a node.
+const BESIDE: std_time::Duration = std_time::Duration::from_micros(200);
+
+impl rig::Rig {
+    pub(super) fn carry_out(&mut self, name: &str, outputs: Vec<output::Output>) {
+        for output in outputs {
+            self.carry_out_one(name, output);
+        }
+    }
+
+    fn carry_out_one(&mut self, name: &str, output: output::Output) {
+        let Some(incarnation) = self.nodes.get(name).map(|node| node.incarnation) else {
+            return;
+        };
+        let answer = |input: input::Input| rig::Event::Deliver {
+            node: name.to_owned(),
+            incarnation,
+            input: Box::new(input),
+        };
+        match output {
+            output::Output::Send { to, envelope } => self.send(name, to.as_str(), envelope),
+            output::Output::Append { stream, entry } => {
+                let event = rig::Event::Append {
+                    node: name.to_owned(),
+                    incarnation,
+                    stream,
+                    entry: Box::new(entry),
+                    late: false,
+                };
+                self.after(self.config.log_delay, event);
+            }
+            output::Output::Read { stream, from, wait } => {
+                let until = self.now.after(wait);
+                let node = name.to_owned();
+                let read = log_ops::Read { node, incarnation, stream, from, until };
+                self.after(self.config.log_delay, rig::Event::Read(read));
+            }
+            output::Output::FetchList => {
+                let list = self.list.tell(self.now);
+                self.after(LIST_DELAY, answer(input::Input::List(list)));
+            }
+            output::Output::Execute { owner, dispatch, .. } => {
+                self.execute(name, &owner, dispatch);
+            }
+            output::Output::Abort(attempt) => self.abort(name, &attempt),
+            output::Output::FetchReport => {
+                let report = self.report(name);
+                self.after(BESIDE, answer(input::Input::Report(report)));
+            }
+            output::Output::ReleaseHold { hold, fence } => {
+                let confirmed = self.release_hold(name, hold.0, fence.map(|fence| fence.0));
+                self.after(BESIDE, answer(input::Input::OrderEnded { hold, confirmed }));
+            }
+            output::Output::Route { attempt, entry, request, prefix } => {
+                let Some(node) = self.nodes.get_mut(name) else {
+                    return;
+                };
+                if let Some(forward) = node.attempts.route(&attempt, entry, request, prefix) {
+                    self.forward(name, forward);
+                }
+            }
+            output::Output::Unroute(attempt) => {
+                if let Some(node) = self.nodes.get_mut(name) {
+                    node.attempts.unroute(&attempt);
+                }
+            }
+            output::Output::TakePartial(attempt) => {
+                let text = self.nodes.get(name).map(|node| node.attempts.partial(&attempt));
+                let text = text.unwrap_or_default();
+                self.schedule(self.now, answer(input::Input::Partial { attempt, text }));
+            }
+            output::Output::TakeDelivered(request) => {
+                let text = self.nodes.get(name).map(|node| node.callers.delivered(request));
+                let text = text.unwrap_or_default();
+                self.schedule(self.now, answer(input::Input::Delivered { request, text }));
+            }
+            output::Output::Admitted { request, program, conversation } => {
+                self.caller_admitted(request, program, conversation);
+            }
+            output::Output::Respond(reply) => {
+                if let Some(node) = self.nodes.get_mut(name) {
+                    node.callers.close(reply.request);
+                }
+                self.caller_reply(*reply);
+            }
+            output::Output::Event(event) => {
+                self.note(|| format!("{name}: {} {} {}", event.name, event.about, event.detail));
+            }
+            output::Output::Measure(_) => {}
+            output::Output::Stopped => {
+                self.note(|| format!("{name} stopped"));
+                self.stopped(name);
+            }
+        }
+    }
+
+    /// A node ended by itself.
+    fn stopped(&mut self, name: &str) {
+        let running = self.engine_calls_of(name);
+        if running > 0 {
+            self.violate(format!("{name} stopped with {running} calls in progress"));
+        }
+        if let Some(node) = self.nodes.get_mut(name) {
+            node.world = None;
+        }
+        self.list.change(self.now, |rows| {
+            rows.remove(name);
+        });
+        self.callers_lost(name);
+    }
+
+    fn engine_calls_of(&self, name: &str) -> usize {
+        self.engine_calls.values().filter(|call| call.is_at(name)).count()
+    }
+
+    fn send(&mut self, from: &str, to: &str, envelope: messages::Envelope) {
+        self.note(|| format!("{from} -> {to}: {}", envelope.message.kind()));
+        let cut = self.network.is_cut(from, to);
+        let down = self.nodes.get(to).is_none_or(|node| !node.is_up());
+        let sender = flamingotrail_core::ids::InstanceName::new(from);
+        if cut || down {
+            let lost = flamingotrail_core::ids::InstanceName::new(to);
+            let incarnation = self.nodes.get(from).map(|node| node.incarnation);
+            let event = rig::Event::Deliver {
+                node: from.to_owned(),
+                incarnation: incarnation.unwrap_or_default(),
+                input: Box::new(input::Input::PeerLost(lost)),
+            };
+            self.after(CONNECTION_LOST, event);
+            return;
+        }
+        let copies = self.network.copies(&mut self.rng, from, to);
+        let Some(incarnation) = self.nodes.get(to).map(|node| node.incarnation) else {
+            return;
+        };
+        for delay in copies {
+            let envelope = envelope.clone();
+            let input = Box::new(input::Input::Peer { from: sender.clone(), envelope });
+            self.after(delay, rig::Event::Deliver { node: to.to_owned(), incarnation, input });
+        }
+    }
+
+    fn report(&mut self, name: &str) -> Option<input::EndpointReport> {
+        let now = self.now;
+        let endpoint = self.nodes.get(name)?.listed.endpoint.clone()?;
+        let Some(engine) = self.engines.get_mut(endpoint.as_str()) else {
+            let report = input::EndpointReport {
+                running: 0,
+                prefill_rate: 1.0,
+                pressure: 0.0,
+                holds: Vec::new(),
+            };
+            return Some(report);
+        };
+        let report = engine.report(now)?;
+        Some(input::EndpointReport {
+            running: report.running,
+            prefill_rate: report.prefill_rate,
+            pressure: report.pressure,
+            holds: report.holds.into_iter().map(flamingotrail_core::ids::HoldId).collect(),
+        })
+    }
+
+    fn release_hold(&mut self, name: &str, hold: u64, fence: Option<u64>) -> bool {
+        let endpoint = self.nodes.get(name).and_then(|node| node.listed.endpoint.clone());
+        let Some(endpoint) = endpoint else {
+            return true;
+        };
+        let now = self.now;
+        match self.engines.get_mut(endpoint.as_str()) {
+            Some(engine) if engine.is_up(now) => engine.release(hold, fence),
+            Some(_) => false,
+            None => true,
+        }
+    }
+}
--- /dev/null
+++ b/crates/flamingotrail-standins/src/scenario/random.rs
@@ -0,0 +1,144 @@
+//! Random scenarios: programs times fault schedules, as proptest strategies that shrink.
+
+use proptest::prelude::*;
+
+use crate::rig::callers;
+use crate::scenario::file;
+
+/// Programs of a random scenario at most.
+const MAX_PROGRAMS: usize = 5;
+/// Faults of a random scenario at most.
+const MAX_FAULTS: usize = 4;
+/// Latest start of a fault, in milliseconds.
+const LATEST_FAULT_MS: u64 = 15_000;
+
+fn step(depth: u32, name: usize) -> BoxedStrategy<file::ProgramStep> {
+    let model =
+        (1u32..60).prop_map(|tokens| file::ProgramStep::Model { text: "say".to_owned(), tokens });
+    let pause = (50u64..1500).prop_map(file::ProgramStep::Pause);
+    let service = (any::<bool>(), any::<u32>()).prop_map(move |(book, number)| {
+        let service = if book { "ledger-book" } else { "ledger-lookup" };
+        let body = format!("p{name}-{number}");
+        file::ProgramStep::Service { name: service.to_owned(), body }
+    });
+    if depth == 0 {
+        return prop_oneof![3 => model, 1 => pause, 3 => service].boxed();
+    }
+    let sub =
+        proptest::collection::vec(step(depth - 1, name), 1..4).prop_map(file::ProgramStep::Sub);
+    prop_oneof![6 => model, 2 => pause, 6 => service, 1 => sub].boxed()
+}
+
+fn program(number: usize) -> impl Strategy<Value = file::Program> {
+    let history = prop_oneof![
+        3 => Just(callers::HistoryMode::Carry),
+        1 => Just(callers::HistoryMode::Full),
+        1 => Just(callers::HistoryMode::Journal),
+    ];
+    let steps = proptest::collection::vec(step(1, number), 1..7);
+    (3000u64..6000, history, steps, 0usize..3).prop_map(move |(at_ms, history, steps, region)| {
+        let regions = ["vestland", "trondelag", "ostland"];
+        // A sub-agent needs a program above it: the first call makes it.
+        let first = file::ProgramStep::Model { text: "begin".to_owned(), tokens: 8 };
+        file::Program {
+            name: format!("p{number}"),
+            workspace: None,
+            region: Some(regions[region].to_owned()),
+            at_ms,
+            history,
+            deadline_ms: 20_000,
+            sendings: 60,
+            ends: true,
+            steps: std::iter::once(first).chain(steps).collect(),
+        }
+    })
+}
+
+fn fault() -> impl Strategy<Value = file::Step> {
+    let nodes = prop_oneof![
+        Just("owner:p0".to_owned()),
+        Just("at-stable-1".to_owned()),
+        Just("at-stable-2".to_owned()),
+        Just("at-ledger-1".to_owned()),
+        Just("at-ledger-2".to_owned()),
+        Just("entry-1".to_owned()),
+    ];
+    let actions = prop_oneof![
+        4 => Just("kill"),
+        4 => Just("pause"),
+        2 => Just("drain"),
+        2 => Just("cut"),
+        3 => Just("log-outage"),
+        1 => Just("list-outage"),
+        2 => Just("lose-answers"),
+        1 => Just("late-appends"),
+        1 => Just("crash-engine"),
+    ];
+    (actions, nodes, 4000u64..LATEST_FAULT_MS, 200u64..6000, 1u32..4).prop_map(
+        |(action, node, at_ms, lasting_ms, count)| {
+            let needs_engine = action == "crash-engine";
+            let node = if needs_engine { "at-stable-1".to_owned() } else { node };
+            file::Step {
+                at_ms,
+                action: action.to_owned(),
+                node: Some(node),
+                lasting_ms,
+                count,
+                ..file::Step::default()
+            }
+        },
+    )
+}
+
+/// Random scenarios.
+pub fn scenario() -> impl Strategy<Value = file::Scenario> {
+    let programs = (1..=MAX_PROGRAMS).prop_flat_map(|count| {
+        let each: Vec<BoxedStrategy<file::Program>> =
+            (0..count).map(|number| program(number).boxed()).collect();
+        each
+    });
+    let faults = proptest::collection::vec(fault(), 0..=MAX_FAULTS);
+    let links = prop_oneof![3 => Just((0.0, 0.0, 0)), 1 => Just((0.02, 0.05, 40))];
+    (any::<u32>(), programs, faults, links, 1usize..4).prop_map(
+        |(seed, programs, steps, (loss, repeats, jitter_ms), regions)| file::Scenario {
+            name: format!("random {seed}"),
+            seed: u64::from(seed),
+            setup: file::Setup {
+                regions,
+                engines: 2 * regions,
+                runners: 2 * regions,
+                loss,
+                repeats,
+                jitter_ms,
+                ..file::Setup::default()
+            },
+            programs: clamp_regions(programs, regions),
+            steps: clamp_nodes(steps, regions),
+            expectations: Vec::new(),
+        },
+    )
+}
+
+/// Programs start only in regions that are there.
+fn clamp_regions(mut programs: Vec<file::Program>, regions: usize) -> Vec<file::Program> {
+    let names = ["vestland", "trondelag", "ostland"];
+    for program in &mut programs {
+        let known = program.region.as_ref().is_some_and(|r| names[..regions].contains(&r.as_str()));
+        if !known {
+            program.region = None;
+        }
+    }
+    programs
+}
+
+/// Faults hit only nodes that are there.
+fn clamp_nodes(mut steps: Vec<file::Step>, regions: usize) -> Vec<file::Step> {
+    for step in &mut steps {
+        if regions == 1 {
+            let node = step.node.take().unwrap_or_default();
+            let node = node.replace("stable-2", "stable-4").replace("ledger-2", "ledger-4");
+            step.node = Some(node);
+        }
+    }
+    steps
+}
--- a/crates/flamingotrail/src/configs/client.rs
+++ b/crates/flamingotrail/src/configs/client.rs
@@ -7,10 +7,20 @@
 #[command(name = "flamingotrail", version, about, after_help = EXAMPLES)]
 pub struct ClientArgs {
     /// Base address of the platform's log.
-    #[arg(long, global = true, env = "FLAMINGOTRAIL_LOG_URL", default_value = "http://127.0.0.1:7000")]
+    #[arg(
+        long,
+        global = true,
+        env = "FLAMINGOTRAIL_LOG_URL",
+        default_value = "http://127.0.0.1:7000"
+    )]
     pub log_url: String,
     /// Base address of the platform's list of instances.
-    #[arg(long, global = true, env = "FLAMINGOTRAIL_LIST_URL", default_value = "http://127.0.0.1:7001")]
+    #[arg(
+        long,
+        global = true,
+        env = "FLAMINGOTRAIL_LIST_URL",
+        default_value = "http://127.0.0.1:7001"
+    )]
     pub list_url: String,
     /// Form of the output.
     #[arg(long, global = true, env = "FLAMINGOTRAIL_OUTPUT", value_enum, default_value_t)]
--- a/crates/flamingotrail/src/keys.rs
+++ b/crates/flamingotrail/src/keys.rs
@@ -14,10 +14,7 @@
 const SERVER_NAME: &str = "flamingotrail.internal";
 
 /// `keys`: an authority, used again where it is there, and a certificate for each name.
-pub fn make(
-    out: &path::Path,
-    names: &[String],
-) -> Result<output::Report, client::ClientError> {
+pub fn make(out: &path::Path, names: &[String]) -> Result<output::Report, client::ClientError> {
     fs::create_dir_all(out).map_err(|error| file_error(out, error))?;
     let issuer = authority(out)?;
     let mut lines = vec![format!("authority: {}", out.join("authority.pem").display())];
@@ -42,9 +39,8 @@
 ) -> Result<rcgen::Issuer<'static, rcgen::KeyPair>, client::ClientError> {
     let (cert_path, key_path) = (out.join("authority.pem"), out.join("authority.key"));
     if cert_path.is_file() && key_path.is_file() {
-        let read = |path: &path::Path| {
-            fs::read_to_string(path).map_err(|error| file_error(path, error))
-        };
+        let read =
+            |path: &path::Path| fs::read_to_string(path).map_err(|error| file_error(path, error));
         let key = rcgen::KeyPair::from_pem(&read(&key_path)?)?;
         return Ok(rcgen::Issuer::from_ca_cert_pem(&read(&cert_path)?, key)?);
     }
--- a/crates/flamingotrail/src/main.rs
+++ b/crates/flamingotrail/src/main.rs
@@ -20,7 +20,11 @@
     match actix_rt::System::new().block_on(run(args)) {
         Ok(report) => {
             print!("{}", report.render(format));
-            if report.is_good { process::ExitCode::SUCCESS } else { process::ExitCode::FAILURE }
+            if report.is_good {
+                process::ExitCode::SUCCESS
+            } else {
+                process::ExitCode::FAILURE
+            }
         }
         Err(error) => {
             eprintln!("{error}");
--- a/crates/flamingotrail/src/processes.rs
+++ b/crates/flamingotrail/src/processes.rs
@@ -8,7 +8,10 @@
 use crate::client;
 use crate::output;
 
-fn parse<T: serde::de::DeserializeOwned>(admin: &str, body: &[u8]) -> Result<T, client::ClientError> {
+fn parse<T: serde::de::DeserializeOwned>(
+    admin: &str,
+    body: &[u8],
+) -> Result<T, client::ClientError> {
     let read = serde_json::from_slice(body);
     Ok(read.map_err(|error| http::HttpError::broken(admin, error))?)
 }
--- a/crates/flamingotrail/src/sets.rs
+++ b/crates/flamingotrail/src/sets.rs
@@ -191,11 +191,7 @@
     Err(client::ClientError::Log)
 }
 
-fn fate(
-    row: &PastRow,
-    base: ids::ConfigVersion,
-    current: ids::ConfigVersion,
-) -> output::Report {
+fn fate(row: &PastRow, base: ids::ConfigVersion, current: ids::ConfigVersion) -> output::Report {
     match row.version {
         Some(version) => {
             let line = format!("published: version={version} offset={}", row.offset);
