--- a/crates/flamingotrail-core/src/systems/finish.rs
+++ b/crates/flamingotrail-core/src/systems/finish.rs
@@ -219,11 +219,23 @@
     if let Some(endpoint) = endpoint {
         let row = world.tables.endpoints.row(&endpoint);
         row.outstanding = row.outstanding.saturating_sub(1);
+        recall(world, key);
     }
     let (left, came) = world.tables.calls.set_state(key, state);
     membership::watch(world, tick, left, came);
 }
 
+/// An attempt that is over is not sent again, should its message still be unconfirmed.
+fn recall(world: &mut world::World, key: &ids::CallKey) {
+    let Some(call) = world.tables.calls.rows.get_mut(key) else {
+        return;
+    };
+    let number = std::mem::take(&mut call.dispatch);
+    if number > 0 {
+        outbox::confirmed(world, number);
+    }
+}
+
 /// Relays the text of a running call to the requests that wait for it.
 pub fn route(world: &mut world::World, key: &ids::CallKey) {
     let Some(call) = world.tables.calls.rows.get(key) else {
--- a/crates/flamingotrail-core/src/systems/intake.rs
+++ b/crates/flamingotrail-core/src/systems/intake.rs
@@ -446,6 +446,7 @@
         avoid: Default::default(),
         prefix: submit.delivered,
         hold: None,
+        dispatch: 0,
         reserved: 0,
         max_tokens: 0,
         budget_bound: false,
--- a/crates/flamingotrail-core/src/systems/outbox.rs
+++ b/crates/flamingotrail-core/src/systems/outbox.rs
@@ -63,6 +63,7 @@
 }
 
 /// Sends a message until `to` has taken it, for at most `lasting`. Only the start `target` takes it.
+/// Returns the message's number; 0 for one to this process itself.
 pub fn confirm(
     world: &mut world::World,
     tick: &world::Tick,
@@ -70,12 +71,12 @@
     target: Option<ids::Incarnation>,
     message: messages::Message,
     lasting: std_time::Duration,
-) {
+) -> u64 {
     if *to == world.identity.peer.instance {
         if target.is_none_or(|target| target == world.identity.peer.incarnation) {
             ingest::route(world, to.clone(), message);
         }
-        return;
+        return 0;
     }
     let from = world.identity.peer.incarnation;
     world.tables.outbox.last += 1;
@@ -86,6 +87,7 @@
     world.tables.outbox.rows.insert(number, row);
     world.tables.timers.set(timers::Timer::Resend(number), tick.now.after(RESEND_MIN));
     world.emit(output::Output::Send { to: to.clone(), envelope });
+    number
 }
 
 /// Tells the sender that its confirmed message was taken.
@@ -101,7 +103,7 @@
     world.emit(output::Output::Send { to: to.clone(), envelope });
 }
 
-/// Forgets a confirmed message that was taken.
+/// Forgets a confirmed message that was taken, or is no longer wanted.
 pub fn confirmed(world: &mut world::World, number: u64) {
     world.tables.outbox.rows.remove(&number);
     world.tables.timers.clear(&timers::Timer::Resend(number));
--- a/crates/flamingotrail-core/src/systems/placement.rs
+++ b/crates/flamingotrail-core/src/systems/placement.rs
@@ -301,7 +301,11 @@
     finish::set_state(world, tick, key, state);
     finish::route(world, key);
     let message = messages::Message::Dispatch(Box::new(dispatch));
-    outbox::confirm(world, tick, &peer.instance, Some(peer.incarnation), message, time_left);
+    let (to, target) = (&peer.instance, Some(peer.incarnation));
+    let number = outbox::confirm(world, tick, to, target, message, time_left);
+    if let Some(call) = world.tables.calls.rows.get_mut(key) {
+        call.dispatch = number;
+    }
 }
 
 fn note(
--- a/crates/flamingotrail-core/src/tables/calls.rs
+++ b/crates/flamingotrail-core/src/tables/calls.rs
@@ -56,6 +56,8 @@
     pub avoid: collections::BTreeSet<ids::EndpointName>,
     /// Text of the answer that stands already.
     pub prefix: String,
+    /// Number of the message that sent the attempt under way; 0 where there is none.
+    pub dispatch: u64,
     /// Hold that the attempt under way is to make.
     pub hold: Option<ids::HoldId>,
     /// Cost units reserved.
--- a/crates/flamingotrail-standins/src/rig/endpoints.rs
+++ b/crates/flamingotrail-standins/src/rig/endpoints.rs
@@ -103,7 +103,7 @@
             self.end_attempt(name, incarnation, dispatch.attempt.clone(), end);
             return;
         }
-        self.see_started(&dispatch.attempt, &dispatch.program, endpoint, Some(&prompt));
+        self.see_started(&dispatch.attempt, &dispatch.program, endpoint, Some(&prompt), true);
         let row = EngineCall {
             node: name.to_owned(),
             incarnation,
@@ -281,7 +281,8 @@
             return;
         };
         let endpoint = call.node.clone();
-        self.see_started(&call.attempt, &call.dispatch.program, &endpoint, None);
+        let repeatable = self.is_repeatable(service);
+        self.see_started(&call.attempt, &call.dispatch.program, &endpoint, None, repeatable);
         let root = self.root_of(&call.dispatch.program);
         let price = self.watch.service_price;
         self.charge(&root, price);
