Measure policies under load on the virtual clock

Cause: no policy had a figure beside a baseline. Change: the bench with three baselines, ablations, bursts, faults, a greedy workspace and plots; admission became a policy of its own, so that baselines run without it.

--- a/crates/flamingotrail-config/src/configs/policies.rs
+++ b/crates/flamingotrail-config/src/configs/policies.rs
@@ -13,6 +13,19 @@
     pub placement: PlacementConfig,
     /// `engine-only` or `expected-waste`.
     pub retention: RetentionConfig,
+    /// `deadline` or `early`.
+    pub admission: AdmissionConfig,
+}
+
+/// What is refused under overload.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum AdmissionConfig {
+    /// What can't start before its deadline.
+    Deadline,
+    /// Besides, new programs while the wait is long.
+    #[default]
+    Early,
 }
 
 /// Order of an endpoint's queue.
@@ -69,6 +82,10 @@
                 RetentionConfig::EngineOnly => objects::RetentionPolicy::EngineOnly,
                 RetentionConfig::ExpectedWaste => objects::RetentionPolicy::ExpectedWaste,
             },
+            admission: match config.admission {
+                AdmissionConfig::Deadline => objects::AdmissionPolicy::Deadline,
+                AdmissionConfig::Early => objects::AdmissionPolicy::Early,
+            },
         }
     }
 }
--- a/crates/flamingotrail-core/src/objects.rs
+++ b/crates/flamingotrail-core/src/objects.rs
@@ -106,6 +106,19 @@
     pub placement: PlacementPolicy,
     /// Cached context while a program pauses.
     pub retention: RetentionPolicy,
+    /// What is refused under overload.
+    pub admission: AdmissionPolicy,
+}
+
+/// What is refused under overload.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum AdmissionPolicy {
+    /// Calls that can't start before their deadline.
+    Deadline,
+    /// Besides, the first call of a program while the wait is long, so that programs under way
+    /// finish.
+    #[default]
+    Early,
 }
 
 /// Order of an endpoint's queue.
--- a/crates/flamingotrail-core/src/rng.rs
+++ b/crates/flamingotrail-core/src/rng.rs
@@ -15,7 +15,7 @@
     }
 
     /// The next 64 random bits.
-    pub fn next(&mut self) -> u64 {
+    pub fn draw(&mut self) -> u64 {
         self.0.next_u64()
     }
 
@@ -24,12 +24,12 @@
         if bound == 0 {
             return 0;
         }
-        self.next() % bound
+        self.draw() % bound
     }
 
     /// A number in `[0, 1)`.
     pub fn unit(&mut self) -> f64 {
         const MANTISSA_BITS: u32 = 53;
-        (self.next() >> (64 - MANTISSA_BITS)) as f64 / (1u64 << MANTISSA_BITS) as f64
+        (self.draw() >> (64 - MANTISSA_BITS)) as f64 / (1u64 << MANTISSA_BITS) as f64
     }
 }
--- a/crates/flamingotrail-core/src/systems/configuration.rs
+++ b/crates/flamingotrail-core/src/systems/configuration.rs
@@ -180,7 +180,7 @@
     if due.is_empty() {
         return;
     }
-    let nonce = ids::Nonce(world.rng.next());
+    let nonce = ids::Nonce(world.rng.draw());
     let Some(accepted) = &world.tables.configuration.accepted else {
         return;
     };
@@ -199,10 +199,10 @@
     for (from, message) in std::mem::take(&mut world.tables.inbox.configs) {
         match message {
             messages::Message::ConfigAsk => offer(world, &from),
-            messages::Message::ConfigOffer { version, source } => {
-                if version > world.tables.configuration.version() {
-                    accept(world, tick, version, &source, false, tick.now);
-                }
+            messages::Message::ConfigOffer { version, source }
+                if version > world.tables.configuration.version() =>
+            {
+                accept(world, tick, version, &source, false, tick.now);
             }
             _ => {}
         }
--- a/crates/flamingotrail-core/src/systems/entry.rs
+++ b/crates/flamingotrail-core/src/systems/entry.rs
@@ -72,7 +72,7 @@
         }
         Some(conversation) => conversation.clone(),
         None if origin == messages::Origin::Existing => {
-            ids::ConversationId::new(&program.home, world.rng.next())
+            ids::ConversationId::new(&program.home, world.rng.draw())
         }
         // The first conversation of a new program: the same for a repeat of the same first call.
         None => ids::ConversationId::new(&program.home, program.key),
@@ -168,7 +168,7 @@
             detail: format!("name the program of {conversation}"),
         });
     }
-    let key = world.rng.next();
+    let key = world.rng.draw();
     if let Some(idempotency_key) = &caller.idempotency_key {
         return Ok(named_by_key(world, workspace, caller, idempotency_key));
     }
--- a/crates/flamingotrail-core/src/systems/fencing.rs
+++ b/crates/flamingotrail-core/src/systems/fencing.rs
@@ -37,7 +37,7 @@
     };
     // A new nonce each time: an earlier claim of the same start that stands after all has a lower
     // offset and only makes the fencing number higher than needed.
-    let nonce = ids::Nonce(world.rng.next());
+    let nonce = ids::Nonce(world.rng.draw());
     world.tables.endpoints.claiming = Some(nonce);
     let body = journal::Body::EndpointClaim { endpoint };
     let entry = journal::Entry { nonce, writer: world.identity.peer.clone(), body };
--- a/crates/flamingotrail-core/src/systems/holds.rs
+++ b/crates/flamingotrail-core/src/systems/holds.rs
@@ -187,7 +187,7 @@
         longest: world.settings.hold_lease,
     };
     let lease = world.policies.retention.lease(&view)?;
-    let id = ids::HoldId(world.rng.next());
+    let id = ids::HoldId(world.rng.draw());
     Some(messages::HoldTerms { id, lease })
 }
 
--- a/crates/flamingotrail-core/src/systems/journal.rs
+++ b/crates/flamingotrail-core/src/systems/journal.rs
@@ -129,7 +129,7 @@
         return;
     }
     let records = take_batch(row);
-    let nonce = ids::Nonce(world.rng.next());
+    let nonce = ids::Nonce(world.rng.draw());
     send(world, tick, partition, nonce, records);
 }
 
--- a/crates/flamingotrail-core/src/systems/ownership.rs
+++ b/crates/flamingotrail-core/src/systems/ownership.rs
@@ -275,7 +275,7 @@
         redirect_waiting(world, tick, partition, None);
         return;
     }
-    let nonce = ids::Nonce(world.rng.next());
+    let nonce = ids::Nonce(world.rng.draw());
     row(world, partition).standing = partitions::Standing::Claiming { nonce };
     send_claim(world, tick, partition, nonce);
 }
--- a/crates/flamingotrail-core/src/systems/placement.rs
+++ b/crates/flamingotrail-core/src/systems/placement.rs
@@ -7,6 +7,7 @@
 use crate::ids;
 use crate::journal;
 use crate::messages;
+use crate::objects;
 use crate::policy;
 use crate::systems::budgets;
 use crate::systems::finish;
@@ -227,8 +228,11 @@
     let (root, deadline, attempts) = (call.root.clone(), call.deadline, call.attempts);
     let time_left = deadline.since(tick.now).as_secs_f64();
     let account = world.tables.programs.account(&root)?;
-    let is_new = account.attained == 0 && account.turns <= 1 && attempts == 0;
-    if wait_s < time_left && !(is_new && wait_s > NEW_PROGRAM_WAIT_S) {
+    let begins = account.attained == 0 && account.turns <= 1 && attempts == 0;
+    let admission = world.objects().map(|objects| objects.policies.admission);
+    let is_early = admission == Some(objects::AdmissionPolicy::Early);
+    let refused = is_early && begins && wait_s > NEW_PROGRAM_WAIT_S;
+    if wait_s < time_left && !refused {
         return None;
     }
     let retry_after = std_time::Duration::from_secs_f64(wait_s.clamp(0.1, 30.0));
--- a/crates/flamingotrail-core/src/systems/suspects.rs
+++ b/crates/flamingotrail-core/src/systems/suspects.rs
@@ -173,7 +173,7 @@
             return;
         }
         let notices = std::mem::take(&mut suspects.pending);
-        suspects.flight = Some((ids::Nonce(world.rng.next()), notices));
+        suspects.flight = Some((ids::Nonce(world.rng.draw()), notices));
     }
     let Some((nonce, notices)) = world.tables.suspects.flight.clone() else {
         return;
--- /dev/null
+++ b/crates/flamingotrail-standins/examples/policy.rs
@@ -0,0 +1,188 @@
+//! Measures policies under load: one line of figures for each policy and seed, medians over seeds,
+//! and plots on request.
+
+use std::collections;
+use std::path;
+use std::process;
+use std::sync;
+use std::thread;
+use std::time;
+
+use clap::Parser as _;
+use flamingotrail_standins::bench;
+use flamingotrail_standins::deployment;
+use flamingotrail_standins::plot;
+
+/// Measures policies under load.
+#[derive(Clone, Debug, clap::Parser)]
+struct Args {
+    /// `fjordhest` or `wasadat`.
+    #[arg(long, default_value = "fjordhest")]
+    deployment: String,
+    /// Policies; the three baselines and the default where it is left out.
+    #[arg(long)]
+    policy: Vec<String>,
+    /// Loads, as shares of the capacity.
+    #[arg(long, default_values_t = [0.8])]
+    load: Vec<f64>,
+    /// First seed.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Seeds.
+    #[arg(long, default_value_t = 1)]
+    seeds: u64,
+    /// Length of arrivals, in seconds.
+    #[arg(long, default_value_t = 30)]
+    span: u64,
+    /// A burst of twice the load in the middle third.
+    #[arg(long)]
+    burst: bool,
+    /// The first workspace sends three times the whole load in addition.
+    #[arg(long)]
+    greedy: bool,
+    /// A fault.
+    #[arg(long, value_enum, default_value_t)]
+    fault: bench::Fault,
+    /// Threads.
+    #[arg(long, default_value_t = 4)]
+    threads: usize,
+    /// Folder for plots.
+    #[arg(long)]
+    report: Option<path::PathBuf>,
+}
+
+type Results = Vec<(bench::BenchConfig, bench::Figures)>;
+
+fn main() -> process::ExitCode {
+    let args = Args::parse();
+    let Some(deployment) = deployment::named(&args.deployment) else {
+        eprintln!("--deployment: give fjordhest or wasadat");
+        return process::ExitCode::FAILURE;
+    };
+    let Some(runs) = runs(&args, &deployment) else {
+        eprintln!("--policy: give one of {}", bench::POLICIES.join(", "));
+        return process::ExitCode::FAILURE;
+    };
+    let results = run_all(runs, args.threads);
+    for (config, figures) in &results {
+        println!("{}", figures.line(config));
+        for violation in figures.violations.iter().take(3) {
+            println!("violation={violation:?}");
+        }
+    }
+    print_medians(&results);
+    if let Some(folder) = &args.report {
+        if let Err(error) = plot::report(folder, &results) {
+            eprintln!("the plots can't be drawn: {error}; check --report");
+            return process::ExitCode::FAILURE;
+        }
+    }
+    let held = results.iter().all(|(_, figures)| figures.violations.is_empty());
+    if held {
+        process::ExitCode::SUCCESS
+    } else {
+        process::ExitCode::FAILURE
+    }
+}
+
+fn runs(args: &Args, deployment: &deployment::Deployment) -> Option<Vec<bench::BenchConfig>> {
+    let names: Vec<String> = match args.policy.is_empty() {
+        true => bench::POLICIES[..4].iter().map(|name| (*name).to_owned()).collect(),
+        false => args.policy.clone(),
+    };
+    let mut runs = Vec::new();
+    for load in &args.load {
+        for policy in &names {
+            for seed in args.seed..args.seed + args.seeds {
+                runs.push(bench::BenchConfig {
+                    deployment: deployment.clone(),
+                    policy: policy.clone(),
+                    policies: bench::policies(policy)?,
+                    load: *load,
+                    seed,
+                    span: time::Duration::from_secs(args.span),
+                    burst: args.burst,
+                    greedy: args.greedy,
+                    fault: args.fault,
+                });
+            }
+        }
+    }
+    Some(runs)
+}
+
+fn run_all(runs: Vec<bench::BenchConfig>, threads: usize) -> Results {
+    let count = runs.len();
+    let queue = sync::Mutex::new(runs.into_iter().enumerate());
+    let results = sync::Mutex::new(Vec::with_capacity(count));
+    thread::scope(|scope| {
+        for _ in 0..threads.max(1) {
+            scope.spawn(|| loop {
+                let next = queue.lock().ok().and_then(|mut queue| queue.next());
+                let Some((number, config)) = next else {
+                    return;
+                };
+                let figures = bench::run(&config);
+                if let Ok(mut results) = results.lock() {
+                    results.push((number, config, figures));
+                }
+            });
+        }
+    });
+    let mut results = results.into_inner().unwrap_or_default();
+    results.sort_by_key(|(number, _, _)| *number);
+    results.into_iter().map(|(_, config, figures)| (config, figures)).collect()
+}
+
+fn print_medians(results: &Results) {
+    let mut groups: collections::BTreeMap<(String, String), Vec<&bench::Figures>> =
+        collections::BTreeMap::new();
+    for (config, figures) in results {
+        let key = (format!("{:.2}", config.load), config.policy.clone());
+        groups.entry(key).or_default().push(figures);
+    }
+    for ((load, policy), rows) in groups {
+        let median = |value: &dyn Fn(&bench::Figures) -> f64| {
+            let mut values: Vec<f64> = rows.iter().map(|figures| value(figures)).collect();
+            values.sort_by(f64::total_cmp);
+            bench::percentile(&values, 0.5)
+        };
+        println!(
+            "median policy={policy} load={load} seeds={} program_mean_s={:.3} program_p95_s={:.3} \
+             first_token_p95_s={:.3} inter_token_p95_ms={:.2} wasted_cache_tokens={:.0} \
+             held_token_s={:.0} recomputed_tokens={:.0} cache_hit={:.3} refused={:.0} goodput={:.3} \
+             refusal_p95_ms={:.1} cross_region_bytes={:.0} fairness={:.3} starved={:.0}",
+            rows.len(),
+            median(&|f| bench::mean(&f.latencies)),
+            median(&|f| bench::percentile(&f.latencies, 0.95)),
+            median(&|f| f.first_token_p95_s),
+            median(&|f| f.inter_token_p95_ms),
+            median(&bench::Figures::wasted_cache_tokens),
+            median(&|f| f.held_token_s),
+            median(&|f| f.recomputed_tokens as f64),
+            median(&|f| f.cache_hit),
+            median(&|f| f.refused as f64),
+            median(&|f| f.goodput),
+            median(&|f| f.refusal_p95_ms),
+            median(&|f| f.cross_region_bytes as f64),
+            median(&bench::Figures::fairness),
+            median(&|f| f.starved as f64),
+        );
+        print_workspaces(&policy, &load, &rows);
+    }
+}
+
+fn print_workspaces(policy: &str, load: &str, rows: &[&bench::Figures]) {
+    let names: collections::BTreeSet<&String> =
+        rows.iter().flat_map(|figures| figures.by_workspace.keys()).collect();
+    for name in names {
+        let mut means: Vec<f64> = rows
+            .iter()
+            .filter_map(|figures| figures.by_workspace.get(name))
+            .map(|row| bench::mean(row))
+            .collect();
+        means.sort_by(f64::total_cmp);
+        let median = bench::percentile(&means, 0.5);
+        println!("  workspace={name} policy={policy} load={load} program_mean_s={median:.3}");
+    }
+}
--- a/crates/flamingotrail-standins/src/deployment.rs
+++ b/crates/flamingotrail-standins/src/deployment.rs
@@ -256,7 +256,11 @@
         objects::RetentionPolicy::EngineOnly => "engine-only",
         objects::RetentionPolicy::ExpectedWaste => "expected-waste",
     };
+    let admission = match policies.admission {
+        objects::AdmissionPolicy::Deadline => "deadline",
+        objects::AdmissionPolicy::Early => "early",
+    };
     format!(
-        "[deployment.policies]\nqueue = \"{queue}\"\nplacement = \"{placement}\"\nretention = \"{retention}\"\n\n"
+        "[deployment.policies]\nadmission = \"{admission}\"\nqueue = \"{queue}\"\nplacement = \"{placement}\"\nretention = \"{retention}\"\n\n"
     )
 }
--- a/crates/flamingotrail-standins/src/http/server.rs
+++ b/crates/flamingotrail-standins/src/http/server.rs
@@ -41,8 +41,8 @@
     outside: sync::Arc<http::Outside>,
     address: net::SocketAddr,
 ) -> std::io::Result<Server> {
-    for name in outside.engines.keys().cloned() {
-        let outside = outside.clone();
+    for name in outside.engines.keys() {
+        let (outside, name) = (outside.clone(), name.clone());
         actix_rt::spawn(async move { outside.engines[&name].run(&outside).await });
     }
     let server = Server::build()
--- a/crates/flamingotrail-standins/src/lib.rs
+++ b/crates/flamingotrail-standins/src/lib.rs
@@ -4,12 +4,14 @@
 //! A stand-in is plain state that is handed the time, so that the rig and the HTTP servers use the
 //! same one.
 
+pub mod bench;
 pub mod deployment;
 pub mod engine;
 pub mod http;
 pub mod list;
 pub mod local;
 pub mod log;
+pub mod plot;
 pub mod prefix_cache;
 pub mod rig;
 pub mod scenario;
--- a/crates/flamingotrail-standins/src/rig/callers.rs
+++ b/crates/flamingotrail-standins/src/rig/callers.rs
@@ -643,6 +643,9 @@
         let Some(current) = caller.current.as_ref().filter(|c| c.only_refused) else {
             return;
         };
+        if current.work == work::Work::EndProgram {
+            return;
+        }
         let name = caller.name.clone();
         let Some(frame) = caller.frames.last() else {
             return;
@@ -738,7 +741,7 @@
         turn: (!ended).then_some(talk.turn + 1),
         work,
         history,
-        idempotency_key: current.is_effect.then(|| key),
+        idempotency_key: current.is_effect.then_some(key),
         ..blank
     }
 }
--- a/crates/flamingotrail-standins/src/rig/log_ops.rs
+++ b/crates/flamingotrail-standins/src/rig/log_ops.rs
@@ -74,6 +74,7 @@
 
     fn see_entry(&mut self, stream: &ids::StreamName, entry: &journal::Entry) {
         let node = entry.writer.instance.to_string();
+        self.note(|| format!("log takes {stream} {}", summary(&entry.body)));
         match &entry.body {
             journal::Body::Claim => {
                 self.see(watch::Sight::Claimed { node, stream: stream.to_string() });
@@ -174,3 +175,34 @@
         entries: entries.collect(),
     }
 }
+
+/// What an entry says, in short, for traces.
+fn summary(body: &journal::Body) -> String {
+    match body {
+        journal::Body::Records { epoch, records } => {
+            let kinds: Vec<String> = records.iter().map(record_summary).collect();
+            format!("epoch={epoch} {}", kinds.join(" "))
+        }
+        journal::Body::Claim => "claim".to_owned(),
+        journal::Body::EndpointClaim { endpoint } => format!("endpoint claim {endpoint}"),
+        journal::Body::Publication { base, .. } => format!("publication base={base}"),
+        journal::Body::Carry { version, .. } => format!("carry version={version}"),
+        journal::Body::Suspects { notices } => format!("suspects {}", notices.len()),
+    }
+}
+
+fn record_summary(record: &journal::Record) -> String {
+    match record {
+        journal::Record::Reassert => "reassert".to_owned(),
+        journal::Record::Program(row) => format!("program({:x})", row.program.key),
+        journal::Record::Conversation { .. } => "conversation".to_owned(),
+        journal::Record::TurnText { .. } => "text".to_owned(),
+        journal::Record::Turn { conversation, record, .. } => {
+            format!("turn({:x}/{})", conversation.key, record.turn)
+        }
+        journal::Record::Grant { root, granted } => format!("grant({:x},{granted})", root.key),
+        journal::Record::Intent { key, .. } => format!("intent({key})"),
+        journal::Record::Effect { key, end, .. } => format!("effect({key},{end:?})"),
+        journal::Record::Ended { program } => format!("ended({:x})", program.key),
+    }
+}
--- a/crates/flamingotrail-standins/src/rig/mod.rs
+++ b/crates/flamingotrail-standins/src/rig/mod.rs
@@ -257,7 +257,7 @@
     /// Appends a publication with this base, as an operator does.
     pub fn publish(&mut self, base: u64, objects: &str) {
         let source = set::Set::new("objects.toml", objects).to_published();
-        let nonce = ids::Nonce(self.rng.next());
+        let nonce = ids::Nonce(self.rng.draw());
         let writer = ids::Peer {
             instance: ids::InstanceName::new("operator"),
             incarnation: ids::Incarnation(nonce.0),
--- a/crates/flamingotrail-standins/src/rig/node.rs
+++ b/crates/flamingotrail-standins/src/rig/node.rs
@@ -74,7 +74,7 @@
         self.starts += 1;
         let incarnation = ids::Incarnation(self.starts);
         let settings = self.settings();
-        let seed = self.rng.next();
+        let seed = self.rng.draw();
         let Some(node) = self.nodes.get_mut(name) else {
             return;
         };
--- a/crates/flamingotrail-standins/src/workload.rs
+++ b/crates/flamingotrail-standins/src/workload.rs
@@ -227,7 +227,7 @@
         let tokens = between(&mut self.rng, tokens);
         let mut text = String::with_capacity(bytes + 8);
         while text.len() < bytes {
-            text.push_str(&format!("{:x} ", self.rng.next()));
+            text.push_str(&format!("{:x} ", self.rng.draw()));
         }
         text.push_str(&format!("#{tokens}"));
         Step::Model { text, tokens: u32::try_from(tokens).unwrap_or(1) }
