Tell a repeatable call that an earlier owner took as unknown, not as not run; test real processes

The entry counted only model calls. Change: every repeatable call; a caller that sends full messages carries its continuation with service calls, which have none.

--- a/crates/flamingotrail-core/src/systems/entry.rs
+++ b/crates/flamingotrail-core/src/systems/entry.rs
@@ -405,7 +405,10 @@
         if row.submit.hop != reply.hop {
             continue;
         }
-        let doubtful = row.may_have_run && matches!(row.submit.work, work::Work::Model { .. });
+        // A call that may not be repeated has its intent in the journal: its owner knows for sure.
+        let work = &row.submit.work;
+        let repeatable = world.objects().is_some_and(|objects| objects.is_repeatable(work));
+        let doubtful = row.may_have_run && repeatable;
         let mut reply = reply;
         if doubtful && matches!(reply.outcome, work::Outcome::NotRun(_)) {
             // An earlier owner had taken it: nobody can say that no byte reached an endpoint.
--- a/crates/flamingotrail-standins/examples/local.rs
+++ b/crates/flamingotrail-standins/examples/local.rs
@@ -5,19 +5,14 @@
 use std::path;
 use std::process;
 use std::rc;
-use std::sync;
 use std::time;
 
 use clap::Parser as _;
 use flamingotrail_standins::deployment;
-use flamingotrail_standins::engine;
 use flamingotrail_standins::http;
 use flamingotrail_standins::local::caller;
 use flamingotrail_standins::local::faults;
-use flamingotrail_standins::local::processes;
-use flamingotrail_standins::local::relay;
-use flamingotrail_standins::log;
-use flamingotrail_standins::tools;
+use flamingotrail_standins::local::session;
 use flamingotrail_standins::workload;
 
 /// Runs programs through real daemons on loopback.
@@ -72,23 +67,6 @@
     }
 }
 
-fn outside(deployment: &deployment::Deployment) -> http::Outside {
-    let log = log::FakeLog::new(300.0, time::Duration::from_secs(7 * 24 * 3600));
-    let engines = deployment.engines().map(|endpoint| {
-        let config = engine::EngineConfig {
-            slots: usize::try_from(deployment.slots).unwrap_or(1),
-            cache_tokens: deployment.cache_tokens,
-            ..engine::EngineConfig::new()
-        };
-        (endpoint.name.clone(), config)
-    });
-    let services = collections::BTreeMap::from([(
-        "all".to_owned(),
-        tools::FakeTools::new(time::Duration::from_millis(30)),
-    )]);
-    http::Outside::new(log, time::Duration::from_secs(1), engines.collect(), services)
-}
-
 async fn run(args: &Args) -> std::io::Result<bool> {
     let Some(deployment) = deployment::named(&args.deployment) else {
         return Err(std::io::Error::other("--deployment: give fjordhest or wasadat"));
@@ -98,76 +76,25 @@
     let folder = args.folder.clone().unwrap_or_else(|| {
         std::env::temp_dir().join(format!("flamingotrail-local-{}", process::id()))
     });
-    let programs_folder = std::env::current_exe()?;
-    let programs_folder = programs_folder.ancestors().nth(2).map(path::Path::to_owned);
-    let programs_folder = programs_folder.unwrap_or_default();
-
-    let outside = sync::Arc::new(outside(&deployment));
-    let address = processes::free_address()?;
-    actix_rt::spawn(http::server::serve(outside.clone(), address)?);
-    let cuts = relay::Cuts::new();
-    let mut daemons = processes::Daemons::new(
-        &deployment,
-        args.entries,
-        &programs_folder,
-        &folder,
-        outside.clone(),
-        address,
-    )?;
-    publish(&daemons, &deployment, &folder).await?;
-    daemons.start(&cuts).await?;
-    println!("stand-ins={address} folder={}", folder.display());
-    for row in &daemons.rows {
+    let mut session = session::Session::start(deployment, args.entries, &folder).await?;
+    println!("stand-ins={} folder={}", session.address, folder.display());
+    for row in &session.daemons.rows {
         let listen = if row.endpoint.is_none() { row.listen.to_string() } else { String::new() };
         println!("process={} listen={listen} admin={}", row.name, row.admin);
     }
-    wait_ready(&daemons).await;
 
-    let caller = caller::Caller::new(daemons.entries(), &deployment.model);
-    let mut workload = workload::Workload::new(&deployment, args.seed);
+    let caller = caller::Caller::new(session.daemons.entries(), &session.deployment.model);
+    let mut workload = workload::Workload::new(&session.deployment, args.seed);
     let programs = workload.programs(args.programs, args.rate);
-    let running = start_programs(&caller, &deployment, programs);
-    cause_faults(args, &mut daemons, &outside, &cuts).await?;
+    let running = start_programs(&caller, &session.deployment, programs);
+    cause_faults(args, &mut session).await?;
     progress(&caller, args.programs, running).await;
     if args.stay {
         stay().await;
     }
-    let wasted = wasted_cache_tokens(&daemons).await;
-    let bad = daemons.stop().await;
-    Ok(report(args, &caller.tally(), &outside, wasted, &bad))
-}
-
-async fn publish(
-    daemons: &processes::Daemons,
-    deployment: &deployment::Deployment,
-    folder: &path::Path,
-) -> std::io::Result<()> {
-    std::fs::create_dir_all(folder)?;
-    let path = folder.join("objects.toml");
-    std::fs::write(&path, deployment.objects_toml())?;
-    let path = path.to_string_lossy().into_owned();
-    let (good, text) = daemons.client(&["publish", &path, "--author", "local"]).await?;
-    print!("{text}");
-    if good {
-        Ok(())
-    } else {
-        Err(std::io::Error::other(text))
-    }
-}
-
-/// Waits until every entry runs a configuration and sees the endpoints' processes.
-async fn wait_ready(daemons: &processes::Daemons) {
-    const TRIES: u32 = 100;
-    const PAUSE: time::Duration = time::Duration::from_millis(100);
-    for _ in 0..TRIES {
-        let (_, text) = daemons.client(&["status"]).await.unwrap_or_default();
-        let ready = !text.contains("unreachable") && text.lines().count() > daemons.rows.len();
-        let configured = text.lines().filter(|line| line.contains("  1  ")).count();
-        if ready && configured >= daemons.rows.len() {
-            return;
-        }
-        actix_rt::time::sleep(PAUSE).await;
-    }
+    let wasted = session.metric("flamingotrail_wasted_cache_tokens_total").await;
+    let bad = session.daemons.stop().await;
+    Ok(report(args, &caller.tally(), &session.outside, wasted, &bad))
 }
 
 type Running = Vec<actix_rt::task::JoinHandle<()>>;
@@ -192,21 +119,18 @@
         .collect()
 }
 
-async fn cause_faults(
-    args: &Args,
-    daemons: &mut processes::Daemons,
-    outside: &http::Outside,
-    cuts: &relay::Cuts,
-) -> std::io::Result<()> {
+async fn cause_faults(args: &Args, session: &mut session::Session) -> std::io::Result<()> {
     const BEFORE: time::Duration = time::Duration::from_secs(2);
     let beside: Vec<usize> =
-        (0..daemons.rows.len()).filter(|index| daemons.rows[*index].endpoint.is_some()).collect();
+        (0..session.daemons.rows.len())
+        .filter(|index| session.daemons.rows[*index].endpoint.is_some())
+        .collect();
     for (number, fault) in args.fault.iter().enumerate() {
         actix_rt::time::sleep(BEFORE).await;
         let chosen = (usize::try_from(args.seed).unwrap_or(0) + number) % beside.len();
         let index = beside[chosen];
-        println!("fault={fault:?} process={}", daemons.rows[index].name);
-        faults::cause(*fault, index, daemons, outside, cuts).await?;
+        println!("fault={fault:?} process={}", session.daemons.rows[index].name);
+        faults::cause(*fault, index, session).await?;
     }
     Ok(())
 }
@@ -232,23 +156,6 @@
     let _ = rx.await;
 }
 
-async fn wasted_cache_tokens(daemons: &processes::Daemons) -> u64 {
-    const NAME: &str = "flamingotrail_wasted_cache_tokens_total ";
-    let client = awc::Client::default();
-    let mut total = 0;
-    for row in &daemons.rows {
-        let url = format!("http://{}/metrics", row.admin);
-        let Ok(mut response) = client.get(&url).send().await else {
-            continue;
-        };
-        let body = response.body().await.unwrap_or_default();
-        let text = String::from_utf8_lossy(&body);
-        let line = text.lines().find_map(|line| line.strip_prefix(NAME));
-        total += line.and_then(|value| value.trim().parse::<u64>().ok()).unwrap_or(0);
-    }
-    total
-}
-
 fn percentile(sorted: &[f64], share: f64) -> f64 {
     if sorted.is_empty() {
         return 0.0;
--- a/crates/flamingotrail-standins/src/local/faults.rs
+++ b/crates/flamingotrail-standins/src/local/faults.rs
@@ -2,9 +2,7 @@
 
 use std::time;
 
-use crate::http;
-use crate::local::processes;
-use crate::local::relay;
+use crate::local::session;
 
 /// A kind of fault.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, clap::ValueEnum)]
@@ -32,10 +30,9 @@
 pub async fn cause(
     fault: Fault,
     index: usize,
-    daemons: &mut processes::Daemons,
-    outside: &http::Outside,
-    cuts: &relay::Cuts,
+    session: &mut session::Session,
 ) -> std::io::Result<()> {
+    let daemons = &mut session.daemons;
     match fault {
         Fault::Kill => {
             daemons.kill(index);
@@ -49,14 +46,14 @@
         }
         Fault::Cut => {
             let link = daemons.rows[index].link;
-            cuts.set(link, true);
+            session.cuts.set(link, true);
             actix_rt::time::sleep(LASTING).await;
-            cuts.set(link, false);
+            session.cuts.set(link, false);
         }
         Fault::Outage => {
-            outside.set_log_out(true);
+            session.outside.set_log_out(true);
             actix_rt::time::sleep(LASTING).await;
-            outside.set_log_out(false);
+            session.outside.set_log_out(false);
         }
         Fault::Drain => {
             daemons.list(index, "leaving");
--- a/crates/flamingotrail-standins/src/local/mod.rs
+++ b/crates/flamingotrail-standins/src/local/mod.rs
@@ -5,3 +5,4 @@
 pub mod faults;
 pub mod processes;
 pub mod relay;
+pub mod session;
--- a/crates/flamingotrail-standins/src/rig/callers.rs
+++ b/crates/flamingotrail-standins/src/rig/callers.rs
@@ -720,6 +720,10 @@
     let mode = if current.full { HistoryMode::Full } else { caller.manner.history };
     let history = match (mode, &talk.continuation) {
         _ if ended => history::HistorySource::Full,
+        // A service call has no messages: who sends all of them carries the continuation instead.
+        (HistoryMode::Full, Some(carried)) if current.answer.is_none() && !current.full => {
+            history::HistorySource::Continuation(Box::new(carried.clone()))
+        }
         (HistoryMode::Carry, Some(carried)) => {
             history::HistorySource::Continuation(Box::new(carried.clone()))
         }
