Print slopes; add the bound to the bench; tests of tables, sets and codecs

Cause: CAPACITY.md had no slopes, and latency no bound to hold it against. Change: one world alone with a log that answers at once; memory, processor time and bytes by what is stored; the bench prints the engines' own service time.

--- /dev/null
+++ b/crates/flamingotrail-core/tests/tables.rs
@@ -0,0 +1,197 @@
+//! Tables and plain functions of the decisions.
+
+use flamingotrail_core::digest;
+use flamingotrail_core::history;
+use flamingotrail_core::ids;
+use flamingotrail_core::journal;
+use flamingotrail_core::policy;
+use flamingotrail_core::publication;
+use flamingotrail_core::relay;
+use flamingotrail_core::tables::conversations;
+use flamingotrail_core::tables::instances;
+use flamingotrail_core::tables::timers;
+use flamingotrail_core::time;
+use flamingotrail_core::work;
+use proptest::prelude::*;
+
+fn home() -> ids::Partition {
+    ids::Partition::new(&ids::RegionName::new("vestland"), 0)
+}
+
+fn record(turn: ids::Turn) -> history::TurnRecord {
+    history::TurnRecord {
+        turn,
+        since: turn - 1,
+        kind: history::TurnKind::Model,
+        request: digest::Digest::default(),
+        input: vec![history::Message::new(history::Role::User, format!("question {turn}"))],
+        output: format!("answer {turn}"),
+        finish: work::Finish::Stop,
+        usage: work::Usage::default(),
+    }
+}
+
+fn queued(virtual_time: f64, attained: u64, rank: u8, waited_s: u64) -> policy::Queued {
+    policy::Queued {
+        arrived_at: time::Timestamp::ZERO,
+        waited: std::time::Duration::from_secs(waited_s),
+        rank,
+        starvation_limit: Some(std::time::Duration::from_secs(20)),
+        virtual_time,
+        attained,
+    }
+}
+
+fn least_attained() -> policy::Policies {
+    policy::Policies::new(flamingotrail_core::objects::Policies::default())
+}
+
+proptest! {
+    #[test]
+    fn turns_read_from_the_log_in_any_order_give_the_same_history(
+        order in Just((1u32..12).collect::<Vec<_>>()).prop_shuffle(),
+        again in 1u32..12,
+    ) {
+        let id = ids::ConversationId::new(&home(), 1);
+        let program = ids::ProgramId::new(&home(), 1);
+        let mut expected = conversations::Conversation::new(&program);
+        (1..12).for_each(|turn| expected.push(&id, record(turn)));
+        let mut restored = conversations::Conversation::new(&program);
+
+        for turn in order {
+            restored.restore(&id, record(turn));
+        }
+        restored.restore(&id, record(again));
+
+        prop_assert_eq!(restored.last, 11);
+        prop_assert_eq!(restored.digest(&id), expected.digest(&id));
+        prop_assert_eq!(restored.messages(), expected.messages());
+    }
+
+    #[test]
+    fn a_number_is_taken_once_in_any_order(numbers in prop::collection::vec(1u64..50, 1..200)) {
+        let mut window = instances::Window::default();
+        let mut seen = std::collections::BTreeSet::new();
+
+        for number in numbers {
+            let first = window.take(ids::Incarnation(1), number);
+
+            prop_assert_eq!(first, seen.insert(number));
+        }
+    }
+
+    #[test]
+    fn pieces_of_text_in_any_order_never_repeat_or_skip(
+        text in "[a-z]{1,60}",
+        cuts in prop::collection::vec((0usize..60, 1usize..20), 1..40),
+    ) {
+        let request = ids::RequestId::default();
+        let mut texts = relay::CallerTexts::default();
+        texts.open(request);
+        let mut heard = String::new();
+
+        for (at, length) in cuts {
+            let at = at.min(text.len());
+            let end = (at + length).min(text.len());
+            heard.extend(texts.take(request, at, &text[at..end]));
+        }
+
+        prop_assert!(text.starts_with(&heard));
+        prop_assert_eq!(texts.delivered(request), heard);
+    }
+
+    #[test]
+    fn a_long_turn_is_split_into_records_that_the_log_takes(length in 0usize..400_000) {
+        let conversation = ids::ConversationId::new(&home(), 1);
+        let program = ids::ProgramId::new(&home(), 1);
+        let long = history::TurnRecord { output: "é".repeat(length / 2), ..record(1) };
+
+        let records = journal::split_turn(&conversation, &program, &long);
+
+        let biggest = records.iter().map(journal::Record::size).max().unwrap_or(0);
+        prop_assert!(biggest <= journal::MAX_ENTRY_BYTES);
+        let mut text: String = records
+            .iter()
+            .filter_map(|record| match record {
+                journal::Record::TurnText { text, .. } => Some(text.as_str()),
+                _ => None,
+            })
+            .collect();
+        if let Some(journal::Record::Turn { record, .. }) = records.last() {
+            text.push_str(&record.output);
+        }
+        prop_assert_eq!(text, long.output);
+    }
+
+    #[test]
+    fn an_id_survives_its_text(key in any::<u64>(), index in any::<u16>(), region in "[a-z][a-z.-]{0,20}") {
+        let home = ids::Partition::new(&ids::RegionName::new(region), index);
+        let id = ids::ProgramId::new(&home, key);
+
+        let read: Result<ids::ProgramId, _> = id.to_string().parse();
+
+        prop_assert_eq!(read, Ok(id));
+    }
+}
+
+#[test]
+fn a_new_start_of_a_peer_opens_a_new_window() {
+    let mut window = instances::Window::default();
+    window.take(ids::Incarnation(1), 7);
+
+    let first = window.take(ids::Incarnation(2), 7);
+
+    assert!(first);
+}
+
+#[test]
+fn timers_come_in_order_and_once() {
+    let mut table = timers::Timers::default();
+    table.set(timers::Timer::List, time::Timestamp::new(20));
+    table.set(timers::Timer::Drain, time::Timestamp::new(10));
+    table.set(timers::Timer::List, time::Timestamp::new(5));
+
+    let popped: Vec<Option<timers::Timer>> =
+        (0..3).map(|_| table.pop(time::Timestamp::new(30))).collect();
+
+    assert_eq!(popped, vec![Some(timers::Timer::List), Some(timers::Timer::Drain), None]);
+}
+
+#[test]
+fn the_first_publication_on_a_base_wins() {
+    let body = |base| journal::Body::Publication {
+        base: ids::ConfigVersion(base),
+        author: String::new(),
+        source: String::new(),
+    };
+
+    let first = publication::judge(ids::ConfigVersion(1), &body(1));
+    let second = publication::judge(ids::ConfigVersion(2), &body(1));
+
+    let version = ids::ConfigVersion(2);
+    assert_eq!(first, publication::Judgement::Accept { version, tentative: false });
+    assert_eq!(second, publication::Judgement::LostRace);
+}
+
+#[test]
+fn the_queue_puts_rank_before_share_before_attained_service() {
+    let policies = least_attained();
+    let urgent = policies.queue.key(&queued(9e9, 900, 0, 0));
+    let light = policies.queue.key(&queued(0.0, 900, 1, 0));
+    let young = policies.queue.key(&queued(9e6, 1, 1, 0));
+    let old = policies.queue.key(&queued(9e6, 900, 1, 0));
+
+    let mut order = [old, young, light, urgent];
+    order.sort();
+
+    assert_eq!(order, [urgent, light, young, old]);
+}
+
+#[test]
+fn a_starved_attempt_goes_before_every_rank() {
+    let policies = least_attained();
+    let starved = policies.queue.key(&queued(9e9, 900, 9, 25));
+    let urgent = policies.queue.key(&queued(0.0, 0, 0, 0));
+
+    assert!(starved < urgent);
+}
--- a/crates/flamingotrail-standins/examples/local.rs
+++ b/crates/flamingotrail-standins/examples/local.rs
@@ -121,8 +121,7 @@
 
 async fn cause_faults(args: &Args, session: &mut session::Session) -> std::io::Result<()> {
     const BEFORE: time::Duration = time::Duration::from_secs(2);
-    let beside: Vec<usize> =
-        (0..session.daemons.rows.len())
+    let beside: Vec<usize> = (0..session.daemons.rows.len())
         .filter(|index| session.daemons.rows[*index].endpoint.is_some())
         .collect();
     for (number, fault) in args.fault.iter().enumerate() {
--- a/crates/flamingotrail-standins/examples/policy.rs
+++ b/crates/flamingotrail-standins/examples/policy.rs
@@ -148,12 +148,14 @@
             bench::percentile(&values, 0.5)
         };
         println!(
-            "median policy={policy} load={load} seeds={} program_mean_s={:.3} program_p95_s={:.3} \
+            "median policy={policy} load={load} seeds={} program_mean_s={:.3} bound_mean_s={:.3} \
+             program_p95_s={:.3} \
              first_token_p95_s={:.3} inter_token_p95_ms={:.2} wasted_cache_tokens={:.0} \
              held_token_s={:.0} recomputed_tokens={:.0} cache_hit={:.3} refused={:.0} goodput={:.3} \
              refusal_p95_ms={:.1} cross_region_bytes={:.0} fairness={:.3} starved={:.0}",
             rows.len(),
             median(&|f| bench::mean(&f.latencies)),
+            median(&|f| f.bound_mean_s),
             median(&|f| bench::percentile(&f.latencies, 0.95)),
             median(&|f| f.first_token_p95_s),
             median(&|f| f.inter_token_p95_ms),
--- /dev/null
+++ b/crates/flamingotrail-standins/examples/slopes.rs
@@ -0,0 +1,187 @@
+//! Prints the slopes that docs/CAPACITY.md works with: memory, processor time, messages and appends
+//! for each thing that grows.
+
+use std::process;
+use std::time;
+
+use clap::Parser as _;
+use flamingotrail_standins::bench;
+use flamingotrail_standins::deployment;
+use flamingotrail_standins::solo;
+
+/// Prints slopes.
+#[derive(Debug, clap::Parser)]
+struct Args {
+    /// Programs at which time is measured; memory is measured at the first, which is the largest,
+    /// since memory that was freed is not given back.
+    #[arg(long, default_values_t = [250_000, 10_000, 1_000])]
+    programs: Vec<u64>,
+    /// Measures only the memory of histories, in a process that has freed nothing before.
+    #[arg(long)]
+    history: bool,
+    /// Bytes of each program's first message.
+    #[arg(long, default_value_t = 400)]
+    bytes: usize,
+}
+
+/// Resident memory of this process, in bytes.
+fn resident() -> u64 {
+    const PAGE: u64 = 4096;
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split_whitespace().nth(1).and_then(|pages| pages.parse::<u64>().ok());
+    pages.unwrap_or(0) * PAGE
+}
+
+fn main() -> process::ExitCode {
+    let args = Args::parse();
+    if args.history {
+        by_history();
+        return process::ExitCode::SUCCESS;
+    }
+    by_stored(&args);
+    by_take_over();
+    by_publication();
+    by_load();
+    process::ExitCode::SUCCESS
+}
+
+/// Cost of a call, by the number of programs that are stored.
+fn by_stored(args: &Args) {
+    const CALLS: u64 = 2_000;
+    for (index, stored) in args.programs.iter().enumerate() {
+        let before = resident();
+        let mut solo = solo::Solo::new();
+        solo.fill(0, *stored, args.bytes);
+        let memory = resident().saturating_sub(before);
+        let (busy, ticks, sent) = (solo.busy, solo.ticks, (solo.sent, solo.sent_bytes));
+        let appends = (solo.appends, solo.append_bytes);
+        for number in 0..CALLS {
+            let call = solo.call(
+                number % stored,
+                2 + u32::try_from(number / stored).unwrap_or(0),
+                args.bytes,
+            );
+            solo.run(vec![call]);
+            solo.pass(time::Duration::from_millis(1));
+        }
+        solo.pass(time::Duration::from_secs(1));
+        let spent = (solo.busy - busy).as_secs_f64() * 1e6;
+        println!(
+            "slope=call stored_programs={stored} bytes_per_program={} us_per_call={:.1} \
+             ticks_per_call={:.1} messages_per_call={:.1} control_bytes_per_call={:.0} \
+             journal_bytes_per_call={:.0} done={} other={}",
+            if index == 0 { (memory / stored).to_string() } else { "not_measured".to_owned() },
+            spent / CALLS as f64,
+            (solo.ticks - ticks) as f64 / CALLS as f64,
+            (solo.sent - sent.0) as f64 / CALLS as f64,
+            (solo.sent_bytes - sent.1) as f64 / CALLS as f64,
+            (solo.append_bytes - appends.1) as f64 / CALLS as f64,
+            solo.replies.0,
+            solo.replies.1,
+        );
+        let idle = solo.busy;
+        let idle_ticks = solo.ticks;
+        solo.pass(time::Duration::from_secs(60));
+        println!(
+            "slope=idle stored_programs={stored} us_per_s={:.1} ticks_per_s={:.2}",
+            (solo.busy - idle).as_secs_f64() * 1e6 / 60.0,
+            (solo.ticks - idle_ticks) as f64 / 60.0,
+        );
+    }
+}
+
+/// Memory of a token of history.
+fn by_history() {
+    const PROGRAMS: u64 = 200;
+    for bytes in [400_000usize] {
+        let before = resident();
+        let mut solo = solo::Solo::new();
+        solo.fill(0, PROGRAMS, bytes);
+        let memory = resident().saturating_sub(before);
+        println!(
+            "slope=history text_bytes={bytes} resident_bytes_per_text_byte={:.2} us_per_call={:.1}",
+            memory as f64 / (PROGRAMS as usize * bytes) as f64,
+            solo.busy.as_secs_f64() * 1e6 / PROGRAMS as f64,
+        );
+    }
+}
+
+/// Cost of carrying rows forward, which a take-over reads again.
+fn by_take_over() {
+    for stored in [1_000u64, 10_000] {
+        let mut solo = solo::Solo::new();
+        solo.world.settings.program_idle = time::Duration::from_secs(30 * 24 * 3600);
+        solo.fill(0, stored, 400);
+        let (busy, appends, bytes) = (solo.busy, solo.appends, solo.append_bytes);
+        solo.pass(time::Duration::from_secs(6 * 24 * 3600));
+        println!(
+            "slope=carry stored_programs={stored} us_per_program={:.2} appends={} \
+             journal_bytes_per_program={:.0}",
+            (solo.busy - busy).as_secs_f64() * 1e6 / stored as f64,
+            solo.appends - appends,
+            (solo.append_bytes - bytes) as f64 / stored as f64,
+        );
+    }
+}
+
+/// Cost of a publication, by the size of the set.
+fn by_publication() {
+    for workspaces in [10usize, 1_000, 10_000] {
+        let mut deployment = deployment::fjordhest().with_regions(1).with_endpoints(1, 0);
+        let pattern = deployment.workspaces[0].clone();
+        for number in 0..workspaces {
+            let mut workspace = pattern.clone();
+            workspace.name = format!("w{number}");
+            workspace.token = format!("token-{number}");
+            deployment.workspaces.push(workspace);
+        }
+        let text = deployment.objects_toml();
+        let before = resident();
+        let mut solo = solo::Solo::new();
+        let busy = solo.busy;
+        solo.publish(1, &text);
+        solo.world.tables.configuration.reading = false;
+        solo.pass(time::Duration::from_secs(1));
+        let read = flamingotrail_core::input::Input::Read {
+            stream: flamingotrail_core::ids::StreamName::new("config"),
+            page: None,
+        };
+        solo.run(vec![read]);
+        solo.pass(time::Duration::from_secs(2));
+        println!(
+            "slope=publication workspaces={workspaces} set_bytes={} version={} ms={:.1} \
+             resident_bytes_per_workspace={}",
+            text.len(),
+            solo.world.tables.configuration.version(),
+            (solo.busy - busy).as_secs_f64() * 1e3,
+            resident().saturating_sub(before) / workspaces as u64,
+        );
+    }
+}
+
+/// Messages and appends by load, from the bench.
+fn by_load() {
+    for load in [0.25, 0.5, 1.0] {
+        let config = bench::BenchConfig {
+            deployment: deployment::fjordhest(),
+            policy: "default".to_owned(),
+            policies: flamingotrail_core::objects::Policies::default(),
+            load,
+            seed: 1,
+            span: time::Duration::from_secs(20),
+            burst: false,
+            greedy: false,
+            fault: bench::Fault::None,
+        };
+        let figures = bench::run(&config);
+        println!(
+            "slope=load load={load} programs={} appends_per_s={:.1} messages_per_node_s={:.1} \
+             tick_us_p50={:.1} tick_us_p99={:.1}",
+            figures.programs,
+            figures.appends_per_s,
+            figures.messages_per_node_s,
+            figures.decisions_us.0,
+            figures.decisions_us.1,
+        );
+    }
+}
--- a/crates/flamingotrail-standins/src/bench.rs
+++ b/crates/flamingotrail-standins/src/bench.rs
@@ -69,6 +69,9 @@
     pub refused: usize,
     /// Latencies of done programs without their pauses, in seconds, sorted.
     pub latencies: Vec<f64>,
+    /// Mean over done programs of the time that they take at least: alone on an engine, everything
+    /// earlier cached, no queue.
+    pub bound_mean_s: f64,
     /// The same by workspace.
     pub by_workspace: collections::BTreeMap<String, Vec<f64>>,
     /// Time to first token, 95th percentile, in seconds.
@@ -155,6 +158,25 @@
     seconds
 }
 
+/// Seconds that a program takes at least, without its pauses: alone on an engine, everything
+/// earlier cached, no queue, all in one region.
+fn least_seconds(steps: &[workload::Step], config: &rig::RigConfig) -> f64 {
+    let engine = &config.engine;
+    let per_token = engine.step_per_token.as_secs_f64();
+    let step_s = engine.step_base.as_secs_f64() + per_token;
+    let deployment = &config.deployment;
+    let path = 2.0 * (deployment.client_delay + deployment.near_delay).as_secs_f64();
+    let each = steps.iter().map(|step| match step {
+        workload::Step::Model { text, tokens } => {
+            text.len() as f64 / 4.0 * per_token + f64::from(*tokens) * step_s + path
+        }
+        workload::Step::Service { .. } => config.tool_latency.as_secs_f64() + path,
+        workload::Step::Pause(_) => 0.0,
+        workload::Step::SubAgent(steps) => least_seconds(steps, config),
+    });
+    each.sum()
+}
+
 fn tokens_of(steps: &[workload::Step]) -> u64 {
     let each = steps.iter().map(|step| match step {
         workload::Step::Model { tokens, .. } => u64::from(*tokens),
@@ -330,11 +352,13 @@
     let mut latencies = Vec::new();
     let mut by_workspace: collections::BTreeMap<String, Vec<f64>> = Default::default();
     let (mut done, mut refused, mut starved, mut done_tokens) = (0, 0, 0, 0);
+    let mut bounds = Vec::new();
     for (caller, program) in rig.callers.rows.iter().zip(programs) {
         match &caller.end {
             Some(callers::ProgramEnd::Done) => {
                 done += 1;
                 done_tokens += tokens_of(&program.steps);
+                bounds.push(least_seconds(&program.steps, &rig.config));
                 let ended = caller.ended_at.unwrap_or(caller.started_at);
                 let took = ended.since(caller.started_at).saturating_sub(caller.paused);
                 latencies.push(took.as_secs_f64());
@@ -353,13 +377,14 @@
     let elapsed = rig.now.micros() as f64 / 1e6;
     let engines = bench.deployment.engines().count() as f64;
     let config = &rig.config.engine;
-    let decode = config.step_base.as_secs_f64() / f64::from(SLOTS)
-        + config.step_per_token.as_secs_f64();
+    let decode =
+        config.step_base.as_secs_f64() / f64::from(SLOTS) + config.step_per_token.as_secs_f64();
     Figures {
         programs: programs.len(),
         done,
         refused,
         latencies: sorted(latencies),
+        bound_mean_s: mean(&bounds),
         by_workspace,
         first_token_p95_s: percentile(&micros(&rig.callers.first_tokens), 0.95) / 1e6,
         inter_token_p95_ms: percentile(&gaps, 0.95) / 1e3,
@@ -398,7 +423,7 @@
     pub fn line(&self, bench: &BenchConfig) -> String {
         let l = &self.latencies;
         format!(
-            "policy={} load={} seed={} programs={} done={} refused={} program_mean_s={:.3} \
+            "policy={} load={} seed={} programs={} done={} refused={} program_mean_s={:.3} bound_mean_s={:.3} \
              program_p50_s={:.3} program_p95_s={:.3} program_p99_s={:.3} first_token_p95_s={:.3} \
              inter_token_p95_ms={:.2} wasted_cache_tokens={:.0} held_token_s={:.0} \
              recomputed_tokens={} cache_hit={:.3} cross_region_bytes={} fairness={:.3} starved={} \
@@ -411,6 +436,7 @@
             self.done,
             self.refused,
             mean(l),
+            self.bound_mean_s,
             percentile(l, 0.5),
             percentile(l, 0.95),
             percentile(l, 0.99),
--- a/crates/flamingotrail-standins/src/lib.rs
+++ b/crates/flamingotrail-standins/src/lib.rs
@@ -15,5 +15,6 @@
 pub mod prefix_cache;
 pub mod rig;
 pub mod scenario;
+pub mod solo;
 pub mod tools;
 pub mod workload;
--- a/crates/flamingotrail-standins/src/plot.rs
+++ b/crates/flamingotrail-standins/src/plot.rs
@@ -54,7 +54,8 @@
         line.entry(load).or_default().push(value(figures));
     }
     let points = |line: &collections::BTreeMap<u64, Vec<f64>>| -> Vec<(f64, f64)> {
-        let point = |(load, values): (&u64, &Vec<f64>)| (*load as f64 / LOAD_SCALE, bench::mean(values));
+        let point =
+            |(load, values): (&u64, &Vec<f64>)| (*load as f64 / LOAD_SCALE, bench::mean(values));
         line.iter().map(point).collect()
     };
     let highest = lines.values().flat_map(&points).map(|(_, y)| y).fold(1e-9, f64::max);
--- /dev/null
+++ b/crates/flamingotrail-standins/src/solo.rs
@@ -0,0 +1,279 @@
+//! One world that owns a partition and runs its own calls, with a log and an endpoint that answer at
+//! once: what a process costs, without the cost of anything around it.
+
+use std::time as std_time;
+
+use flamingotrail_config::set;
+use flamingotrail_config::Reader;
+use flamingotrail_core::digest;
+use flamingotrail_core::history;
+use flamingotrail_core::ids;
+use flamingotrail_core::input;
+use flamingotrail_core::journal;
+use flamingotrail_core::messages;
+use flamingotrail_core::output;
+use flamingotrail_core::settings;
+use flamingotrail_core::time;
+use flamingotrail_core::work;
+use flamingotrail_core::world;
+use flamingotrail_wire::codec;
+use flamingotrail_wire::messages as wire;
+
+use crate::deployment;
+
+/// A world with what answers it.
+pub struct Solo {
+    /// The world.
+    pub world: world::World,
+    /// The time.
+    pub now: time::Timestamp,
+    /// Time spent in ticks.
+    pub busy: std_time::Duration,
+    /// Ticks.
+    pub ticks: u64,
+    /// Bytes of messages sent, as on a link.
+    pub sent_bytes: u64,
+    /// Messages sent.
+    pub sent: u64,
+    /// Appends.
+    pub appends: u64,
+    /// Bytes of entries appended.
+    pub append_bytes: u64,
+    /// Replies by outcome: done, others.
+    pub replies: (u64, u64),
+    streams: std::collections::BTreeMap<ids::StreamName, Vec<journal::Entry>>,
+    numbers: u64,
+}
+
+const ENTRY: &str = "entry-1";
+
+impl Default for Solo {
+    fn default() -> Self {
+        Solo::new()
+    }
+}
+
+impl Solo {
+    /// A world that runs a configuration and knows its own endpoint.
+    pub fn new() -> Self {
+        let mut deployment = deployment::fjordhest().with_regions(1).with_endpoints(1, 0);
+        deployment.partitions = 1;
+        deployment.slots = u32::MAX;
+        let identity = settings::Identity {
+            peer: ids::Peer {
+                instance: ids::InstanceName::new("at-stable-1"),
+                incarnation: ids::Incarnation(1),
+            },
+            role: settings::Role::Endpoint,
+            region: ids::RegionName::new("vestland"),
+            domain: ids::DomainName::new("vestland-a"),
+            endpoint: Some(ids::EndpointName::new("stable-1")),
+        };
+        let settings = settings::Settings::new(digest::Digest::default());
+        let world = world::World::new(identity, settings, Box::new(Reader::new()), 1);
+        let mut solo = Solo {
+            world,
+            now: time::Timestamp::new(1_000_000),
+            busy: std_time::Duration::ZERO,
+            ticks: 0,
+            sent_bytes: 0,
+            sent: 0,
+            appends: 0,
+            append_bytes: 0,
+            replies: (0, 0),
+            streams: Default::default(),
+            numbers: 0,
+        };
+        solo.publish(0, &deployment.objects_toml());
+        solo.run(Vec::new());
+        solo.run(vec![input::Input::List(Some(vec![listed()]))]);
+        solo
+    }
+
+    /// Appends a publication.
+    pub fn publish(&mut self, base: u64, objects: &str) {
+        self.numbers += 1;
+        let body = journal::Body::Publication {
+            base: ids::ConfigVersion(base),
+            author: String::new(),
+            source: set::Set::new("objects.toml", objects).to_published(),
+        };
+        let nonce = ids::Nonce(self.numbers);
+        let entry = journal::Entry { nonce, writer: ids::Peer::default(), body };
+        self.streams.entry(ids::StreamName::new("config")).or_default().push(entry);
+    }
+
+    /// Hands inputs in and answers outputs until nothing is left to answer.
+    pub fn run(&mut self, inputs: Vec<input::Input>) {
+        let mut inputs = inputs;
+        loop {
+            self.now = self.now.after(std_time::Duration::from_micros(1));
+            let start = std_time::Instant::now();
+            let outputs = self.world.tick(self.now, inputs);
+            self.busy += start.elapsed();
+            self.ticks += 1;
+            inputs = outputs.into_iter().filter_map(|output| self.answer(output)).collect();
+            if inputs.is_empty() {
+                return;
+            }
+        }
+    }
+
+    /// Lets time pass and rows become due.
+    pub fn pass(&mut self, span: std_time::Duration) {
+        let end = self.now.after(span);
+        while let Some(due) = self.world.next_due().filter(|due| *due <= end) {
+            self.now = self.now.max(due);
+            self.run(Vec::new());
+        }
+        self.now = end;
+    }
+
+    fn answer(&mut self, output: output::Output) -> Option<input::Input> {
+        match output {
+            output::Output::Append { stream, entry } => {
+                self.appends += 1;
+                self.append_bytes += codec::entry_to_text(&entry).len() as u64;
+                let rows = self.streams.entry(stream.clone()).or_default();
+                let nonce = entry.nonce;
+                rows.push(without_records(entry));
+                let offset = ids::Offset(rows.len() as u64 - 1);
+                let result = input::AppendResult::At(offset);
+                Some(input::Input::Appended { stream, nonce, result })
+            }
+            output::Output::Read { stream, from, wait } => self.read(stream, from, wait),
+            output::Output::Execute { dispatch, .. } => {
+                let attempt = dispatch.attempt.clone();
+                let end = work::AttemptEnd::Answered(answer(&dispatch.job));
+                Some(input::Input::AttemptEnded { attempt, end })
+            }
+            output::Output::Send { envelope, .. } => {
+                self.sent += 1;
+                let wire = wire::Envelope::from(envelope.clone());
+                self.sent_bytes += codec::encode(&wire).len() as u64;
+                if let messages::Message::Reply(reply) = &envelope.message {
+                    match reply.outcome {
+                        work::Outcome::Done(_) => self.replies.0 += 1,
+                        _ => self.replies.1 += 1,
+                    }
+                }
+                // The entry confirms what it gets.
+                (envelope.number > 0)
+                    .then(|| self.from_entry(messages::Message::Ack { number: envelope.number }))
+            }
+            output::Output::ReleaseHold { hold, .. } => {
+                Some(input::Input::OrderEnded { hold, confirmed: true })
+            }
+            output::Output::FetchList => Some(input::Input::List(Some(vec![listed()]))),
+            output::Output::FetchReport => Some(input::Input::Report(None)),
+            _ => None,
+        }
+    }
+
+    fn read(
+        &mut self,
+        stream: ids::StreamName,
+        from: ids::Offset,
+        wait: std_time::Duration,
+    ) -> Option<input::Input> {
+        let rows = self.streams.entry(stream.clone()).or_default();
+        let end = ids::Offset(rows.len() as u64);
+        if from >= end && !wait.is_zero() {
+            // A read that waits for news: none come here.
+            return None;
+        }
+        let skip = usize::try_from(from.0).unwrap_or(usize::MAX);
+        let entries = rows.iter().enumerate().skip(skip).map(|(index, entry)| input::Positioned {
+            offset: ids::Offset(index as u64),
+            age: std_time::Duration::ZERO,
+            entry: Some(entry.clone()),
+        });
+        let page =
+            input::Page { start: ids::Offset(0), next: end, end, entries: entries.collect() };
+        Some(input::Input::Read { stream, page: Some(page) })
+    }
+
+    fn from_entry(&self, message: messages::Message) -> input::Input {
+        let from = ids::Incarnation(2);
+        let envelope = messages::Envelope { from, target: None, number: 0, message };
+        input::Input::Peer { from: ids::InstanceName::new(ENTRY), envelope }
+    }
+
+    /// A call of the program `key`, with a message of `bytes`.
+    pub fn call(&mut self, key: u64, turn: ids::Turn, bytes: usize) -> input::Input {
+        self.numbers += 1;
+        let home = ids::Partition::new(&ids::RegionName::new("vestland"), 0);
+        let program = ids::ProgramId::new(&home, key);
+        let text = "x".repeat(bytes);
+        let first = turn == 1;
+        let submit = messages::Submit {
+            request: ids::RequestId { entry: ids::Incarnation(2), number: self.numbers },
+            hop: 1,
+            workspace: ids::WorkspaceName::new("desk"),
+            program,
+            parent: None,
+            origin: if first { messages::Origin::Fresh } else { messages::Origin::Existing },
+            conversation: ids::ConversationId::new(&home, key),
+            turn: Some(turn),
+            work: work::Work::Model {
+                model: ids::ModelName::new("stable-assistant"),
+                max_tokens: 16,
+                messages: vec![history::Message::new(history::Role::User, text)],
+            },
+            history: history::HistorySource::Journal,
+            time_left: std_time::Duration::from_secs(60),
+            cost_bound: None,
+            idempotency_key: None,
+            delivered: String::new(),
+            suspect: None,
+        };
+        self.from_entry(messages::Message::Submit(Box::new(submit)))
+    }
+
+    /// Starts `count` programs from `first` on, one turn each, in groups, and lets the journal take
+    /// them.
+    pub fn fill(&mut self, first: u64, count: u64, bytes: usize) {
+        const GROUP_BYTES: u64 = 100_000;
+        let group = (GROUP_BYTES / (bytes as u64).max(1)).max(1);
+        let mut next = first;
+        while next < first + count {
+            let end = (next + group).min(first + count);
+            let calls = (next..end).map(|key| self.call(key, 1, bytes)).collect();
+            self.run(calls);
+            self.pass(std_time::Duration::from_millis(50));
+            next = end;
+        }
+    }
+}
+
+/// The entry without its records: the owner that wrote them only looks for its nonce.
+fn without_records(mut entry: journal::Entry) -> journal::Entry {
+    if let journal::Body::Records { records, .. } = &mut entry.body {
+        *records = Vec::new();
+    }
+    entry
+}
+
+fn listed() -> input::Listed {
+    input::Listed {
+        instance: ids::InstanceName::new("at-stable-1"),
+        region: ids::RegionName::new("vestland"),
+        domain: ids::DomainName::new("vestland-a"),
+        endpoint: Some(ids::EndpointName::new("stable-1")),
+        address: "127.0.0.1:1".to_owned(),
+        leaving: false,
+    }
+}
+
+fn answer(job: &messages::Job) -> work::Answer {
+    let prompt: usize = match job {
+        messages::Job::Model { messages, .. } => messages.iter().map(|m| m.content.len() / 4).sum(),
+        messages::Job::Service { .. } => 0,
+    };
+    let usage = work::Usage {
+        prompt_tokens: u32::try_from(prompt).unwrap_or(u32::MAX),
+        cached_tokens: 0,
+        completion_tokens: 16,
+    };
+    work::Answer { text: "word".repeat(16), status: 200, usage, finish: work::Finish::Stop }
+}
--- a/crates/flamingotrail-standins/tests/processes.rs
+++ b/crates/flamingotrail-standins/tests/processes.rs
@@ -15,7 +15,8 @@
 }
 
 fn folder(name: &str) -> path::PathBuf {
-    let path = std::env::temp_dir().join(format!("flamingotrail-test-{}-{name}", std::process::id()));
+    let path =
+        std::env::temp_dir().join(format!("flamingotrail-test-{}-{name}", std::process::id()));
     let _ = std::fs::remove_dir_all(&path);
     path
 }
@@ -175,7 +176,8 @@
         let mut session = start("wrong").await;
         let entry = session.daemons.entries()[0];
         let http = awc::Client::default();
-        let chat = "{\"model\":\"stable-assistant\",\"messages\":[{\"role\":\"user\",\"content\":\"a\"}]}";
+        let chat =
+            "{\"model\":\"stable-assistant\",\"messages\":[{\"role\":\"user\",\"content\":\"a\"}]}";
         let cases = [
             ("desk-token", "/v1/chat/completions", "{", "", 400, "bad_field"),
             ("no-such-token", "/v1/chat/completions", chat, "", 401, "unknown_key"),
--- /dev/null
+++ b/crates/flamingotrail-wire/tests/codecs.rs
@@ -0,0 +1,131 @@
+//! What crosses between processes and versions.
+
+use flamingotrail_core::digest;
+use flamingotrail_core::history;
+use flamingotrail_core::ids;
+use flamingotrail_core::journal;
+use flamingotrail_core::messages;
+use flamingotrail_core::work;
+use flamingotrail_wire::codec;
+use flamingotrail_wire::messages as wire;
+use proptest::prelude::*;
+
+fn partition() -> ids::Partition {
+    ids::Partition::new(&ids::RegionName::new("vestland"), 3)
+}
+
+fn turn(number: ids::Turn, text: &str) -> history::TurnRecord {
+    history::TurnRecord {
+        turn: number,
+        since: number - 1,
+        kind: history::TurnKind::Model,
+        request: digest::of_token(text),
+        input: vec![history::Message::new(history::Role::User, text)],
+        output: text.to_owned(),
+        finish: work::Finish::Stop,
+        usage: work::Usage { prompt_tokens: 7, cached_tokens: 3, completion_tokens: 2 },
+    }
+}
+
+fn continuation(text: &str) -> history::Continuation {
+    let key = digest::of_token("key");
+    history::Continuation {
+        conversation: ids::ConversationId::new(&partition(), 1),
+        program: ids::ProgramId::new(&partition(), 2),
+        root: ids::ProgramId::new(&partition(), 2),
+        workspace: ids::WorkspaceName::new("desk"),
+        turn: 1,
+        digest: digest::of_token(text),
+        epoch: ids::Epoch(9),
+        journaled: 0,
+        tail: vec![turn(1, text)],
+        code: digest::Digest::default(),
+    }
+    .with_code(&key)
+}
+
+proptest! {
+    #[test]
+    fn a_continuation_survives_its_text(text in ".{0,200}") {
+        let sent = continuation(&text);
+
+        let read = codec::continuation_from_text(&codec::continuation_to_text(&sent));
+
+        prop_assert_eq!(read.ok(), Some(sent));
+    }
+
+    #[test]
+    fn a_continuation_with_any_byte_changed_is_refused(at in any::<prop::sample::Index>()) {
+        let key = digest::of_token("key");
+        let text = codec::continuation_to_text(&continuation("a booking"));
+        let mut bytes = text.into_bytes();
+        let at = at.index(bytes.len());
+        bytes[at] = if bytes[at] == b'A' { b'B' } else { b'A' };
+        let forged = String::from_utf8(bytes).expect("base64 is text");
+
+        let read = codec::continuation_from_text(&forged);
+
+        let accepted = read.is_ok_and(|read| {
+            read.is_authentic(&key) && read != continuation("a booking")
+        });
+        prop_assert!(!accepted);
+    }
+
+    #[test]
+    fn an_entry_survives_its_text(text in ".{0,200}", granted in any::<u64>()) {
+        let records = vec![
+            journal::Record::Grant { root: ids::ProgramId::new(&partition(), 2), granted },
+            journal::Record::Turn {
+                conversation: ids::ConversationId::new(&partition(), 1),
+                program: ids::ProgramId::new(&partition(), 2),
+                record: turn(4, &text),
+            },
+        ];
+        let sent = journal::Entry {
+            nonce: ids::Nonce(granted),
+            writer: ids::Peer::default(),
+            body: journal::Body::Records { epoch: ids::Epoch(5), records },
+        };
+
+        let read = codec::entry_from_text(&codec::entry_to_text(&sent));
+
+        prop_assert_eq!(read.ok(), Some(sent));
+    }
+
+    #[test]
+    fn any_bytes_are_read_or_refused_without_a_panic(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+        let read = codec::decode::<wire::Envelope>(&bytes);
+
+        prop_assert!(read.is_ok() || read.is_err());
+    }
+}
+
+#[test]
+fn fields_of_a_newer_version_are_skipped() {
+    #[derive(serde::Serialize)]
+    struct NewerHoldTerms {
+        id: u64,
+        lease: u64,
+        colour: &'static str,
+    }
+    let newer = codec::encode(&NewerHoldTerms { id: 4, lease: 2_000_000, colour: "red" });
+
+    let read = codec::decode::<wire::HoldTerms>(&newer).map(messages::HoldTerms::from);
+
+    let expected =
+        messages::HoldTerms { id: ids::HoldId(4), lease: std::time::Duration::from_secs(2) };
+    assert_eq!(read.ok(), Some(expected));
+}
+
+#[test]
+fn a_kind_of_a_newer_version_is_refused() {
+    #[derive(serde::Serialize)]
+    enum NewerMessage {
+        Sing { song: u32 },
+    }
+    let newer = codec::encode(&NewerMessage::Sing { song: 1 });
+
+    let read = codec::decode::<wire::Message>(&newer);
+
+    assert!(read.is_err());
+}
