Hold context for a short lease while memory is short, instead of not at all

Cause: under memory pressure nothing was held, so that nothing was dropped when programs ended: most of the waste was context of ended programs, left to the engine's eviction. Change: a lease of 5 s above 90 % of memory.

--- a/crates/flamingotrail-core/src/policy/retention.rs
+++ b/crates/flamingotrail-core/src/policy/retention.rs
@@ -35,14 +35,20 @@
 
 /// Share of memory in use from which nothing new is held.
 const FULL: f64 = 0.9;
+/// Lease while memory is short: long enough for most pauses; above all, the hold lets the context
+/// be dropped when its program ends.
+const SHORT_LEASE: std_time::Duration = std_time::Duration::from_secs(5);
 /// Tokens below which computing again costs less than keeping track of a hold.
 const SMALL_TOKENS: u32 = 64;
 
 impl Retention for ExpectedWaste {
     fn lease(&self, pause: &Pause) -> Option<std_time::Duration> {
-        if pause.tokens < SMALL_TOKENS || pause.pressure >= FULL {
+        if pause.tokens < SMALL_TOKENS {
             return None;
         }
+        if pause.pressure >= FULL {
+            return Some(SHORT_LEASE);
+        }
         Some(pause.longest.mul_f64(1.0 - pause.pressure))
     }
 }
