--- a/crates/flamingotrail-core/src/tables/inbox.rs
+++ b/crates/flamingotrail-core/src/tables/inbox.rs
@@ -64,3 +64,34 @@
     /// Whether to stop.
     pub drain: bool,
 }
+
+impl Inbox {
+    /// Whether nothing is left for a system that ran before the input came: a message of this
+    /// process to itself, say.
+    pub fn is_empty(&self) -> bool {
+        self.callers.is_empty()
+            && self.gone.is_empty()
+            && self.delivered.is_empty()
+            && self.accepted.is_empty()
+            && self.redirects.is_empty()
+            && self.replies.is_empty()
+            && self.submits.is_empty()
+            && self.cancels.is_empty()
+            && self.dispatches.is_empty()
+            && self.ended.is_empty()
+            && self.aborts.is_empty()
+            && self.own_ended.is_empty()
+            && self.partials.is_empty()
+            && self.releases.is_empty()
+            && self.orders.is_empty()
+            && self.reports.is_empty()
+            && self.lists.is_empty()
+            && self.lost.is_empty()
+            && self.probes.is_empty()
+            && self.hand_overs.is_empty()
+            && self.configs.is_empty()
+            && self.notices.is_empty()
+            && self.appended.is_empty()
+            && self.reads.is_empty()
+    }
+}
--- a/crates/flamingotrail-core/src/world.rs
+++ b/crates/flamingotrail-core/src/world.rs
@@ -84,7 +84,7 @@
             for system in schedule::SYSTEMS {
                 (system.run)(self, &tick);
             }
-            if self.tables.dirty.is_empty() && self.inputs.is_empty() {
+            if self.is_settled() {
                 break;
             }
         }
@@ -93,12 +93,17 @@
 
     /// When the next tick is due without any input; none where nothing is scheduled.
     pub fn next_due(&self) -> Option<time::Timestamp> {
-        if !self.started || !self.tables.dirty.is_empty() {
+        if !self.started || !self.is_settled() {
             return Some(time::Timestamp::ZERO);
         }
         self.tables.timers.next()
     }
 
+    /// Whether no system has anything left to do.
+    fn is_settled(&self) -> bool {
+        self.tables.dirty.is_empty() && self.tables.inbox.is_empty() && self.inputs.is_empty()
+    }
+
     /// Whether this process takes new work.
     pub fn is_open(&self) -> bool {
         self.draining_since.is_none()
--- a/crates/flamingotrail-standins/src/solo.rs
+++ b/crates/flamingotrail-standins/src/solo.rs
@@ -41,6 +41,8 @@
     pub append_bytes: u64,
     /// Replies by outcome: done, others.
     pub replies: (u64, u64),
+    /// The latest reply.
+    pub last_reply: Option<messages::Reply>,
     streams: std::collections::BTreeMap<ids::StreamName, Vec<journal::Entry>>,
     numbers: u64,
 }
@@ -81,6 +83,7 @@
             appends: 0,
             append_bytes: 0,
             replies: (0, 0),
+            last_reply: None,
             streams: Default::default(),
             numbers: 0,
         };
@@ -156,6 +159,7 @@
                         work::Outcome::Done(_) => self.replies.0 += 1,
                         _ => self.replies.1 += 1,
                     }
+                    self.last_reply = Some((**reply).clone());
                 }
                 // The entry confirms what it gets.
                 (envelope.number > 0)
