Price a second of prefill at four in placement

Cause: with memory short, a call moved away from its context as soon as another engine was a little less busy; what it left behind was computed again. Change: a second of prefill costs four in the choice of endpoint.

--- a/crates/flamingotrail-core/src/policy/placement.rs
+++ b/crates/flamingotrail-core/src/policy/placement.rs
@@ -49,6 +49,9 @@
 const REMOTE_PRICE_S: f64 = 0.2;
 /// Price of a prompt token moved to another region, in seconds.
 const REMOTE_TOKEN_PRICE_S: f64 = 20e-6;
+/// Price of a second of prefill, in seconds: it keeps the engine's other calls waiting as well, and
+/// what is computed again is waste.
+const PREFILL_PRICE: f64 = 4.0;
 /// Share by which costs may differ and still count as close.
 const CLOSE: f64 = 0.1;
 /// Difference of costs that counts as close, in seconds.
@@ -74,7 +77,7 @@
         };
         let busy = f64::from(self.running + self.sent_since) / f64::from(self.slots);
         self.expected_wait_s()
-            + self.prefill_s
+            + PREFILL_PRICE * self.prefill_s
             + 2.0 * self.delay_s
             + remote
             + busy.min(1.0) * CLOSE_S
--- a/crates/flamingotrail-standins/examples/slopes.rs
+++ b/crates/flamingotrail-standins/examples/slopes.rs
@@ -5,9 +5,13 @@
 use std::time;
 
 use clap::Parser as _;
+use flamingotrail_core::ids;
+use flamingotrail_core::messages;
 use flamingotrail_standins::bench;
 use flamingotrail_standins::deployment;
 use flamingotrail_standins::solo;
+use flamingotrail_wire::codec;
+use flamingotrail_wire::messages as wire;
 
 /// Prints slopes.
 #[derive(Debug, clap::Parser)]
@@ -40,6 +44,7 @@
     }
     by_stored(&args);
     by_take_over();
+    by_message();
     by_publication();
     by_load();
     process::ExitCode::SUCCESS
@@ -124,6 +129,37 @@
     }
 }
 
+/// Bytes of messages on a link.
+fn by_message() {
+    let incarnation = ids::Incarnation(u64::MAX / 2);
+    let version = ids::ConfigVersion(300_000);
+    let load = messages::Load {
+        running: 12,
+        queued: 3,
+        wait_s: 0.25,
+        prefill_rate: 31_000.0,
+        pressure: 0.7,
+        leaving: false,
+    };
+    let partition = ids::Partition::new(&ids::RegionName::new("vestland"), 200);
+    let request = ids::RequestId { entry: incarnation, number: 1_000_000 };
+    let epoch = ids::Epoch(1_000_000);
+    let all = [
+        messages::Message::Ack { number: 1_000_000 },
+        messages::Message::Ping { incarnation, version },
+        messages::Message::Pong { incarnation, version, load },
+        messages::Message::Accepted { request, hop: 1, partition, epoch },
+        messages::Message::Leaving { incarnation },
+    ];
+    for message in all {
+        let kind = message.kind();
+        let envelope =
+            messages::Envelope { from: incarnation, target: None, number: 1_000_000, message };
+        let bytes = codec::encode(&wire::Envelope::from(envelope)).len();
+        println!("slope=message kind={kind} bytes={bytes}");
+    }
+}
+
 /// Cost of a publication, by the size of the set.
 fn by_publication() {
     for workspaces in [10usize, 1_000, 10_000] {
@@ -143,7 +179,7 @@
         solo.world.tables.configuration.reading = false;
         solo.pass(time::Duration::from_secs(1));
         let read = flamingotrail_core::input::Input::Read {
-            stream: flamingotrail_core::ids::StreamName::new("config"),
+            stream: ids::StreamName::new("config"),
             page: None,
         };
         solo.run(vec![read]);
