Suspect an owner that is silent to a probe; tests of order

Cause: removing the check that voids records behind a newer claim turned no test red: in the scenario the new owner sent the booking to the very process that it had just found silent. Change: a process that does not answer the probe before a claim is suspected, so that nothing new goes to it until it is heard again. With that, the scenario turns red without the check.

--- a/crates/flamingotrail-core/src/systems/ownership.rs
+++ b/crates/flamingotrail-core/src/systems/ownership.rs
@@ -205,6 +205,8 @@
         row(world, partition).standing = standing;
         membership::ping(world, tick, &owner.instance);
     } else if tick.now >= until {
+        // Silent to a probe: nothing new goes to it either, until it is heard again.
+        membership::suspect(world, tick, &owner.instance);
         claim(world, tick, partition);
     }
 }
--- a/crates/flamingotrail-standins/src/solo.rs
+++ b/crates/flamingotrail-standins/src/solo.rs
@@ -41,6 +41,8 @@
     pub append_bytes: u64,
     /// Replies by outcome: done, others.
     pub replies: (u64, u64),
+    /// Attempts that ran.
+    pub executions: u64,
     /// The latest reply.
     pub last_reply: Option<messages::Reply>,
     streams: std::collections::BTreeMap<ids::StreamName, Vec<journal::Entry>>,
@@ -83,6 +85,7 @@
             appends: 0,
             append_bytes: 0,
             replies: (0, 0),
+            executions: 0,
             last_reply: None,
             streams: Default::default(),
             numbers: 0,
@@ -146,6 +149,7 @@
             }
             output::Output::Read { stream, from, wait } => self.read(stream, from, wait),
             output::Output::Execute { dispatch, .. } => {
+                self.executions += 1;
                 let attempt = dispatch.attempt.clone();
                 let end = work::AttemptEnd::Answered(answer(&dispatch.job));
                 Some(input::Input::AttemptEnded { attempt, end })
--- /dev/null
+++ b/crates/flamingotrail-standins/tests/order.rs
@@ -0,0 +1,90 @@
+//! Order of calls at the owner: early arrivals, repeats, deadlines.
+
+use flamingotrail_core::errors;
+use flamingotrail_core::work;
+use flamingotrail_standins::solo;
+
+fn pass(solo: &mut solo::Solo, millis: u64) {
+    solo.pass(std::time::Duration::from_millis(millis));
+}
+
+#[test]
+fn an_early_call_waits_for_the_one_before_it() {
+    let mut solo = solo::Solo::new();
+    let second = solo.call(1, 2, 40);
+    let first = solo.call(1, 1, 30);
+
+    solo.run(vec![second]);
+    pass(&mut solo, 500);
+    let before = solo.replies;
+    solo.run(vec![first]);
+    pass(&mut solo, 500);
+
+    assert_eq!(before, (0, 0));
+    assert_eq!(solo.replies, (2, 0));
+    assert_eq!(solo.last_reply.map(|reply| reply.turn), Some(2));
+}
+
+#[test]
+fn an_early_call_whose_gap_is_never_filled_is_refused_as_not_run() {
+    let mut solo = solo::Solo::new();
+    let second = solo.call(1, 2, 40);
+
+    solo.run(vec![second]);
+    pass(&mut solo, 61_000);
+
+    let outcome = solo.last_reply.map(|reply| reply.outcome);
+    let missing = matches!(
+        outcome,
+        Some(work::Outcome::NotRun(errors::Refusal::TurnMissing { missing: 1, .. }))
+    );
+    assert!(missing, "{outcome:?}");
+}
+
+#[test]
+fn a_repeated_turn_gets_the_recorded_answer_and_is_not_run_again() {
+    let mut solo = solo::Solo::new();
+    let first = solo.call(1, 1, 40);
+    solo.run(vec![first]);
+    pass(&mut solo, 50);
+    let answered = solo.last_reply.clone().map(|reply| (reply.outcome, reply.turn));
+    let attempts = solo.executions;
+
+    let again = solo.call(1, 1, 40);
+    solo.run(vec![again]);
+    pass(&mut solo, 50);
+
+    assert_eq!(solo.last_reply.clone().map(|reply| (reply.outcome, reply.turn)), answered);
+    assert_eq!(solo.executions, attempts);
+}
+
+#[test]
+fn another_call_under_a_turn_that_was_used_is_refused() {
+    let mut solo = solo::Solo::new();
+    let first = solo.call(1, 1, 40);
+    solo.run(vec![first]);
+    pass(&mut solo, 50);
+
+    let other = solo.call(1, 1, 50);
+    solo.run(vec![other]);
+    pass(&mut solo, 50);
+
+    let outcome = solo.last_reply.map(|reply| reply.outcome);
+    let taken =
+        matches!(outcome, Some(work::Outcome::NotRun(errors::Refusal::TurnTaken { turn: 1, .. })));
+    assert!(taken, "{outcome:?}");
+}
+
+#[test]
+fn an_idle_world_does_not_wake_up_without_work() {
+    let mut solo = solo::Solo::new();
+    solo.fill(0, 1000, 40);
+    pass(&mut solo, 5_000);
+    let before = solo.ticks;
+
+    pass(&mut solo, 60_000);
+
+    // The list each 5 s and the endpoint's report each second, with the tick that takes the answer.
+    let expected = 2 * (60 / 5 + 60) + 10;
+    assert!(solo.ticks - before <= expected, "{} ticks", solo.ticks - before);
+}
