--- a/crates/flamingotrail-standins/tests/order.rs
+++ b/crates/flamingotrail-standins/tests/order.rs
@@ -8,35 +8,44 @@
     solo.pass(std::time::Duration::from_millis(millis));
 }
 
+/// A world in which program 1 has had its first turn.
+fn after_first_turn() -> solo::Solo {
+    let mut solo = solo::Solo::new();
+    let first = solo.call(1, 1, 40);
+    solo.run(vec![first]);
+    pass(&mut solo, 50);
+    solo
+}
+
 #[test]
 fn an_early_call_waits_for_the_one_before_it() {
-    let mut solo = solo::Solo::new();
-    let second = solo.call(1, 2, 40);
-    let first = solo.call(1, 1, 30);
+    let mut solo = after_first_turn();
+    let third = solo.call(1, 3, 40);
+    let second = solo.call(1, 2, 30);
 
-    solo.run(vec![second]);
+    solo.run(vec![third]);
     pass(&mut solo, 500);
-    let before = solo.replies;
-    solo.run(vec![first]);
+    let before = (solo.replies, solo.executions);
+    solo.run(vec![second]);
     pass(&mut solo, 500);
 
-    assert_eq!(before, (0, 0));
-    assert_eq!(solo.replies, (2, 0));
-    assert_eq!(solo.last_reply.map(|reply| reply.turn), Some(2));
+    assert_eq!(before, ((1, 0), 1));
+    assert_eq!(solo.replies, (3, 0));
+    assert_eq!(solo.last_reply.map(|reply| reply.turn), Some(3));
 }
 
 #[test]
 fn an_early_call_whose_gap_is_never_filled_is_refused_as_not_run() {
-    let mut solo = solo::Solo::new();
-    let second = solo.call(1, 2, 40);
+    let mut solo = after_first_turn();
+    let third = solo.call(1, 3, 40);
 
-    solo.run(vec![second]);
+    solo.run(vec![third]);
     pass(&mut solo, 61_000);
 
     let outcome = solo.last_reply.map(|reply| reply.outcome);
     let missing = matches!(
         outcome,
-        Some(work::Outcome::NotRun(errors::Refusal::TurnMissing { missing: 1, .. }))
+        Some(work::Outcome::NotRun(errors::Refusal::TurnMissing { missing: 2, .. }))
     );
     assert!(missing, "{outcome:?}");
 }
