--- a/crates/flamingotrail-config/src/configs/budget.rs
+++ b/crates/flamingotrail-config/src/configs/budget.rs
@@ -1,9 +1,7 @@
 //! `[budget.NAME]`.
 
-use serde::Deserialize;
-
 /// Limits of one program with all its sub-agents.
-#[derive(Debug, Deserialize)]
+#[derive(Debug, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct BudgetConfig {
     /// Cost units that a program may spend.
--- a/crates/flamingotrail-config/src/configs/endpoint.rs
+++ b/crates/flamingotrail-config/src/configs/endpoint.rs
@@ -1,9 +1,7 @@
 //! `[endpoint.NAME]`.
 
-use serde::Deserialize;
-
 /// An endpoint: one engine or one runner of a plain service.
-#[derive(Debug, Deserialize)]
+#[derive(Debug, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct EndpointConfig {
     /// Names of the models that it serves.
--- a/crates/flamingotrail-config/src/configs/mod.rs
+++ b/crates/flamingotrail-config/src/configs/mod.rs
@@ -12,10 +12,8 @@
 
 use std::collections;
 
-use serde::Deserialize;
-
 /// One file: objects of any kinds, by name.
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default, serde::Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct FileConfig {
     /// The deployment.
@@ -37,7 +35,7 @@
 }
 
 /// The deployment: its name and its policies.
-#[derive(Debug, Deserialize)]
+#[derive(Debug, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct DeploymentConfig {
     /// Name of the deployment.
--- a/crates/flamingotrail-config/src/configs/model.rs
+++ b/crates/flamingotrail-config/src/configs/model.rs
@@ -1,9 +1,7 @@
 //! `[model.NAME]`.
 
-use serde::Deserialize;
-
 /// A model.
-#[derive(Debug, Deserialize)]
+#[derive(Debug, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ModelConfig {
     /// Cost units for each prompt token.
--- a/crates/flamingotrail-config/src/configs/policies.rs
+++ b/crates/flamingotrail-config/src/configs/policies.rs
@@ -1,10 +1,9 @@
 //! `[deployment.policies]`.
 
 use flamingotrail_core::objects;
-use serde::Deserialize;
 
 /// Policies by name.
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default, serde::Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct PoliciesConfig {
     /// `fifo` or `least-attained`.
@@ -18,7 +17,7 @@
 }
 
 /// What is refused under overload.
-#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum AdmissionConfig {
     /// What can't start before its deadline.
@@ -29,7 +28,7 @@
 }
 
 /// Order of an endpoint's queue.
-#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum QueueConfig {
     /// First come, first served.
@@ -40,7 +39,7 @@
 }
 
 /// Choice of endpoint.
-#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum PlacementConfig {
     /// In turn.
@@ -55,7 +54,7 @@
 }
 
 /// Cached context during pauses.
-#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, serde::Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum RetentionConfig {
     /// The engine decides.
--- a/crates/flamingotrail-config/src/configs/priority.rs
+++ b/crates/flamingotrail-config/src/configs/priority.rs
@@ -1,9 +1,7 @@
 //! `[priority.NAME]`.
 
-use serde::Deserialize;
-
 /// A priority class.
-#[derive(Debug, Deserialize)]
+#[derive(Debug, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct PriorityConfig {
     /// Rank: lower runs first.
--- a/crates/flamingotrail-config/src/configs/region.rs
+++ b/crates/flamingotrail-config/src/configs/region.rs
@@ -1,9 +1,7 @@
 //! `[region.NAME]`.
 
-use serde::Deserialize;
-
 /// A region.
-#[derive(Debug, Deserialize)]
+#[derive(Debug, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RegionConfig {
     /// Failure domains of the region.
--- a/crates/flamingotrail-config/src/configs/service.rs
+++ b/crates/flamingotrail-config/src/configs/service.rs
@@ -1,9 +1,7 @@
 //! `[service.NAME]`.
 
-use serde::Deserialize;
-
 /// A plain service.
-#[derive(Debug, Deserialize)]
+#[derive(Debug, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ServiceConfig {
     /// Whether its calls may be repeated. There is no default: a wrong one books twice.
--- a/crates/flamingotrail-config/src/configs/workspace.rs
+++ b/crates/flamingotrail-config/src/configs/workspace.rs
@@ -1,9 +1,7 @@
 //! `[workspace.NAME]`.
 
-use serde::Deserialize;
-
 /// A workspace.
-#[derive(Debug, Deserialize)]
+#[derive(Debug, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct WorkspaceConfig {
     /// Digests of its bearer tokens, as `flamingotrail digest` prints them.
--- a/crates/flamingotrail-config/src/set.rs
+++ b/crates/flamingotrail-config/src/set.rs
@@ -4,11 +4,8 @@
 use std::io;
 use std::path;
 
-use serde::Deserialize;
-use serde::Serialize;
-
 /// One file of a set.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct File {
     /// Name, relative to the set.
     pub name: String,
@@ -17,7 +14,7 @@
 }
 
 /// A set: its files in order of name.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Set {
     /// The files.
     #[serde(rename = "file")]
--- /dev/null
+++ b/crates/flamingotrail-core/src/systems/carry.rs
@@ -0,0 +1,90 @@
+//! Carries rows forward before the log forgets them.
+
+use crate::ids;
+use crate::journal;
+use crate::systems::journal as journaling;
+use crate::systems::programs;
+use crate::tables::effects;
+use crate::work;
+use crate::world;
+
+/// Writes every live program again whose rows are older in the log than half of its retention.
+pub fn carry_old(world: &mut world::World, tick: &world::Tick, partition: &ids::Partition) {
+    let half = world.settings.log_retention / 2;
+    let old: Vec<ids::ProgramId> = world
+        .tables
+        .programs
+        .rows
+        .iter()
+        .filter(|(id, row)| id.home == *partition && !row.ended)
+        .filter(|(_, row)| tick.now.since(row.carried_at) >= half)
+        .map(|(id, _)| id.clone())
+        .collect();
+    for program in old {
+        carry_program(world, &program);
+    }
+}
+
+/// Writes a program's rows: the program, its turns and its effects.
+pub fn carry_program(world: &mut world::World, program: &ids::ProgramId) {
+    let home = program.home.clone();
+    let Some(record) = programs::program_record(world, program, 0) else {
+        return;
+    };
+    journaling::append(world, &home, journal::Record::Program(record));
+    let conversations = world.tables.conversations.by_program.get(program).cloned();
+    for conversation in conversations.unwrap_or_default() {
+        let Some(row) = world.tables.conversations.rows.get(&conversation) else {
+            continue;
+        };
+        let records: Vec<journal::Record> = row
+            .turns
+            .values()
+            .flat_map(|past| journal::split_turn(&conversation, program, &past.record))
+            .collect();
+        let start = journal::Record::Conversation {
+            conversation: conversation.clone(),
+            program: program.clone(),
+        };
+        journaling::append(world, &home, start);
+        for record in records {
+            journaling::append(world, &home, record);
+        }
+    }
+    carry_effects(world, program);
+}
+
+/// Writes a root program's row with what is surely unspent of its grant.
+pub fn write_settled(world: &mut world::World, root: &ids::ProgramId, unspent: work::Cost) {
+    let Some(record) = programs::program_record(world, root, unspent) else {
+        return;
+    };
+    journaling::append(world, &root.home, journal::Record::Program(record));
+}
+
+fn carry_effects(world: &mut world::World, root: &ids::ProgramId) {
+    for key in world.tables.effects.keys_of(root) {
+        let Some(row) = world.tables.effects.rows.get(&key) else {
+            continue;
+        };
+        let intent = journal::Record::Intent {
+            root: root.clone(),
+            key: key.key.clone(),
+            call: row.call.clone(),
+            fingerprint: row.fingerprint,
+        };
+        let end = match &row.state {
+            effects::EffectState::Intending => continue,
+            effects::EffectState::Confirmed => None,
+            effects::EffectState::Done { status, text } => {
+                Some(journal::EffectEnd::Done { status: *status, text: text.clone() })
+            }
+            effects::EffectState::Unknown => Some(journal::EffectEnd::Unknown),
+        };
+        journaling::append(world, &root.home, intent);
+        if let Some(end) = end {
+            let record = journal::Record::Effect { root: root.clone(), key: key.key, end };
+            journaling::append(world, &root.home, record);
+        }
+    }
+}
--- a/crates/flamingotrail-core/src/systems/drain.rs
+++ b/crates/flamingotrail-core/src/systems/drain.rs
@@ -6,6 +6,7 @@
 use crate::ids;
 use crate::messages;
 use crate::output;
+use crate::systems::carry;
 use crate::systems::entry;
 use crate::systems::execution;
 use crate::systems::outbox;
@@ -124,7 +125,7 @@
         return false;
     }
     for (root, unspent) in roots {
-        programs::write_settled(world, &root, unspent);
+        carry::write_settled(world, &root, unspent);
     }
     true
 }
--- a/crates/flamingotrail-core/src/systems/mod.rs
+++ b/crates/flamingotrail-core/src/systems/mod.rs
@@ -1,6 +1,7 @@
 //! The systems: each a function over the tables that its module names.
 
 pub mod budgets;
+pub mod carry;
 pub mod completion;
 pub mod configuration;
 pub mod deadlines;
@@ -16,12 +17,15 @@
 pub mod intake;
 pub mod journal;
 pub mod membership;
+pub mod naming;
 pub mod ordering;
 pub mod outbox;
 pub mod ownership;
 pub mod placement;
 pub mod programs;
 pub mod recovery;
+pub mod repeats;
 pub mod replay;
+pub mod restore;
 pub mod suspects;
 pub mod timers;
--- a/crates/flamingotrail-core/src/systems/programs.rs
+++ b/crates/flamingotrail-core/src/systems/programs.rs
@@ -1,8 +1,6 @@
 //! Rows of programs, conversations and effects: made, restored from the journal, confirmed by it,
 //! carried forward and dropped.
 
-use std::collections;
-
 use crate::history;
 use crate::ids;
 use crate::journal;
@@ -11,129 +9,15 @@
 use crate::systems::finish;
 use crate::systems::journal as journaling;
 use crate::systems::outbox;
-use crate::systems::ownership;
 use crate::systems::timers as due;
 use crate::tables::calls;
 use crate::tables::conversations;
 use crate::tables::effects;
 use crate::tables::programs;
 use crate::tables::timers;
-use crate::time;
 use crate::work;
 use crate::world;
 
-/// Takes one record of an earlier owner.
-pub fn restore(
-    world: &mut world::World,
-    partition: &ids::Partition,
-    record: &journal::Record,
-    logged_at: time::Timestamp,
-) {
-    let tables = &mut world.tables;
-    match record {
-        journal::Record::Reassert => {}
-        journal::Record::Program(record) => restore_program(world, record, logged_at),
-        journal::Record::Conversation { conversation, program } => {
-            tables.conversations.ensure(conversation, program);
-        }
-        journal::Record::TurnText { call, field, text } => {
-            let texts = &mut ownership::row(world, partition).replay.texts;
-            texts.entry((call.clone(), *field)).or_default().push_str(text);
-        }
-        journal::Record::Turn { conversation, program, record } => {
-            restore_turn(world, partition, conversation, program, record.clone());
-        }
-        journal::Record::Grant { root, granted } => {
-            if let Some(row) = tables.programs.rows.get_mut(root) {
-                row.account.granted = row.account.granted.max(*granted);
-            }
-        }
-        journal::Record::Intent { root, key, call, fingerprint } => {
-            let key = effects::EffectKey { root: root.clone(), key: key.clone() };
-            let state = effects::EffectState::Intending;
-            let effect = effects::Effect { call: call.clone(), fingerprint: *fingerprint, state };
-            tables.effects.rows.insert(key, effect);
-        }
-        journal::Record::Effect { root, key, end } => restore_effect(world, root, key, end),
-        journal::Record::Ended { program } => end_rows(world, program),
-    }
-}
-
-fn restore_program(
-    world: &mut world::World,
-    record: &journal::ProgramRecord,
-    logged_at: time::Timestamp,
-) {
-    let known = world.tables.programs.rows.get(&record.program);
-    let known_account = known.map(|row| row.account.clone()).unwrap_or_default();
-    let granted = record.granted.max(known_account.granted);
-    let account = programs::Account {
-        granted,
-        granting: None,
-        spent: granted.saturating_sub(record.unspent),
-        reserved: 0,
-        turns: record.turns.max(known_account.turns),
-        attained: record.attained.max(known_account.attained),
-        waiting: collections::BTreeSet::new(),
-    };
-    let row = programs::Program {
-        root: record.root.clone(),
-        workspace: record.workspace.clone(),
-        ended: false,
-        started_at: logged_at,
-        active_at: logged_at,
-        carried_at: logged_at,
-        account,
-    };
-    world.tables.programs.insert(record.program.clone(), row);
-}
-
-fn restore_turn(
-    world: &mut world::World,
-    partition: &ids::Partition,
-    conversation: &ids::ConversationId,
-    program: &ids::ProgramId,
-    mut record: history::TurnRecord,
-) {
-    let call = ids::CallKey { conversation: conversation.clone(), turn: record.turn };
-    let texts = &mut ownership::row(world, partition).replay.texts;
-    if let Some(text) = texts.remove(&(call.clone(), 0)) {
-        record.output = text;
-    }
-    for (index, message) in record.input.iter_mut().enumerate() {
-        let field = u32::try_from(index + 1).unwrap_or(u32::MAX);
-        if let Some(text) = texts.remove(&(call.clone(), field)) {
-            message.content = text;
-        }
-    }
-    let row = world.tables.conversations.ensure(conversation, program);
-    row.restore(conversation, record);
-    row.journaled = row.last;
-}
-
-fn restore_effect(
-    world: &mut world::World,
-    root: &ids::ProgramId,
-    key: &str,
-    end: &journal::EffectEnd,
-) {
-    let key = effects::EffectKey { root: root.clone(), key: key.to_owned() };
-    let rows = &mut world.tables.effects.rows;
-    let state = match end {
-        journal::EffectEnd::NotRun => {
-            rows.remove(&key);
-            return;
-        }
-        journal::EffectEnd::Unknown => effects::EffectState::Unknown,
-        journal::EffectEnd::Done { status, text } => {
-            effects::EffectState::Done { status: *status, text: text.clone() }
-        }
-    };
-    if let Some(row) = rows.get_mut(&key) {
-        row.state = state;
-    }
-}
-
 /// Takes over what the journal holds after the own claim: an intent without an end may have run,
 /// and what was granted but not proved unspent counts as spent.
 pub fn adopt_partition(world: &mut world::World, tick: &world::Tick, partition: &ids::Partition) {
@@ -322,7 +206,8 @@
     budget.map_or(0, |budget| budget.chunk.min(budget.limit))
 }
 
-fn program_record(
+/// The record of a program's row, with what is surely unspent of its grant.
+pub fn program_record(
     world: &world::World,
     program: &ids::ProgramId,
     unspent: work::Cost,
@@ -455,7 +340,7 @@
 }
 
 /// Marks a program and, for a root, its tree as ended and forgets histories and effects' texts.
-fn end_rows(world: &mut world::World, program: &ids::ProgramId) {
+pub fn end_rows(world: &mut world::World, program: &ids::ProgramId) {
     for member in tree_of(world, program) {
         if let Some(row) = world.tables.programs.rows.get_mut(&member) {
             row.ended = true;
@@ -499,84 +384,3 @@
     }
     tables.effects.rows.retain(|key, _| key.root.home != *partition);
 }
-
-/// Writes every live program again whose rows are older in the log than half of its retention.
-pub fn carry_old(world: &mut world::World, tick: &world::Tick, partition: &ids::Partition) {
-    let half = world.settings.log_retention / 2;
-    let old: Vec<ids::ProgramId> = world
-        .tables
-        .programs
-        .rows
-        .iter()
-        .filter(|(id, row)| id.home == *partition && !row.ended)
-        .filter(|(_, row)| tick.now.since(row.carried_at) >= half)
-        .map(|(id, _)| id.clone())
-        .collect();
-    for program in old {
-        carry_program(world, &program);
-    }
-}
-
-/// Writes a program's rows: the program, its turns and its effects.
-pub fn carry_program(world: &mut world::World, program: &ids::ProgramId) {
-    let home = program.home.clone();
-    let Some(record) = program_record(world, program, 0) else {
-        return;
-    };
-    journaling::append(world, &home, journal::Record::Program(record));
-    let conversations = world.tables.conversations.by_program.get(program).cloned();
-    for conversation in conversations.unwrap_or_default() {
-        let Some(row) = world.tables.conversations.rows.get(&conversation) else {
-            continue;
-        };
-        let records: Vec<journal::Record> = row
-            .turns
-            .values()
-            .flat_map(|past| journal::split_turn(&conversation, program, &past.record))
-            .collect();
-        let start = journal::Record::Conversation {
-            conversation: conversation.clone(),
-            program: program.clone(),
-        };
-        journaling::append(world, &home, start);
-        for record in records {
-            journaling::append(world, &home, record);
-        }
-    }
-    carry_effects(world, program);
-}
-
-/// Writes a root program's row with what is surely unspent of its grant.
-pub fn write_settled(world: &mut world::World, root: &ids::ProgramId, unspent: work::Cost) {
-    let Some(record) = program_record(world, root, unspent) else {
-        return;
-    };
-    journaling::append(world, &root.home, journal::Record::Program(record));
-}
-
-fn carry_effects(world: &mut world::World, root: &ids::ProgramId) {
-    for key in world.tables.effects.keys_of(root) {
-        let Some(row) = world.tables.effects.rows.get(&key) else {
-            continue;
-        };
-        let intent = journal::Record::Intent {
-            root: root.clone(),
-            key: key.key.clone(),
-            call: row.call.clone(),
-            fingerprint: row.fingerprint,
-        };
-        let end = match &row.state {
-            effects::EffectState::Intending => continue,
-            effects::EffectState::Confirmed => None,
-            effects::EffectState::Done { status, text } => {
-                Some(journal::EffectEnd::Done { status: *status, text: text.clone() })
-            }
-            effects::EffectState::Unknown => Some(journal::EffectEnd::Unknown),
-        };
-        journaling::append(world, &root.home, intent);
-        if let Some(end) = end {
-            let record = journal::Record::Effect { root: root.clone(), key: key.key, end };
-            journaling::append(world, &root.home, record);
-        }
-    }
-}
--- /dev/null
+++ b/crates/flamingotrail-core/src/systems/repeats.rs
@@ -0,0 +1,170 @@
+//! Calls that were sent before: joined to what runs, or answered with what ran.
+
+use crate::digest;
+use crate::errors;
+use crate::history;
+use crate::ids;
+use crate::messages;
+use crate::systems::finish;
+use crate::systems::programs;
+use crate::tables::calls;
+use crate::tables::effects;
+use crate::work;
+use crate::world;
+
+/// Answers or joins a call whose turn is taken by the very same call.
+pub fn answer_repeat(
+    world: &mut world::World,
+    tick: &world::Tick,
+    key: &ids::CallKey,
+    fingerprint: &digest::Digest,
+    waiter: &calls::Waiter,
+) -> Result<bool, errors::Refusal> {
+    let taken =
+        || errors::Refusal::TurnTaken { conversation: key.conversation.clone(), turn: key.turn };
+    if let Some(call) = world.tables.calls.rows.get(key) {
+        if call.fingerprint != *fingerprint {
+            return Err(taken());
+        }
+        world.tables.calls.add_waiter(key, waiter.clone());
+        finish::route(world, key);
+        world.tables.dirty.finish.insert(key.clone());
+        return Ok(true);
+    }
+    let Some(row) = world.tables.conversations.rows.get(&key.conversation) else {
+        return Ok(false);
+    };
+    if key.turn > row.last {
+        return Ok(false);
+    }
+    let past = row.turns.get(&key.turn).ok_or_else(taken)?;
+    if past.record.request != *fingerprint {
+        return Err(taken());
+    }
+    let outcome = recorded_outcome(&past.record);
+    let continuation = finish::continuation(world, &key.conversation);
+    let turn = key.turn;
+    finish::reply(
+        world,
+        tick,
+        &waiter.entry,
+        waiter.request,
+        waiter.hop,
+        turn,
+        0,
+        outcome,
+        continuation,
+    );
+    Ok(true)
+}
+
+fn recorded_outcome(record: &history::TurnRecord) -> work::Outcome {
+    let status = match record.kind {
+        history::TurnKind::Model => 200,
+        history::TurnKind::Service { status } => status,
+        history::TurnKind::Doubtful => {
+            return work::Outcome::Unknown(errors::Doubt::OwnerChanged);
+        }
+    };
+    work::Outcome::Done(work::Answer {
+        text: record.output.clone(),
+        status,
+        usage: record.usage,
+        finish: record.finish,
+    })
+}
+
+/// Key of the effect of a call that may not be repeated.
+pub fn effect_key(
+    world: &world::World,
+    submit: &messages::Submit,
+    key: &ids::CallKey,
+) -> Option<effects::EffectKey> {
+    let objects = world.objects()?;
+    if objects.is_repeatable(&submit.work) {
+        return None;
+    }
+    let root = world.tables.programs.rows.get(&submit.program)?.root.clone();
+    let text = match &submit.idempotency_key {
+        Some(idempotency_key) => format!("key:{idempotency_key}"),
+        None => format!("call:{key}"),
+    };
+    Some(effects::EffectKey { root, key: text })
+}
+
+/// Answers or joins a call whose effect was already asked for under the same key.
+pub fn answer_effect(
+    world: &mut world::World,
+    tick: &world::Tick,
+    key: &ids::CallKey,
+    effect_key: &effects::EffectKey,
+    work: &work::Work,
+    request: digest::Digest,
+    waiter: &calls::Waiter,
+) -> Result<bool, errors::Refusal> {
+    let Some(effect) = world.tables.effects.rows.get(effect_key) else {
+        return Ok(false);
+    };
+    if effect.fingerprint != work.fingerprint() {
+        return Err(errors::Refusal::KeyReused { key: effect_key.key.clone() });
+    }
+    let outcome = match &effect.state {
+        effects::EffectState::Done { status, text } => work::Outcome::Done(work::Answer {
+            text: text.clone(),
+            status: *status,
+            usage: work::Usage::default(),
+            finish: work::Finish::Stop,
+        }),
+        effects::EffectState::Unknown => work::Outcome::Unknown(errors::Doubt::OwnerChanged),
+        effects::EffectState::Intending | effects::EffectState::Confirmed => {
+            let call = effect.call.clone();
+            world.tables.calls.add_waiter(&call, waiter.clone());
+            return Ok(true);
+        }
+    };
+    record_repeat(world, key, request, &outcome);
+    let continuation = finish::continuation(world, &key.conversation);
+    let turn = key.turn;
+    finish::reply(
+        world,
+        tick,
+        &waiter.entry,
+        waiter.request,
+        waiter.hop,
+        turn,
+        0,
+        outcome,
+        continuation,
+    );
+    Ok(true)
+}
+
+/// A repeat under a new turn uses that turn up, with the recorded outcome.
+fn record_repeat(
+    world: &mut world::World,
+    key: &ids::CallKey,
+    request: digest::Digest,
+    outcome: &work::Outcome,
+) {
+    let Some(row) = world.tables.conversations.rows.get(&key.conversation) else {
+        return;
+    };
+    if key.turn != row.last + 1 {
+        return;
+    }
+    let work::Outcome::Done(answer) = outcome else {
+        programs::use_up_turn(world, key, request);
+        return;
+    };
+    let record = history::TurnRecord {
+        turn: key.turn,
+        since: row.last,
+        kind: history::TurnKind::Service { status: answer.status },
+        request,
+        input: Vec::new(),
+        output: answer.text.clone(),
+        finish: answer.finish,
+        usage: answer.usage,
+    };
+    programs::push_turn(world, &key.conversation, record);
+}
--- a/crates/flamingotrail-core/src/systems/replay.rs
+++ b/crates/flamingotrail-core/src/systems/replay.rs
@@ -4,7 +4,7 @@
 use crate::input;
 use crate::journal;
 use crate::systems::ownership;
-use crate::systems::programs;
+use crate::systems::restore;
 use crate::time;
 use crate::world;
 
@@ -80,7 +80,7 @@
                     .saturating_sub(time::Timestamp::ZERO.after(positioned.age).micros()),
             );
             for record in records {
-                programs::restore(world, partition, record, logged_at);
+                restore::restore(world, partition, record, logged_at);
             }
         }
         _ => {}
--- a/crates/flamingotrail-standins/examples/slopes.rs
+++ b/crates/flamingotrail-standins/examples/slopes.rs
@@ -98,17 +98,16 @@
 /// Memory of a token of history.
 fn by_history() {
     const PROGRAMS: u64 = 200;
-    for bytes in [400_000usize] {
-        let before = resident();
-        let mut solo = solo::Solo::new();
-        solo.fill(0, PROGRAMS, bytes);
-        let memory = resident().saturating_sub(before);
-        println!(
-            "slope=history text_bytes={bytes} resident_bytes_per_text_byte={:.2} us_per_call={:.1}",
-            memory as f64 / (PROGRAMS as usize * bytes) as f64,
-            solo.busy.as_secs_f64() * 1e6 / PROGRAMS as f64,
-        );
-    }
+    const BYTES: usize = 400_000;
+    let before = resident();
+    let mut solo = solo::Solo::new();
+    solo.fill(0, PROGRAMS, BYTES);
+    let memory = resident().saturating_sub(before);
+    println!(
+        "slope=history text_bytes={BYTES} resident_bytes_per_text_byte={:.2} us_per_call={:.1}",
+        memory as f64 / (PROGRAMS as usize * BYTES) as f64,
+        solo.busy.as_secs_f64() * 1e6 / PROGRAMS as f64,
+    );
 }
 
 /// Cost of carrying rows forward, which a take-over reads again.
--- a/crates/flamingotrail-standins/src/rig/callers.rs
+++ b/crates/flamingotrail-standins/src/rig/callers.rs
@@ -5,7 +5,6 @@
 use std::time as std_time;
 
 use flamingotrail_core::digest;
-use flamingotrail_core::errors;
 use flamingotrail_core::history;
 use flamingotrail_core::ids;
 use flamingotrail_core::input;
@@ -86,41 +85,41 @@
 
 /// One conversation as its caller sees it.
 #[derive(Clone, Debug, Default)]
-struct Talk {
-    program: Option<ids::ProgramId>,
-    parent: Option<ids::ProgramId>,
-    conversation: Option<ids::ConversationId>,
-    continuation: Option<history::Continuation>,
-    turn: ids::Turn,
-    messages: Vec<history::Message>,
+pub(super) struct Talk {
+    pub(super) program: Option<ids::ProgramId>,
+    pub(super) parent: Option<ids::ProgramId>,
+    pub(super) conversation: Option<ids::ConversationId>,
+    pub(super) continuation: Option<history::Continuation>,
+    pub(super) turn: ids::Turn,
+    pub(super) messages: Vec<history::Message>,
 }
 
 /// Steps under way: the root's, or a sub-agent's.
 #[derive(Clone, Debug)]
-struct Frame {
-    steps: Vec<workload::Step>,
-    next: usize,
-    talk: Talk,
-    ending: bool,
+pub(super) struct Frame {
+    pub(super) steps: Vec<workload::Step>,
+    pub(super) next: usize,
+    pub(super) talk: Talk,
+    pub(super) ending: bool,
 }
 
 /// A call under way.
 #[derive(Clone, Debug)]
-struct Current {
-    request: ids::RequestId,
-    entry: String,
-    sendings: u32,
-    work: work::Work,
-    answer: Option<String>,
-    is_effect: bool,
-    text: String,
-    issued_at: time::Timestamp,
-    sent_at: time::Timestamp,
-    last_text_at: Option<time::Timestamp>,
+pub(super) struct Current {
+    pub(super) request: ids::RequestId,
+    pub(super) entry: String,
+    pub(super) sendings: u32,
+    pub(super) work: work::Work,
+    pub(super) answer: Option<String>,
+    pub(super) is_effect: bool,
+    pub(super) text: String,
+    pub(super) issued_at: time::Timestamp,
+    pub(super) sent_at: time::Timestamp,
+    pub(super) last_text_at: Option<time::Timestamp>,
     /// Whether every sending so far was refused.
-    only_refused: bool,
-    full: bool,
-    open: bool,
+    pub(super) only_refused: bool,
+    pub(super) full: bool,
+    pub(super) open: bool,
 }
 
 /// One caller with one program.
@@ -148,11 +147,11 @@
     pub unknown: u32,
     /// Refusals by kind.
     pub refusals: collections::BTreeMap<&'static str, u32>,
-    region: String,
-    token: digest::Digest,
-    manner: Manner,
-    frames: Vec<Frame>,
-    current: Option<Current>,
+    pub(super) region: String,
+    pub(super) token: digest::Digest,
+    pub(super) manner: Manner,
+    pub(super) frames: Vec<Frame>,
+    pub(super) current: Option<Current>,
 }
 
 /// All callers.
@@ -160,7 +159,7 @@
 pub struct Callers {
     /// Callers.
     pub rows: Vec<Caller>,
-    by_request: collections::BTreeMap<ids::RequestId, usize>,
+    pub(super) by_request: collections::BTreeMap<ids::RequestId, usize>,
     /// Time to first token of each call, in microseconds.
     pub first_tokens: Vec<u64>,
     /// Gaps between tokens, in microseconds.
@@ -174,7 +173,7 @@
 }
 
 /// Least delay before a call is sent again.
-const RETRY: std_time::Duration = std_time::Duration::from_millis(200);
+pub(super) const RETRY: std_time::Duration = std_time::Duration::from_millis(200);
 
 impl rig::Rig {
     /// Adds a caller that starts its program after `starts`.
@@ -458,7 +457,7 @@
     }
 
     /// Sends the call again, or gives the program up.
-    fn caller_again(&mut self, number: usize, wait: std_time::Duration, reason: &str) {
+    pub(super) fn caller_again(&mut self, number: usize, wait: std_time::Duration, reason: &str) {
         let caller = &mut self.callers.rows[number];
         let Some(current) = &caller.current else {
             return;
@@ -474,7 +473,7 @@
         self.caller_end(number, end);
     }
 
-    fn caller_end(&mut self, number: usize, end: ProgramEnd) {
+    pub(super) fn caller_end(&mut self, number: usize, end: ProgramEnd) {
         let now = self.now;
         let caller = &mut self.callers.rows[number];
         if caller.end.is_none() {
@@ -512,184 +511,10 @@
         frame.ending = true;
         self.caller_issue(number, work::Work::EndProgram, None, false);
     }
-
-    fn caller_take_reply(&mut self, number: usize, reply: messages::Reply) {
-        let caller = &mut self.callers.rows[number];
-        let Some(current) =
-            caller.current.as_mut().filter(|c| c.request == reply.request && c.open)
-        else {
-            return;
-        };
-        current.open = false;
-        self.callers.by_request.remove(&reply.request);
-        match reply.outcome.clone() {
-            work::Outcome::Done(answer) => self.caller_done(number, &reply, answer),
-            work::Outcome::NotRun(refusal) => self.caller_refused(number, &refusal),
-            work::Outcome::Unknown(doubt) => self.caller_in_doubt(number, &reply, doubt.kind()),
-        }
-    }
-
-    fn caller_done(&mut self, number: usize, reply: &messages::Reply, answer: work::Answer) {
-        let now = self.now;
-        let caller = &mut self.callers.rows[number];
-        let Some(current) = caller.current.take() else {
-            return;
-        };
-        let Some(frame) = caller.frames.last_mut() else {
-            return;
-        };
-        if current.work == work::Work::EndProgram {
-            self.schedule(now, rig::Event::Caller(CallerEvent::Go(number)));
-            return;
-        }
-        caller.answered += 1;
-        let (name, answered) = (caller.name.clone(), caller.answered);
-        frame.talk.turn += 1;
-        adopt_ids(&mut frame.talk, reply);
-        let turn = frame.talk.turn;
-        if let Some(expected) = &current.answer {
-            let assistant = history::Message::new(history::Role::Assistant, expected.as_str());
-            frame.talk.messages.push(assistant);
-        }
-        if current.is_effect {
-            let micros = now.since(current.issued_at).as_micros() as u64;
-            self.callers.effect_times.push(micros);
-        }
-        self.check_answer(&name, turn, &current, reply, &answer);
-        self.see(watch::Sight::Answered { caller: name, calls: answered });
-        self.schedule(now, rig::Event::Caller(CallerEvent::Go(number)));
-    }
-
-    fn check_answer(
-        &mut self,
-        name: &str,
-        turn: ids::Turn,
-        current: &Current,
-        reply: &messages::Reply,
-        answer: &work::Answer,
-    ) {
-        if reply.turn != turn {
-            self.violate(format!("{name}: answer of turn {} for turn {turn}", reply.turn));
-        }
-        if let Some(expected) = &current.answer {
-            if answer.text != *expected {
-                let (got, want) = (answer.text.len(), expected.len());
-                self.violate(format!("{name} turn {turn}: {got} bytes that differ from {want}"));
-            }
-            if !answer.text.starts_with(&current.text) {
-                self.violate(format!("{name} turn {turn}: streamed text is not in the answer"));
-            }
-        } else if let work::Work::Service { operation, .. } = &current.work {
-            if !answer.text.contains(operation.as_str()) {
-                self.violate(format!("{name} turn {turn}: the answer of another call"));
-            }
-        }
-        if current.is_effect && self.executions(&current.work) != 1 {
-            let count = self.executions(&current.work);
-            self.violate(format!("{name} turn {turn}: told done, ran {count} times"));
-        }
-    }
-
-    fn executions(&self, work: &work::Work) -> u32 {
-        let work::Work::Service { operation, body, .. } = work else {
-            return 0;
-        };
-        let key = (operation.clone(), body.clone());
-        self.tools.executions.get(&key).copied().unwrap_or(0)
-    }
-
-    fn caller_refused(&mut self, number: usize, refusal: &errors::Refusal) {
-        let now = self.now;
-        self.check_not_run(number, refusal);
-        let caller = &mut self.callers.rows[number];
-        *caller.refusals.entry(refusal.kind()).or_default() += 1;
-        let Some(current) = &mut caller.current else {
-            return;
-        };
-        let micros = now.since(current.sent_at).as_micros() as u64;
-        self.callers.refusal_times.push(micros);
-        if matches!(refusal, errors::Refusal::HistoryIncomplete(_)) {
-            current.full = true;
-        }
-        let first = caller.answered == 0;
-        let overloaded = matches!(refusal, errors::Refusal::Overloaded { .. });
-        let gives_up = caller.manner.gives_up_when_refused && first && overloaded;
-        let is_final = matches!(
-            refusal,
-            errors::Refusal::BudgetSpent { .. }
-                | errors::Refusal::TurnLimit { .. }
-                | errors::Refusal::Quarantined
-                | errors::Refusal::ProgramEnded(_)
-                | errors::Refusal::UnknownProgram(_)
-                | errors::Refusal::BadContinuation(_)
-                | errors::Refusal::HistoryContradicts(_)
-                | errors::Refusal::KeyReused { .. }
-        );
-        if is_final || gives_up {
-            let end = match current.only_refused {
-                true => ProgramEnd::NotRun(refusal.kind().to_owned()),
-                false => ProgramEnd::Unknown(refusal.kind().to_owned()),
-            };
-            self.caller_end(number, end);
-            return;
-        }
-        let wait = refusal.retry_after().unwrap_or(RETRY);
-        self.caller_again(number, wait, refusal.kind());
-    }
-
-    /// When a call is refused and said to be not run, it truly was not run.
-    fn check_not_run(&mut self, number: usize, refusal: &errors::Refusal) {
-        let caller = &self.callers.rows[number];
-        let Some(current) = caller.current.as_ref().filter(|c| c.only_refused) else {
-            return;
-        };
-        if current.work == work::Work::EndProgram {
-            return;
-        }
-        let name = caller.name.clone();
-        let Some(frame) = caller.frames.last() else {
-            return;
-        };
-        if current.is_effect && self.executions(&current.work) > 0 {
-            self.violate(format!("{name}: told not run ({}), yet it ran", refusal.kind()));
-            return;
-        }
-        let conversation = frame.talk.conversation.clone();
-        let turn = frame.talk.turn + 1;
-        let started = conversation.is_some_and(|conversation| {
-            let key = ids::CallKey { conversation, turn };
-            self.watch.started.contains_key(&key)
-        });
-        if started {
-            self.violate(format!("{name}: told not run ({}), yet it started", refusal.kind()));
-        }
-    }
-
-    fn caller_in_doubt(&mut self, number: usize, reply: &messages::Reply, doubt: &str) {
-        let caller = &mut self.callers.rows[number];
-        let Some(current) = &mut caller.current else {
-            return;
-        };
-        current.only_refused = false;
-        if !current.is_effect {
-            self.caller_again(number, RETRY, doubt);
-            return;
-        }
-        // The outcome of a call that may not be repeated stays unknown; its turn is used up.
-        caller.unknown += 1;
-        caller.answered += 1;
-        caller.current = None;
-        let (name, answered) = (caller.name.clone(), caller.answered);
-        if let Some(frame) = caller.frames.last_mut() {
-            frame.talk.turn += 1;
-            adopt_ids(&mut frame.talk, reply);
-        }
-        self.see(watch::Sight::Answered { caller: name, calls: answered });
-        self.schedule(self.now, rig::Event::Caller(CallerEvent::Go(number)));
-    }
 }
 
-fn adopt_ids(talk: &mut Talk, reply: &messages::Reply) {
+/// Takes over the ids and the continuation of an answer.
+pub(super) fn adopt_ids(talk: &mut Talk, reply: &messages::Reply) {
     if let Some(continuation) = &reply.continuation {
         talk.program = Some(continuation.program.clone());
         talk.conversation = Some(continuation.conversation.clone());
--- a/crates/flamingotrail-standins/src/rig/mod.rs
+++ b/crates/flamingotrail-standins/src/rig/mod.rs
@@ -9,6 +9,7 @@
 pub mod network;
 pub mod node;
 mod outputs;
+mod replies;
 pub mod watch;
 
 use std::collections;
--- a/crates/flamingotrail-standins/src/scenario/file.rs
+++ b/crates/flamingotrail-standins/src/scenario/file.rs
@@ -2,16 +2,13 @@
 
 use std::time as std_time;
 
-use serde::Deserialize;
-use serde::Serialize;
-
 use crate::deployment;
 use crate::rig;
 use crate::rig::callers;
 use crate::workload;
 
 /// A scenario.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Scenario {
     /// What it shows.
@@ -34,7 +31,7 @@
 }
 
 /// The set-up. Every field has a default.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Setup {
     /// `fjordhest` or `wasadat`.
@@ -107,7 +104,7 @@
 }
 
 /// A program.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Program {
     /// Name.
@@ -154,7 +151,7 @@
 }
 
 /// One step of a program.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub enum ProgramStep {
     /// A model call with this message.
@@ -178,7 +175,7 @@
 }
 
 /// A step of the scenario: when, and what.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Step {
     /// Milliseconds from the start of the run, or from the trigger.
@@ -206,7 +203,7 @@
 }
 
 /// An expectation.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Expect {
     /// A program by name, `*` for every one.
--- a/crates/flamingotrail-standins/src/solo.rs
+++ b/crates/flamingotrail-standins/src/solo.rs
@@ -166,8 +166,9 @@
                     self.last_reply = Some((**reply).clone());
                 }
                 // The entry confirms what it gets.
-                (envelope.number > 0)
-                    .then(|| self.from_entry(messages::Message::Ack { number: envelope.number }))
+                (envelope.number > 0).then(|| {
+                    self.message_of_entry(messages::Message::Ack { number: envelope.number })
+                })
             }
             output::Output::ReleaseHold { hold, .. } => {
                 Some(input::Input::OrderEnded { hold, confirmed: true })
@@ -201,7 +202,7 @@
         Some(input::Input::Read { stream, page: Some(page) })
     }
 
-    fn from_entry(&self, message: messages::Message) -> input::Input {
+    fn message_of_entry(&self, message: messages::Message) -> input::Input {
         let from = ids::Incarnation(2);
         let envelope = messages::Envelope { from, target: None, number: 0, message };
         input::Input::Peer { from: ids::InstanceName::new(ENTRY), envelope }
@@ -235,7 +236,7 @@
             delivered: String::new(),
             suspect: None,
         };
-        self.from_entry(messages::Message::Submit(Box::new(submit)))
+        self.message_of_entry(messages::Message::Submit(Box::new(submit)))
     }
 
     /// Starts `count` programs from `first` on, one turn each, in groups, and lets the journal take
--- a/crates/flamingotrail-wire/src/chat.rs
+++ b/crates/flamingotrail-wire/src/chat.rs
@@ -2,11 +2,9 @@
 
 use flamingotrail_core::history;
 use flamingotrail_core::work;
-use serde::Deserialize;
-use serde::Serialize;
 
 /// A request.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct Request {
     /// Model.
     pub model: String,
@@ -27,7 +25,7 @@
 }
 
 /// A message.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct ChatMessage {
     /// `system`, `user`, `assistant` or `tool`.
     pub role: String,
@@ -63,7 +61,7 @@
 }
 
 /// An answer that is not a stream.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct Response {
     /// Id of the answer.
     #[serde(default)]
@@ -85,7 +83,7 @@
 }
 
 /// One choice of an answer.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct Choice {
     /// 0.
     pub index: u32,
@@ -96,7 +94,7 @@
 }
 
 /// A piece of a streamed answer.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct Chunk {
     /// `chat.completion.chunk`.
     #[serde(default)]
@@ -113,7 +111,7 @@
 }
 
 /// One choice of a piece.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct ChunkChoice {
     /// 0.
     pub index: u32,
@@ -125,7 +123,7 @@
 }
 
 /// What a piece adds.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct Delta {
     /// Text.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -133,7 +131,7 @@
 }
 
 /// What an answer used.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct ChatUsage {
     /// Prompt tokens.
     pub prompt_tokens: u32,
@@ -168,7 +166,7 @@
 }
 
 /// What the system says of a call in its answer.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Status {
     /// `done`, `not_run` or `unknown`.
     pub outcome: String,
@@ -192,7 +190,7 @@
 }
 
 /// An error answer.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct ErrorResponse {
     /// The error.
     pub error: ErrorBody,
@@ -202,7 +200,7 @@
 }
 
 /// An error.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct ErrorBody {
     /// Message that names the remedy.
     pub message: String,
--- a/crates/flamingotrail-wire/src/codec.rs
+++ b/crates/flamingotrail-wire/src/codec.rs
@@ -6,8 +6,6 @@
 use flamingotrail_core::history;
 use flamingotrail_core::journal;
 use serde::de;
-use serde::Deserialize;
-use serde::Serialize;
 
 use crate::history as wire_history;
 use crate::journal as wire_journal;
@@ -26,13 +24,13 @@
     Text(#[from] base64::DecodeError),
 }
 
-#[derive(Serialize)]
+#[derive(serde::Serialize)]
 struct Versioned<'a, T> {
     v: u16,
     body: &'a T,
 }
 
-#[derive(Deserialize)]
+#[derive(serde::Deserialize)]
 struct VersionedOwned<T> {
     #[allow(dead_code)]
     v: u16,
@@ -40,7 +38,7 @@
 }
 
 /// Codes `value` behind the version.
-pub fn encode<T: Serialize>(value: &T) -> Vec<u8> {
+pub fn encode<T: serde::Serialize>(value: &T) -> Vec<u8> {
     // Wire types have string keys and finite depth, which MessagePack always takes.
     rmp_serde::to_vec_named(&Versioned { v: VERSION, body: value }).unwrap_or_default()
 }
--- a/crates/flamingotrail-wire/src/engine.rs
+++ b/crates/flamingotrail-wire/src/engine.rs
@@ -2,8 +2,6 @@
 
 use flamingotrail_core::ids;
 use flamingotrail_core::input;
-use serde::Deserialize;
-use serde::Serialize;
 
 /// Header by which an engine is told to keep the context of a call under an id.
 pub const HOLD: &str = "x-hold-id";
@@ -13,7 +11,7 @@
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
 
 /// An engine's report of itself.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct Report {
     /// Calls that run.
     pub running: u32,
--- a/crates/flamingotrail-wire/src/frames.rs
+++ b/crates/flamingotrail-wire/src/frames.rs
@@ -1,8 +1,5 @@
 //! What one stream of a link between two processes carries.
 
-use serde::Deserialize;
-use serde::Serialize;
-
 use crate::ids;
 use crate::messages;
 
@@ -10,7 +7,7 @@
 pub const MAX_FRAME_BYTES: usize = 16 * 1024 * 1024;
 
 /// One frame.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 pub enum Frame {
     /// A message for the control state.
     Control(messages::Envelope),
@@ -19,7 +16,7 @@
 }
 
 /// A piece of the text of a running attempt.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct TextChunk {
     /// The attempt, from the process beside the endpoint to the owner.
     pub attempt: Option<ids::AttemptId>,
@@ -32,7 +29,7 @@
 }
 
 /// The first frame of every stream: who sends.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Hello {
     /// Instance name of the sender.
     pub instance: ids::Name,
--- a/crates/flamingotrail-wire/src/ids.rs
+++ b/crates/flamingotrail-wire/src/ids.rs
@@ -4,26 +4,50 @@
 
 use flamingotrail_core::digest;
 use flamingotrail_core::ids;
-use serde::Deserialize;
-use serde::Serialize;
 
 /// Any name.
-#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(
+    Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize,
+)]
 #[serde(transparent)]
 pub struct Name(pub String);
 
 /// Any number.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    serde::Serialize,
+    serde::Deserialize,
+)]
 #[serde(transparent)]
 pub struct Number(pub u64);
 
 /// A span of time, in microseconds.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    serde::Serialize,
+    serde::Deserialize,
+)]
 #[serde(transparent)]
 pub struct Micros(pub u64);
 
 /// A digest's bytes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize,
+)]
 #[serde(transparent)]
 pub struct Digest(pub [u8; digest::DIGEST_BYTES]);
 
--- a/crates/flamingotrail-wire/src/platform.rs
+++ b/crates/flamingotrail-wire/src/platform.rs
@@ -2,25 +2,23 @@
 
 use flamingotrail_core::ids;
 use flamingotrail_core::input;
-use serde::Deserialize;
-use serde::Serialize;
 
 /// Body of an append.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct AppendRequest {
     /// The entry, base64.
     pub data: String,
 }
 
 /// Answer to an append.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct AppendResponse {
     /// Where the entry stands.
     pub offset: u64,
 }
 
 /// Answer to a read.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct ReadResponse {
     /// First offset that the stream still has.
     pub start: u64,
@@ -33,7 +31,7 @@
 }
 
 /// One entry of a page.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct ReadEntry {
     /// Its offset.
     pub offset: u64,
@@ -44,7 +42,7 @@
 }
 
 /// One row of the list of instances.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct ListedInstance {
     /// Instance name.
     pub instance: String,
--- a/crates/flamingotrail-wire/src/state.rs
+++ b/crates/flamingotrail-wire/src/state.rs
@@ -3,11 +3,9 @@
 use std::collections;
 
 use flamingotrail_core::view;
-use serde::Deserialize;
-use serde::Serialize;
 
 /// One table.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Table {
     /// Name.
     pub name: String,
--- a/crates/flamingotrail/src/output.rs
+++ b/crates/flamingotrail/src/output.rs
@@ -1,12 +1,11 @@
 //! Reports for people and programs.
 
 use flamingotrail_wire::state;
-use serde::Serialize;
 
 use crate::configs::client;
 
 /// What a command has to say.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, serde::Serialize)]
 pub struct Report {
     /// Whether all is well: the exit status.
     pub is_good: bool,
