Hand out ports that nothing else takes

Cause: tests of real processes failed at random when run side by side: a port that the system had handed out was taken by another connection before its daemon used it. Change: ports below the range for outgoing connections, each handed out once.

--- a/crates/flamingotrail-standins/src/local/processes.rs
+++ b/crates/flamingotrail-standins/src/local/processes.rs
@@ -3,9 +3,11 @@
 use std::fs;
 use std::io;
 use std::net;
+use std::ops;
 use std::path;
 use std::process;
 use std::sync;
+use std::sync::atomic;
 use std::time;
 
 use flamingotrail_wire::platform as wire;
@@ -51,17 +53,32 @@
     flags: Vec<String>,
 }
 
-fn free_port() -> io::Result<net::SocketAddr> {
-    net::TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0))?.local_addr()
-}
+/// Ports that are handed out: below the ones that systems give to outgoing connections, so that
+/// none is taken between the choice and its use.
+const PORTS: ops::Range<u16> = 20_000..32_000;
+
+/// Ports handed out by this process so far.
+static HANDED_OUT: atomic::AtomicU16 = atomic::AtomicU16::new(0);
 
-/// An address with a free TCP port; the same number serves for UDP.
+/// An address of loopback whose port is free for TCP and UDP, and is not handed out again.
 ///
 /// # Errors
 ///
 /// No free port.
 pub fn free_address() -> io::Result<net::SocketAddr> {
-    free_port()
+    let count = PORTS.end - PORTS.start;
+    // Processes that run at the same time start at different places.
+    let start = u16::try_from(process::id() % u32::from(count)).unwrap_or(0);
+    for _ in 0..count {
+        let number = HANDED_OUT.fetch_add(1, atomic::Ordering::Relaxed);
+        let port = PORTS.start + (start + number % count) % count;
+        let address = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, port));
+        let free = net::TcpListener::bind(address).is_ok() && net::UdpSocket::bind(address).is_ok();
+        if free {
+            return Ok(address);
+        }
+    }
+    Err(io::Error::new(io::ErrorKind::AddrInUse, "no port is free between 20000 and 32000"))
 }
 
 impl Daemons {
@@ -302,10 +319,10 @@
         region,
         domain,
         endpoint,
-        listen: free_port()?,
-        link: free_port()?,
-        advertised: free_port()?,
-        admin: free_port()?,
+        listen: free_address()?,
+        link: free_address()?,
+        advertised: free_address()?,
+        admin: free_address()?,
         child: None,
     })
 }
