--- a/crates/flamingotrail-core/src/systems/repeats.rs
+++ b/crates/flamingotrail-core/src/systems/repeats.rs
@@ -42,19 +42,7 @@
         return Err(taken());
     }
     let outcome = recorded_outcome(&past.record);
-    let continuation = finish::continuation(world, &key.conversation);
-    let turn = key.turn;
-    finish::reply(
-        world,
-        tick,
-        &waiter.entry,
-        waiter.request,
-        waiter.hop,
-        turn,
-        0,
-        outcome,
-        continuation,
-    );
+    answer(world, tick, key, waiter, outcome);
     Ok(true)
 }
 
@@ -123,19 +111,7 @@
         }
     };
     record_repeat(world, key, request, &outcome);
-    let continuation = finish::continuation(world, &key.conversation);
-    let turn = key.turn;
-    finish::reply(
-        world,
-        tick,
-        &waiter.entry,
-        waiter.request,
-        waiter.hop,
-        turn,
-        0,
-        outcome,
-        continuation,
-    );
+    answer(world, tick, key, waiter, outcome);
     Ok(true)
 }
 
@@ -168,3 +144,16 @@
     };
     programs::push_turn(world, &key.conversation, record);
 }
+
+/// Answers a call that was sent before with what is recorded of it.
+fn answer(
+    world: &mut world::World,
+    tick: &world::Tick,
+    key: &ids::CallKey,
+    waiter: &calls::Waiter,
+    outcome: work::Outcome,
+) {
+    let continuation = finish::continuation(world, &key.conversation);
+    let (to, request, hop) = (&waiter.entry, waiter.request, waiter.hop);
+    finish::reply(world, tick, to, request, hop, key.turn, 0, outcome, continuation);
+}
