--- a/crates/flamingotrail-core/src/tables/timers.rs
+++ b/crates/flamingotrail-core/src/tables/timers.rs
@@ -57,22 +57,28 @@
 }
 
 /// Timers by time, with the time of each.
-#[derive(Debug, Default)]
-pub struct Timers {
-    by_time: collections::BTreeSet<(time::Timestamp, Timer)>,
-    times: collections::BTreeMap<Timer, time::Timestamp>,
+#[derive(Debug)]
+pub struct Timers<T = Timer> {
+    by_time: collections::BTreeSet<(time::Timestamp, T)>,
+    times: collections::BTreeMap<T, time::Timestamp>,
 }
 
-impl Timers {
+impl<T> Default for Timers<T> {
+    fn default() -> Self {
+        Timers { by_time: collections::BTreeSet::new(), times: collections::BTreeMap::new() }
+    }
+}
+
+impl<T: Clone + Ord> Timers<T> {
     /// Sets `timer` to `at`, replacing its earlier time.
-    pub fn set(&mut self, timer: Timer, at: time::Timestamp) {
+    pub fn set(&mut self, timer: T, at: time::Timestamp) {
         self.clear(&timer);
         self.by_time.insert((at, timer.clone()));
         self.times.insert(timer, at);
     }
 
     /// Sets `timer` to `at` unless it is set to an earlier time.
-    pub fn set_earlier(&mut self, timer: Timer, at: time::Timestamp) {
+    pub fn set_earlier(&mut self, timer: T, at: time::Timestamp) {
         if self.times.get(&timer).is_some_and(|set| *set <= at) {
             return;
         }
@@ -80,14 +86,14 @@
     }
 
     /// Removes `timer`.
-    pub fn clear(&mut self, timer: &Timer) {
+    pub fn clear(&mut self, timer: &T) {
         if let Some(at) = self.times.remove(timer) {
             self.by_time.remove(&(at, timer.clone()));
         }
     }
 
     /// Whether `timer` is set.
-    pub fn is_set(&self, timer: &Timer) -> bool {
+    pub fn is_set(&self, timer: &T) -> bool {
         self.times.contains_key(timer)
     }
 
@@ -97,7 +103,7 @@
     }
 
     /// Removes and returns the earliest timer that is due at `now`.
-    pub fn pop(&mut self, now: time::Timestamp) -> Option<Timer> {
+    pub fn pop(&mut self, now: time::Timestamp) -> Option<T> {
         if self.next()? > now {
             return None;
         }
--- /dev/null
+++ b/crates/flamingotrail-gateway/src/ids.rs
@@ -0,0 +1,100 @@
+//! Typed names and numbers.
+
+use std::fmt;
+
+macro_rules! name {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+        pub struct $name(Box<str>);
+
+        impl $name {
+            /// Takes the name as it is.
+            pub fn new(name: &str) -> Self {
+                $name(name.into())
+            }
+
+            /// The name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+    };
+}
+
+name!(
+    /// Id that a caller gave one attempt of a request; a turn that counts bears the id of its attempt.
+    TurnId
+);
+name!(
+    /// An agent program.
+    ProgramId
+);
+name!(
+    /// A line of turns within a program.
+    SessionId
+);
+name!(
+    /// One start of an endpoint.
+    EndpointId
+);
+name!(
+    /// A service: endpoints that can stand in for each other.
+    ServiceName
+);
+name!(
+    /// A failure domain.
+    DomainName
+);
+name!(
+    /// A region.
+    RegionName
+);
+
+/// A call under way at this process.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct CallId(pub u64);
+
+/// One partition of the programs: one stream of the log.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Partition(pub u16);
+
+/// Position of a record in a partition.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Offset(pub u64);
+
+macro_rules! number_display {
+    ($($name:ident),*) => {
+        $(impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                fmt::Display::fmt(&self.0, f)
+            }
+        })*
+    };
+}
+number_display!(CallId, Partition, Offset);
+
+/// A hash that is the same at every process and in every version (64-bit FNV-1a).
+pub fn stable_hash(text: &str) -> u64 {
+    const OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
+    const PRIME: u64 = 0x0000_0100_0000_01b3;
+    let hash = text
+        .bytes()
+        .fold(OFFSET_BASIS, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(PRIME));
+    // The low bits of FNV mix poorly for short names.
+    hash ^ (hash >> 32)
+}
+
+impl Partition {
+    /// The partition of `program` among `count`; 0 where there are none.
+    pub fn of_program(program: &ProgramId, count: u16) -> Partition {
+        let slot = stable_hash(program.as_str()) % u64::from(count.max(1));
+        Partition(u16::try_from(slot).unwrap_or(u16::MAX))
+    }
+}
--- /dev/null
+++ b/crates/flamingotrail-gateway/src/settings.rs
@@ -0,0 +1,29 @@
+//! Limits and intervals of the decisions.
+
+use std::time;
+
+use crate::ids;
+
+/// Who and where this process is.
+#[derive(Clone, Debug, Default)]
+pub struct Identity {
+    /// Instance name.
+    pub instance: String,
+    /// Failure domain.
+    pub domain: ids::DomainName,
+    /// Region.
+    pub region: ids::RegionName,
+    /// Region of each failure domain.
+    pub regions: std::collections::BTreeMap<ids::DomainName, ids::RegionName>,
+}
+
+/// Limits and intervals.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Partitions of the log that hold programs.
+    pub partitions: u16,
+    /// How long a leaving endpoint may still get requests.
+    pub drain: time::Duration,
+    /// How long a process that was told to stop may take.
+    pub grace: time::Duration,
+}
--- /dev/null
+++ b/crates/flamingotrail-gateway/src/systems/admission.rs
@@ -0,0 +1,127 @@
+//! Takes requests in: selects route and service, and tells callers at once what can't be served.
+
+use std::time;
+
+use crate::input;
+use crate::output;
+use crate::ids;
+use crate::tables::calls;
+use crate::tables::routes;
+use crate::tables::timers;
+use crate::world;
+
+/// When a caller should come back while this process can't serve it, but others may.
+pub const COME_BACK: time::Duration = time::Duration::from_millis(100);
+
+/// Takes the requests of the inbox.
+pub fn run(world: &mut world::World, tick: &world::Tick) {
+    for arrival in std::mem::take(&mut world.tables.inbox.arrivals) {
+        admit(world, tick, arrival);
+    }
+}
+
+fn admit(world: &mut world::World, tick: &world::Tick, arrival: input::Arrival) {
+    let id = arrival.call;
+    let call = match build(world, tick, arrival) {
+        Ok(call) => call,
+        Err((arrival, refusal)) => {
+            let reason = refusal.reason.as_str();
+            let version = world.tables.routes.version().unwrap_or(0);
+            let detail = format_args!(
+                "request={} reason={reason} host={} path={} version={version}",
+                arrival.id, arrival.host, arrival.path
+            );
+            world.event("refused", detail);
+            world.emit(output::Output::Refuse(id, refusal));
+            return;
+        }
+    };
+    world.tables.timers.set(timers::Timer::CallDeadline(id), call.deadline);
+    match call.phase {
+        calls::Phase::Placing => world.tables.dirty.place.insert(id),
+        _ => world.tables.dirty.calls.insert(id),
+    };
+    world.tables.calls.insert(call);
+}
+
+fn build(
+    world: &world::World,
+    tick: &world::Tick,
+    arrival: input::Arrival,
+) -> Result<calls::Call, (input::Arrival, output::Refusal)> {
+    let unavailable =
+        output::Refusal { reason: output::Reason::Unavailable, retry_after: Some(COME_BACK) };
+    let no_route = output::Refusal { reason: output::Reason::NoRoute, retry_after: None };
+    let route = match world.tables.routes.select(&arrival.host, &arrival.path) {
+        routes::Selection::Unknown => return Err((arrival, unavailable)),
+        routes::Selection::None => return Err((arrival, no_route)),
+        routes::Selection::Route(route) => route,
+    };
+    let key = arrival.program.as_ref().map_or(arrival.id.as_str(), |head| head.id.as_str());
+    let Some(service) = routes::pick_service(route, key) else {
+        return Err((arrival, unavailable));
+    };
+    let patience = arrival.patience.unwrap_or(route.timeout).min(route.timeout);
+    let turn = turn_of(world, &arrival, route);
+    let phase = match turn {
+        Some(_) => calls::Phase::Resolving,
+        None => calls::Phase::Placing,
+    };
+    if turn.is_some() && is_log_away(world, tick) {
+        return Err((arrival, unavailable));
+    }
+    Ok(calls::Call {
+        route: route.name.clone(),
+        kind: route.kind,
+        priority: route.priority,
+        target: route.target,
+        max_attempts: route.max_attempts,
+        service: service.clone(),
+        deadline: arrival.received.after(patience),
+        phase,
+        attempts: 0,
+        ran: 0,
+        tried: std::collections::BTreeSet::new(),
+        running: None,
+        status: None,
+        turn,
+        arrival,
+    })
+}
+
+/// Time after which a log that can't be reached counts as away: longer than its slow answers.
+const LOG_AWAY: time::Duration = time::Duration::from_millis(300);
+
+/// Whether the log has been out of reach for long enough that a turn is better refused.
+fn is_log_away(world: &world::World, tick: &world::Tick) -> bool {
+    world
+        .tables
+        .partitions
+        .down_since
+        .is_some_and(|since| tick.now.since(since) > LOG_AWAY)
+}
+
+fn turn_of(
+    world: &world::World,
+    arrival: &input::Arrival,
+    route: &input::Route,
+) -> Option<calls::Turn> {
+    if route.kind != input::RouteKind::Stream {
+        return None;
+    }
+    route.retention?;
+    let head = arrival.program.as_ref();
+    // A turn outside of a program is a program of its own.
+    let program = head.map_or_else(|| ids::ProgramId::new(arrival.id.as_str()), |head| head.id.clone());
+    Some(calls::Turn {
+        partition: ids::Partition::of_program(&program, world.settings.partitions),
+        program,
+        previous: arrival.previous.clone(),
+        max_tokens: arrival.usage.map_or(0, |usage| usage.max_output),
+        budget: head.and_then(|head| head.budget),
+        reservation: calls::Reservation::None,
+        awaits: std::collections::BTreeMap::new(),
+        searched: false,
+        ended: false,
+    })
+}
--- /dev/null
+++ b/crates/flamingotrail-gateway/src/systems/configuration.rs
@@ -0,0 +1,21 @@
+//! Puts configurations in force; never an older one.
+
+use crate::world;
+
+/// Takes the configurations of the inbox.
+pub fn run(world: &mut world::World, _tick: &world::Tick) {
+    for configuration in std::mem::take(&mut world.tables.inbox.configurations) {
+        let version = configuration.version;
+        let (routes, services) = (configuration.routes.len(), configuration.services.len());
+        let before = world.tables.routes.version();
+        if world.tables.routes.replace(configuration) {
+            world.event(
+                "configuration_in_force",
+                format_args!(
+                    "version={version} before={} routes={routes} services={services}",
+                    before.map_or_else(|| "none".to_owned(), |version| version.to_string())
+                ),
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/flamingotrail-gateway/src/systems/journal.rs
@@ -0,0 +1,188 @@
+//! Applies the records of the log in their order, and follows appends and reads.
+
+use std::time;
+
+use flamingotrail_core::time as core_time;
+
+use crate::ids;
+use crate::input;
+use crate::journal;
+use crate::tables::calls;
+use crate::tables::timers;
+use crate::world;
+
+/// First pause before a failed append or read is repeated; doubles with each further failure.
+const FIRST_PAUSE: time::Duration = time::Duration::from_millis(25);
+/// Longest such pause: an outage of the log ends for a caller at most this much later.
+const MAX_PAUSE: time::Duration = time::Duration::from_millis(400);
+/// Time that turns are kept beyond their route's retention, for clocks and reads that lag.
+pub const RETENTION_SLACK: time::Duration = time::Duration::from_secs(5);
+/// Retention of a turn whose route is not known: the longest of the users' sheets.
+const DEFAULT_RETENTION: time::Duration = time::Duration::from_secs(60);
+
+/// Takes the results of appends and reads.
+pub fn run(world: &mut world::World, tick: &world::Tick) {
+    for (partition, result) in std::mem::take(&mut world.tables.inbox.appended) {
+        appended(world, tick, partition, result);
+    }
+    for (partition, result) in std::mem::take(&mut world.tables.inbox.read) {
+        read(world, tick, partition, result);
+    }
+}
+
+fn appended(
+    world: &mut world::World,
+    tick: &world::Tick,
+    partition: ids::Partition,
+    result: Result<ids::Offset, input::LogError>,
+) {
+    let row = world.tables.partitions.row(partition);
+    let records = std::mem::take(&mut row.appending);
+    world.tables.dirty.partitions.insert(partition);
+    let offset = match result {
+        Ok(offset) => offset.0,
+        Err(error) => {
+            // Taking a record twice changes nothing, so a batch of unknown fate is sent again.
+            for record in records.into_iter().rev() {
+                row.queue.push_front(record);
+            }
+            failed(world, tick, partition, error);
+            return;
+        }
+    };
+    succeeded(world, tick, partition);
+    let row = world.tables.partitions.row(partition);
+    let end = offset + records.len() as u64;
+    if offset == row.applied && !row.reading {
+        row.applied = end;
+        for record in &records {
+            apply(world, tick, record);
+        }
+        return;
+    }
+    row.wanted = row.wanted.max(end);
+}
+
+fn read(
+    world: &mut world::World,
+    tick: &world::Tick,
+    partition: ids::Partition,
+    result: Result<input::Page, input::LogError>,
+) {
+    let row = world.tables.partitions.row(partition);
+    row.reading = false;
+    world.tables.dirty.partitions.insert(partition);
+    let page = match result {
+        Ok(page) => page,
+        Err(input::LogError::Expired(first)) => {
+            row.applied = row.applied.max(first.0);
+            world.event("log_expired", format_args!("partition={partition} first={first}"));
+            return;
+        }
+        Err(error) => {
+            failed(world, tick, partition, error);
+            return;
+        }
+    };
+    succeeded(world, tick, partition);
+    let row = world.tables.partitions.row(partition);
+    let known = usize::try_from(row.applied.saturating_sub(page.from.0)).unwrap_or(usize::MAX);
+    row.applied = row.applied.max(page.from.0 + page.records.len() as u64);
+    if row.applied >= page.end.0 {
+        row.caught_up = row.reads;
+    }
+    for record in page.records.iter().skip(known).flatten() {
+        apply(world, tick, record);
+    }
+    let waiting: Vec<ids::CallId> = world
+        .tables
+        .calls
+        .rows
+        .iter()
+        .filter(|(_, call)| call.phase == calls::Phase::Resolving)
+        .map(|(id, _)| *id)
+        .collect();
+    world.tables.dirty.calls.extend(waiting);
+}
+
+fn failed(
+    world: &mut world::World,
+    tick: &world::Tick,
+    partition: ids::Partition,
+    error: input::LogError,
+) {
+    let row = world.tables.partitions.row(partition);
+    let pause = FIRST_PAUSE.saturating_mul(1 << row.failures.min(5)).min(MAX_PAUSE);
+    row.failures += 1;
+    row.retry_at = tick.now.after(pause);
+    let (at, failures, queued) = (row.retry_at, row.failures, row.queue.len());
+    world.tables.timers.set(timers::Timer::Partition(partition), at);
+    if world.tables.partitions.down_since.is_none() {
+        world.tables.partitions.down_since = Some(tick.now);
+        world.event("log_lost", format_args!("partition={partition} error={error:?}"));
+    } else {
+        let detail =
+            format_args!("partition={partition} error={error:?} failures={failures} queued={queued}");
+        world.event("log_failed", detail);
+    }
+}
+
+fn succeeded(world: &mut world::World, tick: &world::Tick, partition: ids::Partition) {
+    let row = world.tables.partitions.row(partition);
+    row.failures = 0;
+    row.retry_at = core_time::Timestamp::ZERO;
+    if let Some(since) = world.tables.partitions.down_since.take() {
+        let away_ms = tick.now.since(since).as_millis();
+        world.event("log_regained", format_args!("away_ms={away_ms}"));
+    }
+}
+
+fn apply(world: &mut world::World, tick: &world::Tick, record: &journal::Record) {
+    match record {
+        journal::Record::Start(start) => apply_start(world, tick, start),
+        journal::Record::End(end) => apply_end(world, tick, end),
+        journal::Record::Void(void) => {
+            world.tables.programs.touch(&void.program, tick.now).settle(&void.turn, void.tokens);
+        }
+    }
+}
+
+fn apply_start(world: &mut world::World, tick: &world::Tick, start: &journal::Start) {
+    let program = world.tables.programs.touch(&start.program, tick.now);
+    let granted = program.start(&start.turn, start.max_tokens, start.budget);
+    let (settled, committed) = (program.settled, program.committed());
+    let Some(id) = world.tables.calls.by_turn.get(&start.turn).copied() else { return };
+    let Some(turn) = world.tables.calls.rows.get_mut(&id).and_then(|call| call.turn.as_mut()) else {
+        return;
+    };
+    turn.reservation =
+        if granted { calls::Reservation::Granted } else { calls::Reservation::Denied };
+    world.tables.dirty.calls.insert(id);
+    if !granted {
+        let (turn, program, budget) = (&start.turn, &start.program, start.budget);
+        world.event(
+            "budget_denied",
+            format_args!(
+                "request={turn} program={program} budget={budget} settled={settled} \
+                 committed={committed} asked={}",
+                start.max_tokens
+            ),
+        );
+    }
+}
+
+fn apply_end(world: &mut world::World, tick: &world::Tick, end: &journal::End) {
+    world.tables.programs.touch(&end.program, tick.now).settle(&end.turn, end.tokens);
+    let expires = tick.now.after(longest_retention(world) + RETENTION_SLACK);
+    world.tables.turns.insert(end, expires);
+    if let Some(id) = world.tables.calls.by_turn.get(&end.turn) {
+        world.tables.dirty.calls.insert(*id);
+    }
+}
+
+/// The longest retention of any route in force.
+pub fn longest_retention(world: &world::World) -> time::Duration {
+    let current = world.tables.routes.current.as_ref();
+    let longest = current.and_then(|set| set.routes.iter().filter_map(|r| r.retention).max());
+    longest.unwrap_or(DEFAULT_RETENTION)
+}
--- /dev/null
+++ b/crates/flamingotrail-gateway/src/systems/mod.rs
@@ -0,0 +1,15 @@
+//! The systems: functions over the tables, each with one job.
+
+pub mod admission;
+pub mod completion;
+pub mod configuration;
+pub mod deadlines;
+pub mod expiry;
+pub mod ingest;
+pub mod journal;
+pub mod log_io;
+pub mod membership;
+pub mod placement;
+pub mod readiness;
+pub mod timers;
+pub mod turns;
--- /dev/null
+++ b/crates/flamingotrail-gateway/src/systems/placement.rs
@@ -0,0 +1,159 @@
+//! Chooses an endpoint for each call that waits for one, and sends the call to it.
+
+use std::time;
+
+use crate::ids;
+use crate::input;
+use crate::output;
+use crate::policy;
+use crate::systems::admission;
+use crate::systems::completion;
+use crate::tables::calls;
+use crate::tables::timers;
+use crate::world;
+
+/// Pause before a call for which there is no endpoint is placed again.
+const NO_ENDPOINT_PAUSE: time::Duration = time::Duration::from_millis(50);
+/// Part of a request's target for which it may wait for an endpoint before it is refused: a refusal
+/// after a longer wait leaves the caller too little time elsewhere.
+const MAX_WAIT_OF_TARGET: u32 = 4;
+/// Attempts that endpoints may refuse before the caller is told to come back.
+const MAX_REFUSALS: u32 = 4;
+/// Part of the time left after which an attempt that may be repeated is tried elsewhere.
+const SLOW_OF_LEFT: u32 = 3;
+/// Urgency of the first priority class; engines take 0 to 9, and 5 stands for none.
+const FIRST_URGENCY: u8 = 3;
+/// Last urgency that engines take.
+const LAST_URGENCY: u8 = 9;
+
+/// Places the calls that wait.
+pub fn run(world: &mut world::World, tick: &world::Tick) {
+    let mut waiting: Vec<(u8, ids::CallId)> = std::mem::take(&mut world.tables.dirty.place)
+        .into_iter()
+        .filter_map(|id| world.tables.calls.rows.get(&id).map(|call| (call.priority, id)))
+        .collect();
+    waiting.sort_unstable();
+    for (_, id) in waiting {
+        place(world, tick, id);
+    }
+}
+
+fn place(world: &mut world::World, tick: &world::Tick, id: ids::CallId) {
+    let Some(call) = world.tables.calls.rows.get(&id) else { return };
+    if call.phase != calls::Phase::Placing {
+        return;
+    }
+    if call.turn.as_ref().is_some_and(|turn| turn.reservation == calls::Reservation::Denied) {
+        let refusal = output::Refusal { reason: output::Reason::BudgetSpent, retry_after: None };
+        completion::refuse(world, tick, id, refusal);
+        return;
+    }
+    if call.attempts > MAX_REFUSALS + call.max_attempts {
+        completion::give_up(world, tick, id);
+        return;
+    }
+    match choose(world, tick, call) {
+        Some(endpoint) => send(world, tick, id, endpoint),
+        None => wait(world, tick, id),
+    }
+}
+
+/// Waits for an endpoint, or refuses the call while the caller still has time to go elsewhere.
+fn wait(world: &mut world::World, tick: &world::Tick, id: ids::CallId) {
+    let Some(call) = world.tables.calls.rows.get(&id) else { return };
+    let waited = tick.now.since(call.arrival.received);
+    if call.attempts > 0 || waited > call.target / MAX_WAIT_OF_TARGET {
+        completion::give_up(world, tick, id);
+        return;
+    }
+    world.tables.timers.set(timers::Timer::CallRetry(id), tick.now.after(NO_ENDPOINT_PAUSE));
+}
+
+fn choose(
+    world: &world::World,
+    tick: &world::Tick,
+    call: &calls::Call,
+) -> Option<ids::EndpointId> {
+    let service = world.tables.routes.service(&call.service);
+    let request = policy::Request {
+        prompt: &call.arrival.prompt,
+        prompt_tokens: call.arrival.usage.map_or(0, |usage| usage.prompt),
+        engine: service.is_some_and(|service| service.engine.is_some()),
+        region: &world.identity.region,
+        domain: &world.identity.domain,
+        now: tick.now,
+    };
+    let rows = &world.tables.endpoints.rows;
+    let candidates = rows.iter().filter(|(id, row)| {
+        row.listed.service == call.service && !row.listed.draining && !call.tried.contains(*id)
+    });
+    let ranked = candidates.map(|(id, row)| {
+        let region = world.identity.regions.get(&row.listed.domain);
+        let cost = world.placement.cost(&request, &policy::Candidate { id, row, region });
+        let doubtful = row.lapsed || row.avoid_until > tick.now;
+        (doubtful, cost, id)
+    });
+    ranked.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))).map(|(_, _, id)| id.clone())
+}
+
+fn send(
+    world: &mut world::World,
+    tick: &world::Tick,
+    id: ids::CallId,
+    endpoint: ids::EndpointId,
+) {
+    let tables = &mut world.tables;
+    let Some(call) = tables.calls.rows.get_mut(&id) else { return };
+    let Some(row) = tables.endpoints.rows.get_mut(&endpoint) else { return };
+    let mut body = Vec::new();
+    if let Some(previous) = call.turn.as_ref().and_then(|turn| turn.previous.as_ref()) {
+        body = tables.turns.chain(previous).unwrap_or_default();
+    }
+    body.push(call.arrival.body.clone());
+    call.attempts += 1;
+    call.phase = calls::Phase::Running;
+    call.tried.insert(endpoint.clone());
+    call.running = Some(calls::Running { endpoint: endpoint.clone(), since: tick.now });
+    row.own += 1;
+    row.sent_since += 1;
+    row.remember(&call.arrival.prompt, tick.now);
+    let repeatable = call.kind == input::RouteKind::Idempotent;
+    let within = call.left(tick.now);
+    let dispatch = output::Dispatch {
+        call: id,
+        attempt: call.attempts,
+        address: row.listed.address.clone(),
+        within,
+        urgency: tables
+            .routes
+            .current
+            .as_ref()
+            .and_then(|set| set.services.get(&call.service))
+            .and_then(|service| service.engine.as_ref())
+            .map(|_| FIRST_URGENCY.saturating_add(call.priority).min(LAST_URGENCY)),
+        body,
+        repeatable,
+        gated: call.turn.as_ref().is_some_and(|turn| turn.reservation != calls::Reservation::Granted),
+        endpoint,
+    };
+    let detail = format_args!(
+        "request={} endpoint={} attempt={} within_ms={} own={} route={}",
+        call.arrival.id,
+        dispatch.endpoint,
+        dispatch.attempt,
+        within.as_millis(),
+        row.own,
+        call.route
+    );
+    world.out.push(output::Output::Event(output::Event::new("sent", detail)));
+    if repeatable && call.may_run_again() {
+        let slow = tick.now.after(within / SLOW_OF_LEFT);
+        tables.timers.set(timers::Timer::AttemptSlow(id, call.attempts), slow);
+    }
+    world.out.push(output::Output::Send(Box::new(dispatch)));
+}
+
+/// When a caller that could not be placed should come back.
+pub fn come_back(call: &calls::Call) -> time::Duration {
+    (call.target / MAX_WAIT_OF_TARGET).max(admission::COME_BACK)
+}
--- /dev/null
+++ b/crates/flamingotrail-gateway/src/systems/timers.rs
@@ -0,0 +1,28 @@
+//! Hands the rows that are due to the systems that take them.
+
+use crate::tables::timers;
+use crate::world;
+
+/// Pops every timer that is due.
+pub fn run(world: &mut world::World, tick: &world::Tick) {
+    while let Some(timer) = world.tables.timers.pop(tick.now) {
+        let dirty = &mut world.tables.dirty;
+        match timer {
+            timers::Timer::CallDeadline(call) => {
+                dirty.late.insert(call);
+            }
+            timers::Timer::CallRetry(call) => {
+                dirty.place.insert(call);
+            }
+            timers::Timer::AttemptSlow(call, attempt) => {
+                dirty.slow.insert((call, attempt));
+            }
+            timers::Timer::Partition(partition) => {
+                dirty.partitions.insert(partition);
+            }
+            timers::Timer::Expiry => dirty.expiry = true,
+            timers::Timer::Lapsed => dirty.lapsed = true,
+            timers::Timer::Drain => dirty.drain = true,
+        }
+    }
+}
--- /dev/null
+++ b/crates/flamingotrail-gateway/src/systems/turns.rs
@@ -0,0 +1,141 @@
+//! Moves turns on: finds the turns that they continue, reserves their part of the budget, and lets
+//! the end of an answer go once the journal has its turn.
+
+use crate::ids;
+use crate::journal;
+use crate::output;
+use crate::systems::completion;
+use crate::tables::calls;
+use crate::world;
+
+/// Looks at the dirty calls.
+pub fn run(world: &mut world::World, tick: &world::Tick) {
+    for id in std::mem::take(&mut world.tables.dirty.calls) {
+        step(world, tick, id);
+    }
+}
+
+fn step(world: &mut world::World, tick: &world::Tick, id: ids::CallId) {
+    let Some(call) = world.tables.calls.rows.get(&id) else { return };
+    match call.phase {
+        calls::Phase::Resolving => resolve(world, tick, id),
+        calls::Phase::Reserving => reserved(world, tick, id),
+        calls::Phase::Running => open(world, tick, id),
+        calls::Phase::Settling => settle(world, tick, id),
+        calls::Phase::Placing | calls::Phase::Closed => {}
+    }
+}
+
+/// Looks up the chain of a turn; asks the log where a turn is missing.
+fn resolve(world: &mut world::World, tick: &world::Tick, id: ids::CallId) {
+    let tables = &mut world.tables;
+    let Some(call) = tables.calls.rows.get_mut(&id) else { return };
+    let Some(turn) = call.turn.as_mut() else { return };
+    let known = turn.previous.as_ref().is_none_or(|previous| tables.turns.chain(previous).is_some());
+    if known {
+        reserve(world, tick, id);
+        return;
+    }
+    let partitions = &mut tables.partitions;
+    if turn.awaits.is_empty() {
+        let number = partitions.row(turn.partition).ask_read();
+        turn.awaits.insert(turn.partition, number);
+        tables.dirty.partitions.insert(turn.partition);
+        return;
+    }
+    let done = turn
+        .awaits
+        .iter()
+        .all(|(partition, number)| partitions.row(*partition).caught_up >= *number);
+    if !done {
+        return;
+    }
+    if !turn.searched {
+        // The turn may belong to another program, whose partition only a search finds.
+        turn.searched = true;
+        for partition in (0..world.settings.partitions).map(ids::Partition) {
+            if partition != turn.partition {
+                let number = partitions.row(partition).ask_read();
+                turn.awaits.insert(partition, number);
+                tables.dirty.partitions.insert(partition);
+            }
+        }
+        return;
+    }
+    let refusal = output::Refusal { reason: output::Reason::NoSuchTurn, retry_after: None };
+    completion::refuse(world, tick, id, refusal);
+}
+
+/// Asks for a turn's part of the budget; sends the turn at once where there is surely room.
+fn reserve(world: &mut world::World, tick: &world::Tick, id: ids::CallId) {
+    let tables = &mut world.tables;
+    let Some(call) = tables.calls.rows.get_mut(&id) else { return };
+    let Some(turn) = call.turn.as_mut() else { return };
+    let Some(budget) = turn.budget else {
+        turn.reservation = calls::Reservation::Granted;
+        call.phase = calls::Phase::Placing;
+        tables.dirty.place.insert(id);
+        return;
+    };
+    let program = tables.programs.touch(&turn.program, tick.now);
+    let has_room = program.has_room_locally(turn.max_tokens, budget);
+    program.unconfirmed.insert(call.arrival.id.clone(), turn.max_tokens);
+    turn.reservation = calls::Reservation::Pending;
+    let start = journal::Start {
+        turn: call.arrival.id.clone(),
+        program: turn.program.clone(),
+        max_tokens: turn.max_tokens,
+        budget,
+    };
+    let partition = turn.partition;
+    if has_room {
+        call.phase = calls::Phase::Placing;
+        tables.dirty.place.insert(id);
+    } else {
+        call.phase = calls::Phase::Reserving;
+    }
+    tables.partitions.row(partition).queue.push_back(journal::Record::Start(start));
+    tables.dirty.partitions.insert(partition);
+}
+
+/// Goes on where the journal has decided on the budget before the turn was sent.
+fn reserved(world: &mut world::World, tick: &world::Tick, id: ids::CallId) {
+    let Some(call) = world.tables.calls.rows.get_mut(&id) else { return };
+    match call.turn.as_ref().map(|turn| turn.reservation) {
+        Some(calls::Reservation::Granted) => {
+            call.phase = calls::Phase::Placing;
+            world.tables.dirty.place.insert(id);
+        }
+        Some(calls::Reservation::Denied) => {
+            let refusal = output::Refusal { reason: output::Reason::BudgetSpent, retry_after: None };
+            completion::refuse(world, tick, id, refusal);
+        }
+        _ => {}
+    }
+}
+
+/// Lets the events of a running turn go once its part of the budget is granted.
+fn open(world: &mut world::World, tick: &world::Tick, id: ids::CallId) {
+    let Some(call) = world.tables.calls.rows.get(&id) else { return };
+    match call.turn.as_ref().map(|turn| turn.reservation) {
+        Some(calls::Reservation::Granted) => world.emit(output::Output::Open(id)),
+        Some(calls::Reservation::Denied) => {
+            let refusal = output::Refusal { reason: output::Reason::Lost, retry_after: None };
+            completion::refuse(world, tick, id, refusal);
+        }
+        _ => {}
+    }
+}
+
+/// Lets the end of an answer go once its turn stands in the log.
+fn settle(world: &mut world::World, tick: &world::Tick, id: ids::CallId) {
+    open(world, tick, id);
+    let Some(call) = world.tables.calls.rows.get_mut(&id) else { return };
+    if call.phase != calls::Phase::Settling
+        || !world.tables.turns.rows.contains_key(&call.arrival.id)
+    {
+        return;
+    }
+    call.phase = calls::Phase::Closed;
+    world.emit(output::Output::Finish(id));
+}
--- /dev/null
+++ b/crates/flamingotrail-gateway/src/tables/dirty.rs
@@ -0,0 +1,40 @@
+//! Rows that systems still have to look at.
+
+use std::collections;
+
+use crate::ids;
+
+/// Sets of rows; a system empties the set that it takes.
+#[derive(Debug, Default)]
+pub struct Dirty {
+    /// Calls whose next step may be possible.
+    pub calls: collections::BTreeSet<ids::CallId>,
+    /// Calls that are to be placed on an endpoint.
+    pub place: collections::BTreeSet<ids::CallId>,
+    /// Calls that ran out of time.
+    pub late: collections::BTreeSet<ids::CallId>,
+    /// Attempts that have taken too long.
+    pub slow: collections::BTreeSet<(ids::CallId, u32)>,
+    /// Partitions with something to append or read.
+    pub partitions: collections::BTreeSet<ids::Partition>,
+    /// Whether rows may have expired.
+    pub expiry: bool,
+    /// Whether lapsed endpoints are due.
+    pub lapsed: bool,
+    /// Whether the shutdown may move on.
+    pub drain: bool,
+}
+
+impl Dirty {
+    /// Whether nothing is left.
+    pub fn is_empty(&self) -> bool {
+        self.calls.is_empty()
+            && self.place.is_empty()
+            && self.late.is_empty()
+            && self.slow.is_empty()
+            && self.partitions.is_empty()
+            && !self.expiry
+            && !self.lapsed
+            && !self.drain
+    }
+}
--- /dev/null
+++ b/crates/flamingotrail-gateway/src/tables/endpoints.rs
@@ -0,0 +1,108 @@
+//! Endpoints: what the list says of them, and what this process has seen of them.
+
+use std::collections;
+use std::time;
+
+use flamingotrail_core::time as core_time;
+
+use crate::ids;
+use crate::input;
+
+/// One endpoint.
+#[derive(Debug)]
+pub struct Endpoint {
+    /// What the list says.
+    pub listed: input::Endpoint,
+    /// Whether the list no longer names it; kept for a while after the list was out of reach.
+    pub lapsed: bool,
+    /// Attempts of this process under way.
+    pub own: u32,
+    /// Load as it told last, and when.
+    pub load: Option<(core_time::Timestamp, input::Load)>,
+    /// Attempts of this process that it has begun since it told its load.
+    pub sent_since: u32,
+    /// Failures in a row.
+    pub failures: u32,
+    /// Not to be chosen before this time unless there is no other.
+    pub avoid_until: core_time::Timestamp,
+    /// Prompt parts that it has likely cached, with the time of their last use.
+    pub cached: collections::BTreeMap<u64, core_time::Timestamp>,
+}
+
+/// Longest time for which an endpoint is avoided after failures.
+const MAX_AVOID: time::Duration = time::Duration::from_secs(4);
+/// Time for which an endpoint is avoided after its first failure; doubles with each further one.
+const FIRST_AVOID: time::Duration = time::Duration::from_millis(250);
+/// Prompt parts remembered for an endpoint at most.
+const MAX_CACHED: usize = 4096;
+
+impl Endpoint {
+    /// An endpoint that was just listed.
+    pub fn new(listed: input::Endpoint) -> Self {
+        Endpoint {
+            listed,
+            lapsed: false,
+            own: 0,
+            load: None,
+            sent_since: 0,
+            failures: 0,
+            avoid_until: core_time::Timestamp::ZERO,
+            cached: collections::BTreeMap::new(),
+        }
+    }
+
+    /// Takes a failure at `now`.
+    pub fn failed(&mut self, now: core_time::Timestamp) {
+        let doublings = self.failures.min(8);
+        self.failures += 1;
+        let span = FIRST_AVOID.saturating_mul(1 << doublings).min(MAX_AVOID);
+        self.avoid_until = self.avoid_until.max(now.after(span));
+    }
+
+    /// Takes a success.
+    pub fn succeeded(&mut self) {
+        self.failures = 0;
+        self.avoid_until = core_time::Timestamp::ZERO;
+    }
+
+    /// Takes the load that it told at `now`.
+    pub fn told(&mut self, now: core_time::Timestamp, load: Option<input::Load>) {
+        if let Some(load) = load {
+            self.load = Some((now, load));
+            self.sent_since = 0;
+        }
+    }
+
+    /// Remembers that the parts of `prompt` were read at `now`.
+    pub fn remember(&mut self, prompt: &[input::PromptPart], now: core_time::Timestamp) {
+        for part in prompt {
+            self.cached.insert(part.id, now);
+        }
+        while self.cached.len() > MAX_CACHED {
+            let oldest = self.cached.iter().min_by_key(|(_, at)| **at).map(|(id, _)| *id);
+            let Some(oldest) = oldest else { return };
+            self.cached.remove(&oldest);
+        }
+    }
+
+    /// Tokens at the start of `prompt` that are likely cached.
+    pub fn cached_tokens(&self, prompt: &[input::PromptPart]) -> u64 {
+        let known = prompt.iter().take_while(|part| self.cached.contains_key(&part.id));
+        known.map(|part| part.tokens).sum()
+    }
+}
+
+/// All endpoints by id.
+#[derive(Debug, Default)]
+pub struct Endpoints {
+    /// The rows.
+    pub rows: collections::BTreeMap<ids::EndpointId, Endpoint>,
+    /// Whether the list was read at least once.
+    pub listed: bool,
+    /// When the list was read last, as long as it can be read.
+    pub contact: Option<core_time::Timestamp>,
+    /// Since when the list can't be read.
+    pub lost_since: Option<core_time::Timestamp>,
+    /// Until when endpoints that are missing from the list are kept.
+    pub keep_lapsed_until: core_time::Timestamp,
+}
--- /dev/null
+++ b/crates/flamingotrail-gateway/src/tables/inbox.rs
@@ -0,0 +1,39 @@
+//! Inputs sorted by the system that takes them.
+
+use crate::ids;
+use crate::input;
+
+/// Inputs that wait for their system within a tick.
+#[derive(Debug, Default)]
+pub struct Inbox {
+    /// Requests.
+    pub arrivals: Vec<input::Arrival>,
+    /// Callers that left.
+    pub left: Vec<ids::CallId>,
+    /// Outcomes of attempts.
+    pub outcomes: Vec<(ids::CallId, u32, input::Outcome)>,
+    /// Calls whose answer is out.
+    pub delivered: Vec<ids::CallId>,
+    /// Results of appends.
+    pub appended: Vec<(ids::Partition, Result<ids::Offset, input::LogError>)>,
+    /// Results of reads.
+    pub read: Vec<(ids::Partition, Result<input::Page, input::LogError>)>,
+    /// Configurations.
+    pub configurations: Vec<input::Configuration>,
+    /// Readings of the list; none where one failed.
+    pub memberships: Vec<Option<input::Membership>>,
+}
+
+impl Inbox {
+    /// Whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.arrivals.is_empty()
+            && self.left.is_empty()
+            && self.outcomes.is_empty()
+            && self.delivered.is_empty()
+            && self.appended.is_empty()
+            && self.read.is_empty()
+            && self.configurations.is_empty()
+            && self.memberships.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/flamingotrail-gateway/src/tables/partitions.rs
@@ -0,0 +1,68 @@
+//! Partitions of the log as this process has read them.
+
+use std::collections;
+
+use flamingotrail_core::time;
+
+use crate::ids;
+use crate::journal;
+
+/// One partition.
+#[derive(Debug, Default)]
+pub struct Partition {
+    /// Offset up to which records were applied.
+    pub applied: u64,
+    /// Offset up to which records are needed.
+    pub wanted: u64,
+    /// Records that wait for an append.
+    pub queue: collections::VecDeque<journal::Record>,
+    /// Records of the append under way.
+    pub appending: Vec<journal::Record>,
+    /// Whether a read is under way.
+    pub reading: bool,
+    /// Reads begun so far.
+    pub reads: u64,
+    /// The newest read that came to the end of the partition.
+    pub caught_up: u64,
+    /// The read that somebody waits for.
+    pub wanted_read: u64,
+    /// Failures in a row.
+    pub failures: u32,
+    /// Not to be tried before this time.
+    pub retry_at: time::Timestamp,
+}
+
+impl Partition {
+    /// Asks for a read that begins from now on: its number.
+    pub fn ask_read(&mut self) -> u64 {
+        let number = self.reads + 1;
+        self.wanted_read = self.wanted_read.max(number);
+        number
+    }
+
+    /// Whether a read has to begin.
+    pub fn needs_read(&self) -> bool {
+        !self.reading && (self.wanted > self.applied || self.wanted_read > self.caught_up)
+    }
+
+    /// Whether an append has to begin.
+    pub fn needs_append(&self) -> bool {
+        self.appending.is_empty() && !self.queue.is_empty()
+    }
+}
+
+/// All partitions.
+#[derive(Debug, Default)]
+pub struct Partitions {
+    /// The rows.
+    pub rows: collections::BTreeMap<ids::Partition, Partition>,
+    /// Since when the log can't be reached.
+    pub down_since: Option<time::Timestamp>,
+}
+
+impl Partitions {
+    /// The row of `partition`, made where it is missing.
+    pub fn row(&mut self, partition: ids::Partition) -> &mut Partition {
+        self.rows.entry(partition).or_default()
+    }
+}
--- /dev/null
+++ b/crates/flamingotrail-gateway/src/tables/routes.rs
@@ -0,0 +1,70 @@
+//! Routes and services in force.
+
+use crate::ids;
+use crate::input;
+
+/// The configuration in force; none before the first.
+#[derive(Debug, Default)]
+pub struct Routes {
+    /// The configuration.
+    pub current: Option<input::Configuration>,
+}
+
+/// What a host and path select.
+#[derive(Debug, PartialEq)]
+pub enum Selection<'a> {
+    /// No configuration is known yet.
+    Unknown,
+    /// No route fits.
+    None,
+    /// The route.
+    Route(&'a input::Route),
+}
+
+impl Routes {
+    /// Version in force.
+    pub fn version(&self) -> Option<u64> {
+        self.current.as_ref().map(|configuration| configuration.version)
+    }
+
+    /// Takes `configuration` unless it is no newer than the one in force; whether it was taken.
+    pub fn replace(&mut self, configuration: input::Configuration) -> bool {
+        if self.version().is_some_and(|version| version >= configuration.version) {
+            return false;
+        }
+        self.current = Some(configuration);
+        true
+    }
+
+    /// The route of `host` whose prefix is the longest that begins `path`.
+    pub fn select(&self, host: &str, path: &str) -> Selection<'_> {
+        let Some(configuration) = &self.current else { return Selection::Unknown };
+        let route = configuration
+            .routes
+            .iter()
+            .filter(|route| route.host.eq_ignore_ascii_case(host) && path.starts_with(&route.prefix))
+            .max_by_key(|route| route.prefix.len());
+        route.map_or(Selection::None, Selection::Route)
+    }
+
+    /// A service.
+    pub fn service(&self, name: &ids::ServiceName) -> Option<&input::Service> {
+        self.current.as_ref()?.services.get(name)
+    }
+}
+
+/// The service that `key` goes to by the weights of `route`; none where no weight counts.
+pub fn pick_service<'a>(route: &'a input::Route, key: &str) -> Option<&'a ids::ServiceName> {
+    let total: u64 = route.split.iter().map(|(_, weight)| weight).sum();
+    if total == 0 {
+        return None;
+    }
+    let mut point = ids::stable_hash(key) % total;
+    for (service, weight) in &route.split {
+        if point < *weight {
+            return Some(service);
+        }
+        point -= weight;
+    }
+    None
+}
--- /dev/null
+++ b/crates/flamingotrail-gateway/src/tables/timers.rs
@@ -0,0 +1,22 @@
+//! When rows are due again.
+
+use crate::ids;
+
+/// What a timer is for. One timer of a kind and row exists at most.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Timer {
+    /// A call runs out of time.
+    CallDeadline(ids::CallId),
+    /// A call may be placed again.
+    CallRetry(ids::CallId),
+    /// An attempt that may be repeated has taken too long.
+    AttemptSlow(ids::CallId, u32),
+    /// A partition's append or read may be repeated.
+    Partition(ids::Partition),
+    /// Turns and programs may have expired.
+    Expiry,
+    /// Endpoints that left the list while it could not be read are dropped.
+    Lapsed,
+    /// Next step of a graceful shutdown.
+    Drain,
+}
--- a/crates/flamingotrail-runtime/src/clock.rs
+++ b/crates/flamingotrail-runtime/src/clock.rs
@@ -20,6 +20,11 @@
     pub fn now(&self) -> core_time::Timestamp {
         core_time::Timestamp::ZERO.after(self.start.elapsed())
     }
+
+    /// The time of `instant`; the start of the process where it is earlier.
+    pub fn at(&self, instant: time::Instant) -> core_time::Timestamp {
+        core_time::Timestamp::ZERO.after(instant.saturating_duration_since(self.start))
+    }
 }
 
 impl Default for Clock {
--- a/crates/flamingotrail-runtime/src/configs/daemon.rs
+++ b/crates/flamingotrail-runtime/src/configs/daemon.rs
@@ -14,7 +14,8 @@
 #[derive(Clone, Debug, clap::Parser)]
 #[command(name = "flamingotraild", version, about, after_help = EXAMPLES)]
 pub struct DaemonArgs {
-    /// Role: `entry` or `endpoint`.
+    /// Role: `entry`, `endpoint`, or `gateway`, which takes the rest of its settings from the
+    /// platform's file.
     #[arg(long, env = "FLAMINGOTRAIL_ROLE", default_value = "entry")]
     pub role: String,
     /// Instance name, unique in the deployment.
@@ -126,6 +127,27 @@
       --log-url http://10.0.0.2:7000 --list-url http://10.0.0.2:7001
   FLAMINGOTRAIL_ROLE=endpoint FLAMINGOTRAIL_ENDPOINT=stable-1 flamingotraild";
 
+/// The role that runs on the users' platform.
+pub const GATEWAY_ROLE: &str = "gateway";
+
+/// Settings of a gateway beside those of the platform's file.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GatewayConfig {
+    /// Lines below this level are left out.
+    pub log_level: log::LevelFilter,
+}
+
+impl TryFrom<&DaemonArgs> for GatewayConfig {
+    type Error = String;
+
+    fn try_from(args: &DaemonArgs) -> Result<Self, String> {
+        let log_level = args.log_level.parse().map_err(|_| {
+            format!("--log-level {:?} is not known; give error, warn, info, debug or trace", args.log_level)
+        })?;
+        Ok(GatewayConfig { log_level })
+    }
+}
+
 /// Settings that were checked.
 #[derive(Clone, Debug)]
 pub struct DaemonConfig {
--- /dev/null
+++ b/crates/flamingotrail-runtime/src/gateway/exchange.rs
@@ -0,0 +1,187 @@
+//! One attempt on an endpoint.
+
+use std::rc;
+use std::time;
+
+use actix_http::Request;
+use bytes::BytesMut;
+use flamingotrail_adapter::answers;
+use flamingotrail_adapter::channel;
+use flamingotrail_adapter::events;
+use flamingotrail_adapter::requests;
+use flamingotrail_gateway::input;
+use flamingotrail_gateway::output;
+use tokio::sync::oneshot;
+
+use crate::gateway::pool;
+use crate::gateway::slots;
+
+/// Time for a connection to an endpoint: two round trips between regions, and a lost packet.
+const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(300);
+/// Bytes of an answer that is not a stream at most.
+const MAX_ANSWER_BYTES: usize = 8 << 20;
+/// Answers to earlier requests that are passed over on one connection at most.
+const MAX_STALE: usize = 4;
+/// Statuses that promise that a request did not run.
+const PROMISES: &[u16] = &[408, 421, 429, 503];
+
+/// What attempts share.
+#[derive(Clone)]
+pub struct Exchange {
+    /// Idle connections.
+    pub pool: pool::Pool,
+    /// Calls.
+    pub slots: slots::Slots,
+}
+
+/// What an attempt has passed on so far.
+#[derive(Default)]
+struct Progress {
+    streaming: bool,
+    events: u64,
+    output: BytesMut,
+    load: Option<input::Load>,
+}
+
+impl Exchange {
+    /// Makes an attempt until its end or the signal of `cancel`.
+    pub async fn run(
+        &self,
+        dispatch: &output::Dispatch,
+        request: rc::Rc<Request>,
+        cancel: oneshot::Receiver<()>,
+    ) -> input::Outcome {
+        let mut progress = Progress::default();
+        let ended = tokio::select! {
+            biased;
+            outcome = self.attempt(dispatch, &request, &mut progress) => Some(outcome),
+            _ = cancel => None,
+        };
+        match ended {
+            Some(outcome) => outcome,
+            None if progress.streaming => streamed(progress, false),
+            None => input::Outcome::Cancelled,
+        }
+    }
+
+    async fn attempt(
+        &self,
+        dispatch: &output::Dispatch,
+        request: &Request,
+        progress: &mut Progress,
+    ) -> input::Outcome {
+        let mut channel = match self.pool.take(&dispatch.endpoint, dispatch.repeatable) {
+            Some(channel) => channel,
+            None => {
+                let within = CONNECT_TIMEOUT.min(dispatch.within);
+                match pool::connect(&dispatch.address, within).await {
+                    Ok(channel) => channel,
+                    Err(error) => {
+                        log::debug!("event=connect_failed error={:?}", error.to_string());
+                        return input::Outcome::NotSent(input::Failure::Connect);
+                    }
+                }
+            }
+        };
+        let head = requests::encode(request.head(), dispatch);
+        match self.answer(dispatch, request, &mut channel, &head, progress).await {
+            Ok(outcome) => {
+                self.pool.put(&dispatch.endpoint, channel);
+                outcome
+            }
+            Err(_) if progress.streaming => streamed(std::mem::take(progress), false),
+            Err(error) => input::Outcome::Lost(failure(&error)),
+        }
+    }
+
+    async fn answer(
+        &self,
+        dispatch: &output::Dispatch,
+        request: &Request,
+        channel: &mut channel::Channel,
+        head: &[u8],
+        progress: &mut Progress,
+    ) -> Result<input::Outcome, channel::ChannelError> {
+        let id = requests::id(request.head());
+        let mut answer = channel.exchange(head, &dispatch.body).await?;
+        let mut stale = 0;
+        while !answers::belongs_to(&answer, id) {
+            stale += 1;
+            if stale > MAX_STALE {
+                return Err(channel::ChannelError::Malformed("answers to other requests"));
+            }
+            channel.read_whole(MAX_ANSWER_BYTES).await?;
+            answer = channel.read_head().await?;
+        }
+        let verdict = answers::verdict(&answer);
+        let status = answer.status;
+        if verdict.not_run {
+            channel.read_whole(MAX_ANSWER_BYTES).await?;
+            return Ok(input::Outcome::Refused { status, load: verdict.load });
+        }
+        let is_success = (200..300).contains(&status);
+        if is_success && !verdict.signed {
+            return Err(channel::ChannelError::Malformed("a success without a signature"));
+        }
+        if verdict.is_stream {
+            progress.load = verdict.load;
+            return self.stream(dispatch, channel, answer, progress).await;
+        }
+        let body = channel.read_whole(MAX_ANSWER_BYTES).await?;
+        if PROMISES.contains(&status) {
+            // The endpoint does not say that it left the request alone, so neither may this process.
+            return Ok(input::Outcome::Lost(input::Failure::Malformed));
+        }
+        self.slots.keep(dispatch.call, answer, body);
+        Ok(input::Outcome::Answered { status, signed: verdict.signed, load: verdict.load })
+    }
+
+    async fn stream(
+        &self,
+        dispatch: &output::Dispatch,
+        channel: &mut channel::Channel,
+        head: channel::Head,
+        progress: &mut Progress,
+    ) -> Result<input::Outcome, channel::ChannelError> {
+        progress.streaming = true;
+        let mut splitter = events::Splitter::new();
+        let mut head = Some(head);
+        while let Some(bytes) = channel.read_body().await? {
+            let events = splitter
+                .push(&bytes)
+                .map_err(|_| channel::ChannelError::Malformed("an event is too long"))?;
+            for event in events {
+                if let Some(head) = head.take() {
+                    self.slots.stream(dispatch.call, slots::Reply::Head(head));
+                }
+                progress.events += 1;
+                progress.output.extend_from_slice(&event.data);
+                self.slots.stream(dispatch.call, slots::Reply::Data(event.raw));
+            }
+        }
+        if splitter.has_rest() {
+            return Err(channel::ChannelError::Malformed("the stream ends within an event"));
+        }
+        if let Some(head) = head.take() {
+            self.slots.stream(dispatch.call, slots::Reply::Head(head));
+        }
+        Ok(streamed(std::mem::take(progress), true))
+    }
+}
+
+fn streamed(progress: Progress, complete: bool) -> input::Outcome {
+    input::Outcome::Streamed {
+        complete,
+        events: progress.events,
+        output: progress.output.freeze(),
+        load: progress.load,
+    }
+}
+
+fn failure(error: &channel::ChannelError) -> input::Failure {
+    match error {
+        channel::ChannelError::Connect { .. } => input::Failure::Connect,
+        channel::ChannelError::Io(_) | channel::ChannelError::Closed => input::Failure::Closed,
+        channel::ChannelError::Malformed(_) => input::Failure::Malformed,
+    }
+}
--- /dev/null
+++ b/crates/flamingotrail-runtime/src/gateway/executor.rs
@@ -0,0 +1,108 @@
+//! Carries out what the control thread asks for.
+
+use std::rc;
+
+use flamingotrail_adapter::store;
+use flamingotrail_gateway::ids;
+use flamingotrail_gateway::input;
+use flamingotrail_gateway::journal;
+use flamingotrail_gateway::output;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+
+use crate::gateway::callers;
+use crate::gateway::control;
+use crate::gateway::exchange;
+use crate::gateway::slots;
+
+/// What carries out outputs.
+pub struct Executor {
+    /// Attempts.
+    pub exchange: exchange::Exchange,
+    /// The platform's store.
+    pub store: rc::Rc<store::StoreClient>,
+    /// The way back into the control thread.
+    pub inlet: control::Inlet,
+    /// Whether this process takes new callers.
+    pub ready: watch::Sender<bool>,
+    /// How far a graceful shutdown is.
+    pub stage: watch::Sender<callers::Stage>,
+}
+
+impl Executor {
+    /// Carries out outputs until the process is to end.
+    pub async fn run(self, mut outputs: mpsc::UnboundedReceiver<Vec<output::Output>>) {
+        while let Some(batch) = outputs.recv().await {
+            for output in batch {
+                if matches!(output, output::Output::Stopped) {
+                    self.stage.send_replace(callers::Stage::Closed);
+                    return;
+                }
+                self.carry_out(output);
+            }
+        }
+    }
+
+    fn slots(&self) -> &slots::Slots {
+        &self.exchange.slots
+    }
+
+    fn carry_out(&self, output: output::Output) {
+        match output {
+            output::Output::Send(dispatch) => self.send(*dispatch),
+            output::Output::Cancel(call) => self.slots().cancel(call),
+            output::Output::Open(call) => self.slots().open(call),
+            output::Output::Finish(call) => self.slots().finish(call),
+            output::Output::Refuse(call, refusal) => self.slots().refuse(call, refusal),
+            output::Output::Abort(call) => self.slots().abort(call),
+            output::Output::Append { partition, records } => self.append(partition, records),
+            output::Output::Read { partition, from } => self.read(partition, from),
+            output::Output::Ready(ready) => {
+                self.ready.send_replace(ready);
+            }
+            output::Output::Stopped => {}
+            output::Output::Event(event) => {
+                log::info!("event={} {}", event.name, event.detail);
+            }
+        }
+    }
+
+    fn send(&self, dispatch: output::Dispatch) {
+        let (call, attempt) = (dispatch.call, dispatch.attempt);
+        let inlet = self.inlet.clone();
+        let Some((request, cancel)) = self.slots().begin(call, dispatch.gated) else {
+            let outcome = input::Outcome::NotSent(input::Failure::Closed);
+            inlet.deliver(input::Input::Outcome { call, attempt, outcome });
+            return;
+        };
+        let exchange = self.exchange.clone();
+        actix_rt::spawn(async move {
+            let outcome = exchange.run(&dispatch, request, cancel).await;
+            inlet.deliver(input::Input::Outcome { call, attempt, outcome });
+        });
+    }
+
+    fn append(&self, partition: ids::Partition, records: Vec<journal::Record>) {
+        let (store, inlet) = (self.store.clone(), self.inlet.clone());
+        actix_rt::spawn(async move {
+            let result = store.append(partition, &records).await;
+            if let Err(error) = &result {
+                log::debug!("event=append_failed error={:?}", error.to_string());
+            }
+            let result = result.map_err(|error| error.log_error());
+            inlet.deliver(input::Input::Appended { partition, result });
+        });
+    }
+
+    fn read(&self, partition: ids::Partition, from: ids::Offset) {
+        let (store, inlet) = (self.store.clone(), self.inlet.clone());
+        actix_rt::spawn(async move {
+            let result = store.read(partition, from).await;
+            if let Err(error) = &result {
+                log::debug!("event=read_failed error={:?}", error.to_string());
+            }
+            let result = result.map_err(|error| error.log_error());
+            inlet.deliver(input::Input::Read { partition, result });
+        });
+    }
+}
--- /dev/null
+++ b/crates/flamingotrail-runtime/src/gateway/process.rs
@@ -0,0 +1,132 @@
+//! The gateway as a process: starts its parts and ends them.
+
+use std::cell;
+use std::io;
+use std::rc;
+use std::time;
+
+use actix_http::StatusCode;
+use bytes::Bytes;
+use flamingotrail_adapter::configuration;
+use flamingotrail_adapter::names;
+use flamingotrail_adapter::settings as deployment;
+use flamingotrail_adapter::store;
+use flamingotrail_gateway::input;
+use flamingotrail_gateway::settings;
+use flamingotrail_gateway::world;
+use tokio::sync::watch as tokio_watch;
+
+use crate::clock;
+use crate::gateway::callers;
+use crate::gateway::control;
+use crate::gateway::exchange;
+use crate::gateway::executor;
+use crate::gateway::operators;
+use crate::gateway::pool;
+use crate::gateway::slots;
+use crate::gateway::watch;
+
+/// Pause between two looks at idle connections.
+const REAP_PAUSE: time::Duration = time::Duration::from_secs(1);
+/// Part of the time for which a process lingers after the order to stop before it closes idle
+/// connections: the balancer needs two misses, one a second.
+const LINGER: time::Duration = time::Duration::from_millis(2_900);
+
+/// A gateway that can't start.
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    /// An address.
+    #[error("an address or thread can't be used: {0}; give free addresses of this instance")]
+    Io(#[from] io::Error),
+}
+
+/// Runs the gateway until it was told to stop and has finished what ran.
+///
+/// # Errors
+///
+/// An address that can't be used.
+pub async fn run(deployment: deployment::Deployment) -> Result<(), StartError> {
+    let clock = clock::Clock::new();
+    let settings = settings::Settings {
+        partitions: deployment.store.partitions * deployment::PROGRAM_TOPICS,
+        drain: deployment.drain,
+        grace: deployment.grace,
+    };
+    let world = world::World::new(deployment.identity.clone(), settings);
+    let (inlet, outputs) = control::start(world, clock)?;
+    let store = rc::Rc::new(store::StoreClient::new(&deployment.store));
+    let limits = rc::Rc::new(cell::Cell::new(configuration::Limits::default()));
+    let slots = slots::Slots::default();
+    let pool = pool::Pool::default();
+    let (ready_tx, ready_rx) = tokio_watch::channel(false);
+    let (stage_tx, stage_rx) = tokio_watch::channel(callers::Stage::Serving);
+
+    operators::listen(deployment.readiness, Readiness { ready: ready_rx }).await?;
+    let callers =
+        callers::Callers::new(inlet.clone(), slots.clone(), clock, limits.clone(), stage_rx);
+    callers.listen(deployment.callers).await?;
+    actix_rt::spawn(watch::configuration(store.clone(), inlet.clone(), limits));
+    actix_rt::spawn(watch::endpoints(store.clone(), inlet.clone()));
+    actix_rt::spawn(reap(pool.clone()));
+    actix_rt::spawn(drain_on_signal(inlet.clone(), stage_tx.clone()));
+    log::info!(
+        "event=started domain={} region={} callers={} store={}",
+        deployment.identity.domain,
+        deployment.identity.region,
+        deployment.callers,
+        store.address()
+    );
+    let executor = executor::Executor {
+        exchange: exchange::Exchange { pool, slots },
+        store,
+        inlet,
+        ready: ready_tx,
+        stage: stage_tx,
+    };
+    executor.run(outputs).await;
+    log::info!("event=stopped");
+    Ok(())
+}
+
+/// Answers the balancer.
+#[derive(Clone)]
+struct Readiness {
+    ready: tokio_watch::Receiver<bool>,
+}
+
+impl operators::Answers for Readiness {
+    fn answer(&self, path: &str) -> (StatusCode, Bytes) {
+        if path != names::READY_PATH {
+            return (StatusCode::NOT_FOUND, Bytes::new());
+        }
+        let ready = *self.ready.borrow();
+        (if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, Bytes::new())
+    }
+}
+
+async fn reap(pool: pool::Pool) {
+    loop {
+        actix_rt::time::sleep(REAP_PAUSE).await;
+        pool.reap();
+    }
+}
+
+/// Starts a graceful shutdown on SIGTERM.
+async fn drain_on_signal(inlet: control::Inlet, stage: tokio_watch::Sender<callers::Stage>) {
+    let kind = tokio::signal::unix::SignalKind::terminate();
+    let mut terminate = match tokio::signal::unix::signal(kind) {
+        Ok(terminate) => terminate,
+        Err(error) => {
+            log::error!("event=signal_failed error={:?}", error.to_string());
+            return;
+        }
+    };
+    if terminate.recv().await.is_none() {
+        return;
+    }
+    log::info!("event=signal action=drain");
+    inlet.deliver(input::Input::Drain);
+    stage.send_replace(callers::Stage::Closing);
+    actix_rt::time::sleep(LINGER).await;
+    stage.send_replace(callers::Stage::Closed);
+}
--- a/crates/flamingotrail-runtime/src/lib.rs
+++ b/crates/flamingotrail-runtime/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod daemon;
 pub mod executor;
 pub mod front;
+pub mod gateway;
 pub mod links;
 pub mod logging;
 pub mod metrics;
--- a/crates/flamingotraild/src/main.rs
+++ b/crates/flamingotraild/src/main.rs
@@ -3,8 +3,10 @@
 use std::process;
 
 use clap::Parser as _;
+use flamingotrail_adapter::settings as deployment;
 use flamingotrail_runtime::configs::daemon as settings;
 use flamingotrail_runtime::daemon;
+use flamingotrail_runtime::gateway::process as gateway;
 use flamingotrail_runtime::logging;
 
 /// Exit status for wrong settings.
@@ -12,6 +14,9 @@
 
 fn main() -> process::ExitCode {
     let args = settings::DaemonArgs::parse();
+    if args.role == settings::GATEWAY_ROLE {
+        return run_gateway(&args);
+    }
     let config = match settings::DaemonConfig::try_from(&args) {
         Ok(config) => config,
         Err(wrong) => {
@@ -32,3 +37,32 @@
         }
     }
 }
+
+/// Runs the role whose settings the platform writes.
+fn run_gateway(args: &settings::DaemonArgs) -> process::ExitCode {
+    let config = match settings::GatewayConfig::try_from(args) {
+        Ok(config) => config,
+        Err(wrong) => {
+            eprintln!("{wrong}");
+            return process::ExitCode::from(WRONG_SETTINGS);
+        }
+    };
+    let deployment = match deployment::load() {
+        Ok(deployment) => deployment,
+        Err(error) => {
+            eprintln!("{error}");
+            return process::ExitCode::from(WRONG_SETTINGS);
+        }
+    };
+    if let Err(error) = logging::init_queued(config.log_level, &deployment.identity.instance) {
+        eprintln!("logging can't be set up: {error}; report this as a defect");
+        return process::ExitCode::FAILURE;
+    }
+    match actix_rt::System::new().block_on(gateway::run(deployment)) {
+        Ok(()) => process::ExitCode::SUCCESS,
+        Err(error) => {
+            log::error!("event=start_failed error={:?}", error.to_string());
+            process::ExitCode::FAILURE
+        }
+    }
+}
