--- a/crates/flamingotrail-gateway/src/ids.rs
+++ b/crates/flamingotrail-gateway/src/ids.rs
@@ -92,9 +92,19 @@
 }
 
 impl Partition {
-    /// The partition of `program` among `count`; 0 where there are none.
+    /// The partition that holds the budget of `program`, among `count`.
     pub fn of_program(program: &ProgramId, count: u16) -> Partition {
-        let slot = stable_hash(program.as_str()) % u64::from(count.max(1));
+        Partition::of_text(program.as_str(), count)
+    }
+
+    /// The partition that holds `turn`, among `count`. It follows from the turn's id alone, so that a
+    /// turn is found without knowing its program.
+    pub fn of_turn(turn: &TurnId, count: u16) -> Partition {
+        Partition::of_text(turn.as_str(), count)
+    }
+
+    fn of_text(text: &str, count: u16) -> Partition {
+        let slot = stable_hash(text) % u64::from(count.max(1));
         Partition(u16::try_from(slot).unwrap_or(u16::MAX))
     }
 }
--- a/crates/flamingotrail-gateway/src/journal.rs
+++ b/crates/flamingotrail-gateway/src/journal.rs
@@ -7,12 +7,21 @@
 /// One record.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Record {
-    /// A turn asks for its part of the program's budget.
+    /// A turn asks for its part of the program's budget; stands in the program's partition.
     Start(Start),
-    /// A turn has ended whole.
+    /// A turn has ended whole; stands in the turn's partition.
     End(End),
-    /// A turn is over and does not count; its unused part of the budget is free again.
-    Void(Void),
+    /// Turns are over, whether they count or not; stands in the program's partition.
+    Settle(Settle),
+}
+
+/// What a turn that is over has used of its program's budget.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settled {
+    /// The turn.
+    pub turn: ids::TurnId,
+    /// Tokens that reached the caller.
+    pub tokens: u64,
 }
 
 /// A turn asks for its part of the program's budget.
@@ -26,6 +35,8 @@
     pub max_tokens: u64,
     /// Tokens that the whole program may generate.
     pub budget: u64,
+    /// Turns of the program that are over; taken before the start.
+    pub settled: Vec<Settled>,
 }
 
 /// A turn has ended whole.
@@ -47,22 +58,20 @@
     pub output: Bytes,
 }
 
-/// A turn is over and does not count.
+/// Turns are over.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Void {
-    /// The turn.
-    pub turn: ids::TurnId,
-    /// Its program.
+pub struct Settle {
+    /// Their program.
     pub program: ids::ProgramId,
-    /// Tokens that reached the caller all the same.
-    pub tokens: u64,
+    /// The turns.
+    pub settled: Vec<Settled>,
 }
 
 impl Record {
     /// Bytes that the record's texts take.
     pub fn text_bytes(&self) -> usize {
         match self {
-            Record::Start(_) | Record::Void(_) => 0,
+            Record::Start(_) | Record::Settle(_) => 0,
             Record::End(end) => end.input.len() + end.output.len(),
         }
     }
--- a/crates/flamingotrail-gateway/src/schedule.rs
+++ b/crates/flamingotrail-gateway/src/schedule.rs
@@ -22,6 +22,7 @@
     System { name: "admission", run: systems::admission::run },
     System { name: "deadlines", run: systems::deadlines::run },
     System { name: "turns", run: systems::turns::run },
+    System { name: "budgets", run: systems::budgets::run },
     System { name: "placement", run: systems::placement::run },
     System { name: "expiry", run: systems::expiry::run },
     System { name: "log_io", run: systems::log_io::run },
--- a/crates/flamingotrail-gateway/src/systems/admission.rs
+++ b/crates/flamingotrail-gateway/src/systems/admission.rs
@@ -120,8 +120,7 @@
         max_tokens: arrival.usage.map_or(0, |usage| usage.max_output),
         budget: head.and_then(|head| head.budget),
         reservation: calls::Reservation::None,
-        awaits: std::collections::BTreeMap::new(),
-        searched: false,
+        awaits: None,
         ended: false,
     })
 }
--- a/crates/flamingotrail-gateway/src/systems/completion.rs
+++ b/crates/flamingotrail-gateway/src/systems/completion.rs
@@ -7,6 +7,7 @@
 use crate::input;
 use crate::journal;
 use crate::output;
+use crate::systems::budgets;
 use crate::systems::placement;
 use crate::tables::calls;
 use crate::tables::timers;
@@ -57,7 +58,7 @@
     log(world, tick, id, &running, &outcome);
     let Some(call) = world.tables.calls.rows.get(&id) else { return };
     if call.phase == calls::Phase::Closed {
-        void(world, id, &outcome);
+        void(world, tick, id, &outcome);
         remove_if_done(world, id);
         return;
     }
@@ -68,7 +69,7 @@
             streamed(world, id, &running.endpoint, events, output);
         }
         input::Outcome::Streamed { complete: false, .. } => {
-            void(world, id, &outcome);
+            void(world, tick, id, &outcome);
             close(world, id);
             world.emit(output::Output::Abort(id));
         }
@@ -163,7 +164,7 @@
     }
     call.status = Some(status);
     close(world, id);
-    void(world, id, &input::Outcome::Cancelled);
+    void(world, tick, id, &input::Outcome::Cancelled);
     world.emit(output::Output::Finish(id));
 }
 
@@ -194,7 +195,7 @@
     };
     turn.ended = true;
     call.phase = calls::Phase::Settling;
-    let partition = turn.partition;
+    let partition = ids::Partition::of_turn(&end.turn, world.settings.partitions);
     tables.partitions.row(partition).queue.push_back(journal::Record::End(end));
     tables.dirty.partitions.insert(partition);
     tables.dirty.calls.insert(id);
@@ -247,7 +248,7 @@
         call.phase,
     );
     world.out.push(output::Output::Event(output::Event::new("refused", detail)));
-    stop(world, id);
+    stop(world, tick, id);
     world.emit(output::Output::Refuse(id, refusal));
 }
 
@@ -262,19 +263,19 @@
         );
         world.out.push(output::Output::Event(output::Event::new("caller_left", detail)));
     }
-    stop(world, id);
+    stop(world, tick, id);
     remove_if_done(world, id);
 }
 
 /// Closes a call and stops its attempt; what it reserved is free once the attempt has ended.
-fn stop(world: &mut world::World, id: ids::CallId) {
+fn stop(world: &mut world::World, tick: &world::Tick, id: ids::CallId) {
     let Some(call) = world.tables.calls.rows.get(&id) else { return };
     let running = call.running.is_some();
     close(world, id);
     if running {
         world.emit(output::Output::Cancel(id));
     } else {
-        void(world, id, &input::Outcome::Cancelled);
+        void(world, tick, id, &input::Outcome::Cancelled);
     }
 }
 
@@ -294,7 +295,12 @@
 }
 
 /// Frees what a turn that does not count has reserved, less what its caller was given.
-fn void(world: &mut world::World, id: ids::CallId, outcome: &input::Outcome) {
+fn void(
+    world: &mut world::World,
+    tick: &world::Tick,
+    id: ids::CallId,
+    outcome: &input::Outcome,
+) {
     let events = match outcome {
         input::Outcome::Streamed { events, .. } => *events,
         _ => 0,
@@ -307,14 +313,10 @@
         return;
     }
     turn.ended = true;
-    let void = journal::Void {
-        turn: call.arrival.id.clone(),
-        program: turn.program.clone(),
-        tokens,
-    };
-    let partition = turn.partition;
-    tables.partitions.row(partition).queue.push_back(journal::Record::Void(void));
-    tables.dirty.partitions.insert(partition);
+    if let Some(program) = tables.programs.rows.get_mut(&turn.program) {
+        program.learn(&call.arrival.id, tokens);
+    }
+    budgets::settle_soon(world, tick, id);
 }
 
 fn tokens_per_event(world: &world::World, id: ids::CallId) -> u64 {
--- a/crates/flamingotrail-gateway/src/systems/journal.rs
+++ b/crates/flamingotrail-gateway/src/systems/journal.rs
@@ -120,9 +120,8 @@
     if world.tables.partitions.down_since.is_none() {
         world.tables.partitions.down_since = Some(tick.now);
         world.event("log_lost", format_args!("partition={partition} error={error:?}"));
-    } else {
-        let detail =
-            format_args!("partition={partition} error={error:?} failures={failures} queued={queued}");
+    } else if failures == 1 {
+        let detail = format_args!("partition={partition} error={error:?} queued={queued}");
         world.event("log_failed", detail);
     }
 }
@@ -141,14 +140,16 @@
     match record {
         journal::Record::Start(start) => apply_start(world, tick, start),
         journal::Record::End(end) => apply_end(world, tick, end),
-        journal::Record::Void(void) => {
-            world.tables.programs.touch(&void.program, tick.now).settle(&void.turn, void.tokens);
+        journal::Record::Settle(settle) => {
+            let program = world.tables.programs.touch(&settle.program, tick.now);
+            settle.settled.iter().for_each(|settled| program.settle(settled));
         }
     }
 }
 
 fn apply_start(world: &mut world::World, tick: &world::Tick, start: &journal::Start) {
     let program = world.tables.programs.touch(&start.program, tick.now);
+    start.settled.iter().for_each(|settled| program.settle(settled));
     let granted = program.start(&start.turn, start.max_tokens, start.budget);
     let (settled, committed) = (program.settled, program.committed());
     let Some(id) = world.tables.calls.by_turn.get(&start.turn).copied() else { return };
@@ -172,7 +173,7 @@
 }
 
 fn apply_end(world: &mut world::World, tick: &world::Tick, end: &journal::End) {
-    world.tables.programs.touch(&end.program, tick.now).settle(&end.turn, end.tokens);
+    world.tables.programs.touch(&end.program, tick.now).learn(&end.turn, end.tokens);
     let expires = tick.now.after(longest_retention(world) + RETENTION_SLACK);
     world.tables.turns.insert(end, expires);
     if let Some(id) = world.tables.calls.by_turn.get(&end.turn) {
--- a/crates/flamingotrail-gateway/src/systems/mod.rs
+++ b/crates/flamingotrail-gateway/src/systems/mod.rs
@@ -1,6 +1,7 @@
 //! The systems: functions over the tables, each with one job.
 
 pub mod admission;
+pub mod budgets;
 pub mod completion;
 pub mod configuration;
 pub mod deadlines;
--- a/crates/flamingotrail-gateway/src/systems/placement.rs
+++ b/crates/flamingotrail-gateway/src/systems/placement.rs
@@ -107,7 +107,15 @@
     let Some(row) = tables.endpoints.rows.get_mut(&endpoint) else { return };
     let mut body = Vec::new();
     if let Some(previous) = call.turn.as_ref().and_then(|turn| turn.previous.as_ref()) {
-        body = tables.turns.chain(previous).unwrap_or_default();
+        match tables.turns.chain(previous) {
+            Ok(texts) => body = texts,
+            Err(_) => {
+                // It has expired since it was looked up; it is looked up again.
+                call.phase = calls::Phase::Resolving;
+                tables.dirty.calls.insert(id);
+                return;
+            }
+        }
     }
     body.push(call.arrival.body.clone());
     call.attempts += 1;
--- a/crates/flamingotrail-gateway/src/systems/timers.rs
+++ b/crates/flamingotrail-gateway/src/systems/timers.rs
@@ -20,6 +20,9 @@
             timers::Timer::Partition(partition) => {
                 dirty.partitions.insert(partition);
             }
+            timers::Timer::Settle(program) => {
+                dirty.settle.insert(program);
+            }
             timers::Timer::Expiry => dirty.expiry = true,
             timers::Timer::Lapsed => dirty.lapsed = true,
             timers::Timer::Drain => dirty.drain = true,
--- a/crates/flamingotrail-gateway/src/systems/turns.rs
+++ b/crates/flamingotrail-gateway/src/systems/turns.rs
@@ -4,6 +4,7 @@
 use crate::ids;
 use crate::journal;
 use crate::output;
+use crate::systems::budgets;
 use crate::systems::completion;
 use crate::tables::calls;
 use crate::world;
@@ -31,36 +32,26 @@
     let tables = &mut world.tables;
     let Some(call) = tables.calls.rows.get_mut(&id) else { return };
     let Some(turn) = call.turn.as_mut() else { return };
-    let known = turn.previous.as_ref().is_none_or(|previous| tables.turns.chain(previous).is_some());
-    if known {
-        reserve(world, tick, id);
-        return;
-    }
-    let partitions = &mut tables.partitions;
-    if turn.awaits.is_empty() {
-        let number = partitions.row(turn.partition).ask_read();
-        turn.awaits.insert(turn.partition, number);
-        tables.dirty.partitions.insert(turn.partition);
-        return;
-    }
-    let done = turn
-        .awaits
-        .iter()
-        .all(|(partition, number)| partitions.row(*partition).caught_up >= *number);
-    if !done {
-        return;
-    }
-    if !turn.searched {
-        // The turn may belong to another program, whose partition only a search finds.
-        turn.searched = true;
-        for partition in (0..world.settings.partitions).map(ids::Partition) {
-            if partition != turn.partition {
-                let number = partitions.row(partition).ask_read();
-                turn.awaits.insert(partition, number);
-                tables.dirty.partitions.insert(partition);
+    let missing = match turn.previous.as_ref().map(|previous| tables.turns.chain(previous)) {
+        Some(Err(missing)) => missing.clone(),
+        Some(Ok(_)) | None => {
+            reserve(world, tick, id);
+            return;
+        }
+    };
+    let partition = ids::Partition::of_turn(&missing, world.settings.partitions);
+    let row = tables.partitions.row(partition);
+    match &turn.awaits {
+        Some((awaited, number)) if *awaited == missing => {
+            if row.caught_up < *number {
+                return;
             }
         }
-        return;
+        _ => {
+            turn.awaits = Some((missing, row.ask_read()));
+            tables.dirty.partitions.insert(partition);
+            return;
+        }
     }
     let refusal = output::Refusal { reason: output::Reason::NoSuchTurn, retry_after: None };
     completion::refuse(world, tick, id, refusal);
@@ -86,6 +77,7 @@
         program: turn.program.clone(),
         max_tokens: turn.max_tokens,
         budget,
+        settled: program.to_settle(),
     };
     let partition = turn.partition;
     if has_room {
@@ -138,4 +130,5 @@
     }
     call.phase = calls::Phase::Closed;
     world.emit(output::Output::Finish(id));
+    budgets::settle_soon(world, tick, id);
 }
--- a/crates/flamingotrail-gateway/src/tables/calls.rs
+++ b/crates/flamingotrail-gateway/src/tables/calls.rs
@@ -43,7 +43,7 @@
 pub struct Turn {
     /// The program.
     pub program: ids::ProgramId,
-    /// Its partition.
+    /// The partition of the program's budget.
     pub partition: ids::Partition,
     /// The turn that it continues.
     pub previous: Option<ids::TurnId>,
@@ -53,12 +53,10 @@
     pub budget: Option<u64>,
     /// Its part of the budget.
     pub reservation: Reservation,
-    /// Reads that have to be complete before a turn counts as missing: the number of the read by
-    /// partition.
-    pub awaits: collections::BTreeMap<ids::Partition, u64>,
-    /// Whether every partition was asked.
-    pub searched: bool,
-    /// Whether its end stands in the queue of the journal.
+    /// The turn that was missing last, and the number of the read of its partition that tells
+    /// whether it exists.
+    pub awaits: Option<(ids::TurnId, u64)>,
+    /// Whether the journal was told of its end.
     pub ended: bool,
 }
 
--- a/crates/flamingotrail-gateway/src/tables/dirty.rs
+++ b/crates/flamingotrail-gateway/src/tables/dirty.rs
@@ -17,6 +17,8 @@
     pub slow: collections::BTreeSet<(ids::CallId, u32)>,
     /// Partitions with something to append or read.
     pub partitions: collections::BTreeSet<ids::Partition>,
+    /// Programs of which the log is to be told what is over.
+    pub settle: collections::BTreeSet<ids::ProgramId>,
     /// Whether rows may have expired.
     pub expiry: bool,
     /// Whether lapsed endpoints are due.
@@ -33,6 +35,7 @@
             && self.late.is_empty()
             && self.slow.is_empty()
             && self.partitions.is_empty()
+            && self.settle.is_empty()
             && !self.expiry
             && !self.lapsed
             && !self.drain
--- a/crates/flamingotrail-gateway/src/tables/programs.rs
+++ b/crates/flamingotrail-gateway/src/tables/programs.rs
@@ -5,6 +5,7 @@
 use flamingotrail_core::time;
 
 use crate::ids;
+use crate::journal;
 
 /// One program.
 #[derive(Debug, Default)]
@@ -17,6 +18,10 @@
     pub over: collections::BTreeSet<ids::TurnId>,
     /// Turns of this process whose start the log has not confirmed yet, with their tokens.
     pub unconfirmed: collections::BTreeMap<ids::TurnId, u64>,
+    /// Turns that this process knows to be over and the log's part for the program does not tell yet.
+    pub unsettled: collections::BTreeMap<ids::TurnId, u64>,
+    /// Whether the log is told of them soon.
+    pub settling: bool,
     /// When a record or request of it came last.
     pub touched: time::Timestamp,
 }
@@ -34,7 +39,7 @@
 
     /// Whether there is room for `tokens` beside the starts that the log has not confirmed.
     pub fn has_room_locally(&self, tokens: u64, budget: u64) -> bool {
-        self.committed() + self.unconfirmed.values().sum::<u64>() + tokens <= budget
+        self.expected() + tokens <= budget
     }
 
     /// Takes the start of `turn`: whether it is granted.
@@ -50,14 +55,35 @@
         true
     }
 
-    /// Takes the end of `turn` after `tokens`.
-    pub fn settle(&mut self, turn: &ids::TurnId, tokens: u64) {
-        self.open.remove(turn);
-        self.unconfirmed.remove(turn);
-        if self.over.insert(turn.clone()) {
-            self.settled += tokens;
+    /// Takes the log's word that a turn is over.
+    pub fn settle(&mut self, settled: &journal::Settled) {
+        self.open.remove(&settled.turn);
+        self.unconfirmed.remove(&settled.turn);
+        self.unsettled.remove(&settled.turn);
+        if self.over.insert(settled.turn.clone()) {
+            self.settled += settled.tokens;
+        }
+    }
+
+    /// Learns that a turn is over, outside of the log's part for the program.
+    pub fn learn(&mut self, turn: &ids::TurnId, tokens: u64) {
+        if !self.over.contains(turn) {
+            self.unsettled.insert(turn.clone(), tokens);
         }
     }
+
+    /// What the log has to be told of turns that are over.
+    pub fn to_settle(&self) -> Vec<journal::Settled> {
+        let rows = self.unsettled.iter();
+        rows.map(|(turn, tokens)| journal::Settled { turn: turn.clone(), tokens: *tokens }).collect()
+    }
+
+    /// Tokens that are spent or may still be, by the log and by what this process knows beyond it.
+    pub fn expected(&self) -> u64 {
+        let open = self.open.iter().chain(self.unconfirmed.iter());
+        let open: u64 = open.map(|(turn, max)| self.unsettled.get(turn).unwrap_or(max)).sum();
+        self.settled + open
+    }
 }
 
 /// All programs.
--- a/crates/flamingotrail-gateway/src/tables/timers.rs
+++ b/crates/flamingotrail-gateway/src/tables/timers.rs
@@ -3,7 +3,7 @@
 use crate::ids;
 
 /// What a timer is for. One timer of a kind and row exists at most.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Timer {
     /// A call runs out of time.
     CallDeadline(ids::CallId),
@@ -13,6 +13,8 @@
     AttemptSlow(ids::CallId, u32),
     /// A partition's append or read may be repeated.
     Partition(ids::Partition),
+    /// The log may have to be told of a program's turns that are over.
+    Settle(ids::ProgramId),
     /// Turns and programs may have expired.
     Expiry,
     /// Endpoints that left the list while it could not be read are dropped.
--- a/crates/flamingotrail-gateway/src/tables/turns.rs
+++ b/crates/flamingotrail-gateway/src/tables/turns.rs
@@ -63,21 +63,22 @@
         }
     }
 
-    /// The texts of the chain that ends with `turn`, oldest first; none where a turn is missing.
-    pub fn chain(&self, turn: &ids::TurnId) -> Option<Vec<Bytes>> {
+    /// The texts of the chain that ends with `turn`, oldest first.
+    ///
+    /// # Errors
+    ///
+    /// The first turn, from the end, that is not here.
+    pub fn chain<'a>(&'a self, turn: &'a ids::TurnId) -> Result<Vec<Bytes>, &'a ids::TurnId> {
         let mut texts = Vec::new();
         let mut next = Some(turn);
         while let Some(id) = next {
-            let row = self.rows.get(id)?;
+            let row = self.rows.get(id).filter(|_| texts.len() < MAX_CHAIN).ok_or(id)?;
             texts.push(row.output.clone());
             texts.push(row.input.clone());
-            if texts.len() > MAX_CHAIN {
-                return None;
-            }
             next = row.previous.as_ref();
         }
         texts.reverse();
-        Some(texts)
+        Ok(texts)
     }
 
     /// Drops what expired before `now`.
--- a/crates/flamingotrail-runtime/src/gateway/process.rs
+++ b/crates/flamingotrail-runtime/src/gateway/process.rs
@@ -14,6 +14,7 @@
 use flamingotrail_gateway::input;
 use flamingotrail_gateway::settings;
 use flamingotrail_gateway::world;
+use tokio::signal;
 use tokio::sync::watch as tokio_watch;
 
 use crate::clock;
@@ -69,6 +70,7 @@
     actix_rt::spawn(watch::endpoints(store.clone(), inlet.clone()));
     actix_rt::spawn(reap(pool.clone()));
     actix_rt::spawn(drain_on_signal(inlet.clone(), stage_tx.clone()));
+    actix_rt::spawn(reload_on_signal());
     log::info!(
         "event=started domain={} region={} callers={} store={}",
         deployment.identity.domain,
@@ -113,8 +115,7 @@
 
 /// Starts a graceful shutdown on SIGTERM.
 async fn drain_on_signal(inlet: control::Inlet, stage: tokio_watch::Sender<callers::Stage>) {
-    let kind = tokio::signal::unix::SignalKind::terminate();
-    let mut terminate = match tokio::signal::unix::signal(kind) {
+    let mut terminate = match signal::unix::signal(signal::unix::SignalKind::terminate()) {
         Ok(terminate) => terminate,
         Err(error) => {
             log::error!("event=signal_failed error={:?}", error.to_string());
@@ -130,3 +131,22 @@
     actix_rt::time::sleep(LINGER).await;
     stage.send_replace(callers::Stage::Closed);
 }
+
+/// Takes SIGHUP, which would end the process otherwise: the settings file has changed.
+async fn reload_on_signal() {
+    let mut hangup = match signal::unix::signal(signal::unix::SignalKind::hangup()) {
+        Ok(hangup) => hangup,
+        Err(error) => {
+            log::error!("event=signal_failed error={:?}", error.to_string());
+            return;
+        }
+    };
+    while hangup.recv().await.is_some() {
+        match deployment::load() {
+            Ok(_) => log::info!("event=settings_reloaded"),
+            Err(error) => {
+                log::error!("event=settings_refused error={:?}", error.to_string());
+            }
+        }
+    }
+}
