--- a/crates/flamingotrail-gateway/src/systems/completion.rs
+++ b/crates/flamingotrail-gateway/src/systems/completion.rs
@@ -194,6 +194,13 @@
         output,
     };
     turn.ended = true;
+    let detail = format_args!(
+        "request={} program={} previous={} tokens={tokens}",
+        call.arrival.id,
+        turn.program,
+        turn.previous.as_ref().map_or("none", |previous| previous.as_str()),
+    );
+    world.out.push(output::Output::Event(output::Event::new("turn_ended", detail)));
     call.phase = calls::Phase::Settling;
     let partition = ids::Partition::of_turn(&end.turn, world.settings.partitions);
     tables.partitions.row(partition).queue.push_back(journal::Record::End(end));
@@ -316,6 +323,9 @@
     if let Some(program) = tables.programs.rows.get_mut(&turn.program) {
         program.learn(&call.arrival.id, tokens);
     }
+    let detail =
+        format_args!("request={} program={} tokens={tokens}", call.arrival.id, turn.program);
+    world.out.push(output::Output::Event(output::Event::new("turn_void", detail)));
     budgets::settle_soon(world, tick, id);
 }
 
--- a/crates/flamingotrail-gateway/src/systems/journal.rs
+++ b/crates/flamingotrail-gateway/src/systems/journal.rs
@@ -7,6 +7,7 @@
 use crate::ids;
 use crate::input;
 use crate::journal;
+use crate::output;
 use crate::tables::calls;
 use crate::tables::timers;
 use crate::world;
@@ -159,17 +160,13 @@
     turn.reservation =
         if granted { calls::Reservation::Granted } else { calls::Reservation::Denied };
     world.tables.dirty.calls.insert(id);
-    if !granted {
-        let (turn, program, budget) = (&start.turn, &start.program, start.budget);
-        world.event(
-            "budget_denied",
-            format_args!(
-                "request={turn} program={program} budget={budget} settled={settled} \
-                 committed={committed} asked={}",
-                start.max_tokens
-            ),
-        );
-    }
+    let (turn, program, budget) = (&start.turn, &start.program, start.budget);
+    let detail = format_args!(
+        "request={turn} program={program} granted={granted} budget={budget} settled={settled} \
+         committed={committed} asked={}",
+        start.max_tokens
+    );
+    world.out.push(output::Output::Event(output::Event::new("budget_decided", detail)));
 }
 
 fn apply_end(world: &mut world::World, tick: &world::Tick, end: &journal::End) {
--- a/crates/flamingotrail-gateway/src/systems/turns.rs
+++ b/crates/flamingotrail-gateway/src/systems/turns.rs
@@ -119,11 +119,17 @@
     }
 }
 
-/// Lets the end of an answer go once its turn stands in the log.
+/// Lets the end of an answer go once its turn stands in the log and its part of the budget is granted;
+/// the two stand in different partitions, and either may come first.
 fn settle(world: &mut world::World, tick: &world::Tick, id: ids::CallId) {
     open(world, tick, id);
     let Some(call) = world.tables.calls.rows.get_mut(&id) else { return };
+    let granted = call
+        .turn
+        .as_ref()
+        .is_some_and(|turn| turn.reservation == calls::Reservation::Granted);
     if call.phase != calls::Phase::Settling
+        || !granted
         || !world.tables.turns.rows.contains_key(&call.arrival.id)
     {
         return;
