Set budgets aside in allowances, one start for several turns

Change: a process asks for an allowance that covers several turns of a program; refused calls come back spread out, and the log counts as lost only after 300 ms without a success.

--- a/crates/flamingotrail-gateway/src/journal.rs
+++ b/crates/flamingotrail-gateway/src/journal.rs
@@ -7,35 +7,37 @@
 /// One record.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Record {
-    /// A turn asks for its part of the program's budget; stands in the program's partition.
+    /// A process asks for an allowance; stands in the program's partition.
     Start(Start),
     /// A turn has ended whole; stands in the turn's partition.
     End(End),
-    /// Turns are over, whether they count or not; stands in the program's partition.
+    /// Allowances are over; stands in the program's partition.
     Settle(Settle),
 }
 
-/// What a turn that is over has used of its program's budget.
+/// What an allowance that is over has used of its program's budget.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Settled {
-    /// The turn.
+    /// The turn for which the allowance was asked.
     pub turn: ids::TurnId,
-    /// Tokens that reached the caller.
+    /// Tokens that reached callers.
     pub tokens: u64,
 }
 
-/// A turn asks for its part of the program's budget.
+/// A process asks for an allowance: a part of a program's budget on which its turns draw.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Start {
-    /// The turn.
+    /// The turn for which it is asked; it names the allowance.
     pub turn: ids::TurnId,
     /// Its program.
     pub program: ids::ProgramId,
-    /// Tokens that the turn generates at most.
-    pub max_tokens: u64,
+    /// Tokens that the allowance needs at least.
+    pub least: u64,
+    /// Tokens that it is to have where there is room.
+    pub wanted: u64,
     /// Tokens that the whole program may generate.
     pub budget: u64,
-    /// Turns of the program that are over; taken before the start.
+    /// Allowances of the program that are over; taken before the new one.
     pub settled: Vec<Settled>,
 }
 
@@ -44,12 +46,8 @@
 pub struct End {
     /// The turn.
     pub turn: ids::TurnId,
-    /// Its program.
-    pub program: ids::ProgramId,
     /// The turn that it continues.
     pub previous: Option<ids::TurnId>,
-    /// Tokens that it generated.
-    pub tokens: u64,
     /// Endpoint that ran it and has its context cached.
     pub endpoint: ids::EndpointId,
     /// New input of the turn.
@@ -58,12 +56,12 @@
     pub output: Bytes,
 }
 
-/// Turns are over.
+/// Allowances are over.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settle {
     /// Their program.
     pub program: ids::ProgramId,
-    /// The turns.
+    /// The allowances.
     pub settled: Vec<Settled>,
 }
 
--- a/crates/flamingotrail-gateway/src/systems/admission.rs
+++ b/crates/flamingotrail-gateway/src/systems/admission.rs
@@ -14,15 +14,15 @@
 pub const COME_BACK: time::Duration = time::Duration::from_millis(100);
 
 /// Takes the requests of the inbox.
-pub fn run(world: &mut world::World, tick: &world::Tick) {
+pub fn run(world: &mut world::World, _tick: &world::Tick) {
     for arrival in std::mem::take(&mut world.tables.inbox.arrivals) {
-        admit(world, tick, arrival);
+        admit(world, arrival);
     }
 }
 
-fn admit(world: &mut world::World, tick: &world::Tick, arrival: input::Arrival) {
+fn admit(world: &mut world::World, arrival: input::Arrival) {
     let id = arrival.call;
-    let call = match build(world, tick, arrival) {
+    let call = match build(world, arrival) {
         Ok(call) => call,
         Err((arrival, refusal)) => {
             let reason = refusal.reason.as_str();
@@ -46,7 +46,6 @@
 
 fn build(
     world: &world::World,
-    tick: &world::Tick,
     arrival: input::Arrival,
 ) -> Result<calls::Call, (input::Arrival, output::Refusal)> {
     let unavailable =
@@ -67,7 +66,7 @@
         Some(_) => calls::Phase::Resolving,
         None => calls::Phase::Placing,
     };
-    if turn.is_some() && is_log_away(world, tick) {
+    if turn.is_some() && world.tables.partitions.is_away {
         return Err((arrival, unavailable));
     }
     Ok(calls::Call {
@@ -89,18 +88,6 @@
     })
 }
 
-/// Time after which a log that can't be reached counts as away: longer than its slow answers.
-const LOG_AWAY: time::Duration = time::Duration::from_millis(300);
-
-/// Whether the log has been out of reach for long enough that a turn is better refused.
-fn is_log_away(world: &world::World, tick: &world::Tick) -> bool {
-    world
-        .tables
-        .partitions
-        .down_since
-        .is_some_and(|since| tick.now.since(since) > LOG_AWAY)
-}
-
 fn turn_of(
     world: &world::World,
     arrival: &input::Arrival,
@@ -121,6 +108,7 @@
         budget: head.and_then(|head| head.budget),
         reservation: calls::Reservation::None,
         awaits: None,
-        ended: false,
+        tokens: 0,
+        accounted: false,
     })
 }
--- a/crates/flamingotrail-gateway/src/systems/completion.rs
+++ b/crates/flamingotrail-gateway/src/systems/completion.rs
@@ -186,14 +186,12 @@
     };
     let end = journal::End {
         turn: call.arrival.id.clone(),
-        program: turn.program.clone(),
         previous: turn.previous.clone(),
-        tokens,
         endpoint: endpoint.clone(),
         input: call.arrival.body.clone(),
         output,
     };
-    turn.ended = true;
+    turn.tokens = tokens;
     let detail = format_args!(
         "request={} program={} previous={} tokens={tokens}",
         call.arrival.id,
@@ -313,20 +311,11 @@
         _ => 0,
     };
     let tokens = events * tokens_per_event(world, id);
-    let tables = &mut world.tables;
-    let Some(call) = tables.calls.rows.get_mut(&id) else { return };
-    let Some(turn) = call.turn.as_mut() else { return };
-    if turn.ended || turn.reservation == calls::Reservation::None || turn.budget.is_none() {
-        return;
-    }
-    turn.ended = true;
-    if let Some(program) = tables.programs.rows.get_mut(&turn.program) {
-        program.learn(&call.arrival.id, tokens);
+    let call = world.tables.calls.rows.get_mut(&id);
+    if let Some(turn) = call.and_then(|call| call.turn.as_mut()) {
+        turn.tokens = turn.tokens.max(tokens);
     }
-    let detail =
-        format_args!("request={} program={} tokens={tokens}", call.arrival.id, turn.program);
-    world.out.push(output::Output::Event(output::Event::new("turn_void", detail)));
-    budgets::settle_soon(world, tick, id);
+    budgets::account(world, tick, id);
 }
 
 fn tokens_per_event(world: &world::World, id: ids::CallId) -> u64 {
--- a/crates/flamingotrail-gateway/src/systems/expiry.rs
+++ b/crates/flamingotrail-gateway/src/systems/expiry.rs
@@ -20,6 +20,6 @@
     let keep = journal::longest_retention(world) + journal::RETENTION_SLACK;
     world.tables.turns.expire(tick.now);
     world.tables.programs.rows.retain(|_, row| {
-        !row.open.is_empty() || !row.unconfirmed.is_empty() || tick.now.since(row.touched) < keep
+        !row.allowances.is_empty() && row.is_busy() || tick.now.since(row.touched) < keep
     });
 }
--- a/crates/flamingotrail-gateway/src/systems/journal.rs
+++ b/crates/flamingotrail-gateway/src/systems/journal.rs
@@ -8,6 +8,7 @@
 use crate::input;
 use crate::journal;
 use crate::output;
+use crate::systems::turns;
 use crate::tables::calls;
 use crate::tables::timers;
 use crate::world;
@@ -16,6 +17,8 @@
 const FIRST_PAUSE: time::Duration = time::Duration::from_millis(25);
 /// Longest such pause: an outage of the log ends for a caller at most this much later.
 const MAX_PAUSE: time::Duration = time::Duration::from_millis(400);
+/// Time without any success after which the log counts as away: longer than its slow answers.
+const AWAY_AFTER: time::Duration = time::Duration::from_millis(300);
 /// Time that turns are kept beyond their route's retention, for clocks and reads that lag.
 pub const RETENTION_SLACK: time::Duration = time::Duration::from_secs(5);
 /// Retention of a turn whose route is not known: the longest of the users' sheets.
@@ -115,23 +118,37 @@
     let row = world.tables.partitions.row(partition);
     let pause = FIRST_PAUSE.saturating_mul(1 << row.failures.min(5)).min(MAX_PAUSE);
     row.failures += 1;
-    row.retry_at = tick.now.after(pause);
-    let (at, failures, queued) = (row.retry_at, row.failures, row.queue.len());
+    row.retry_at = tick.now.after(spread(pause, partition, tick));
+    let (at, queued) = (row.retry_at, row.queue.len());
     world.tables.timers.set(timers::Timer::Partition(partition), at);
-    if world.tables.partitions.down_since.is_none() {
-        world.tables.partitions.down_since = Some(tick.now);
-        world.event("log_lost", format_args!("partition={partition} error={error:?}"));
-    } else if failures == 1 {
+    let partitions = &mut world.tables.partitions;
+    let since = *partitions.down_since.get_or_insert(tick.now);
+    if !partitions.is_away && tick.now.since(since) >= AWAY_AFTER {
+        partitions.is_away = true;
         let detail = format_args!("partition={partition} error={error:?} queued={queued}");
-        world.event("log_failed", detail);
+        world.event("log_lost", detail);
     }
 }
 
+/// Half to all of `pause`, so that processes that failed together do not come back together.
+fn spread(
+    pause: time::Duration,
+    partition: ids::Partition,
+    tick: &world::Tick,
+) -> time::Duration {
+    const STEPS: u64 = 64;
+    let mixed = ids::stable_hash(&format!("{partition}/{}", tick.now.micros()));
+    let step = u32::try_from(mixed % STEPS).unwrap_or(0);
+    pause / 2 + pause / 2 * step / STEPS as u32
+}
+
 fn succeeded(world: &mut world::World, tick: &world::Tick, partition: ids::Partition) {
     let row = world.tables.partitions.row(partition);
     row.failures = 0;
     row.retry_at = core_time::Timestamp::ZERO;
-    if let Some(since) = world.tables.partitions.down_since.take() {
+    let since = world.tables.partitions.down_since.take();
+    if let (true, Some(since)) = (world.tables.partitions.is_away, since) {
+        world.tables.partitions.is_away = false;
         let away_ms = tick.now.since(since).as_millis();
         world.event("log_regained", format_args!("away_ms={away_ms}"));
     }
@@ -151,26 +168,48 @@
 fn apply_start(world: &mut world::World, tick: &world::Tick, start: &journal::Start) {
     let program = world.tables.programs.touch(&start.program, tick.now);
     start.settled.iter().for_each(|settled| program.settle(settled));
-    let granted = program.start(&start.turn, start.max_tokens, start.budget);
-    let (settled, committed) = (program.settled, program.committed());
-    let Some(id) = world.tables.calls.by_turn.get(&start.turn).copied() else { return };
-    let Some(turn) = world.tables.calls.rows.get_mut(&id).and_then(|call| call.turn.as_mut()) else {
+    let size = program.open(&start.turn, start.least, start.wanted, start.budget);
+    let (decided, left_over) = program.decide(&start.turn, size);
+    if decided.is_empty() && left_over.is_empty() {
         return;
-    };
-    turn.reservation =
-        if granted { calls::Reservation::Granted } else { calls::Reservation::Denied };
-    world.tables.dirty.calls.insert(id);
-    let (turn, program, budget) = (&start.turn, &start.program, start.budget);
+    }
     let detail = format_args!(
-        "request={turn} program={program} granted={granted} budget={budget} settled={settled} \
-         committed={committed} asked={}",
-        start.max_tokens
+        "request={} program={} granted={} budget={} settled={} committed={} asked={}",
+        start.turn,
+        start.program,
+        size.unwrap_or(0),
+        start.budget,
+        program.settled,
+        program.committed(),
+        start.wanted,
     );
     world.out.push(output::Output::Event(output::Event::new("budget_decided", detail)));
+    for (turn, granted) in decided {
+        let decision =
+            if granted { calls::Reservation::Granted } else { calls::Reservation::Denied };
+        if let Some(call) = set_reservation(world, &turn, decision) {
+            world.tables.dirty.calls.insert(call);
+        }
+    }
+    for turn in left_over {
+        if let Some(call) = set_reservation(world, &turn, calls::Reservation::None) {
+            turns::reserve(world, tick, call);
+        }
+    }
+}
+
+fn set_reservation(
+    world: &mut world::World,
+    turn: &ids::TurnId,
+    decision: calls::Reservation,
+) -> Option<ids::CallId> {
+    let calls = &mut world.tables.calls;
+    let id = calls.by_turn.get(turn).copied()?;
+    calls.rows.get_mut(&id)?.turn.as_mut()?.reservation = decision;
+    Some(id)
 }
 
 fn apply_end(world: &mut world::World, tick: &world::Tick, end: &journal::End) {
-    world.tables.programs.touch(&end.program, tick.now).learn(&end.turn, end.tokens);
     let expires = tick.now.after(longest_retention(world) + RETENTION_SLACK);
     world.tables.turns.insert(end, expires);
     if let Some(id) = world.tables.calls.by_turn.get(&end.turn) {
--- a/crates/flamingotrail-gateway/src/systems/turns.rs
+++ b/crates/flamingotrail-gateway/src/systems/turns.rs
@@ -57,37 +57,45 @@
     completion::refuse(world, tick, id, refusal);
 }
 
-/// Asks for a turn's part of the budget; sends the turn at once where there is surely room.
-fn reserve(world: &mut world::World, tick: &world::Tick, id: ids::CallId) {
+/// Sets a part of the budget aside for a turn; sends the turn at once where there is likely room.
+pub fn reserve(world: &mut world::World, tick: &world::Tick, id: ids::CallId) {
     let tables = &mut world.tables;
     let Some(call) = tables.calls.rows.get_mut(&id) else { return };
     let Some(turn) = call.turn.as_mut() else { return };
-    let Some(budget) = turn.budget else {
-        turn.reservation = calls::Reservation::Granted;
-        call.phase = calls::Phase::Placing;
-        tables.dirty.place.insert(id);
-        return;
-    };
-    let program = tables.programs.touch(&turn.program, tick.now);
-    let has_room = program.has_room_locally(turn.max_tokens, budget);
-    program.unconfirmed.insert(call.arrival.id.clone(), turn.max_tokens);
-    turn.reservation = calls::Reservation::Pending;
-    let start = journal::Start {
-        turn: call.arrival.id.clone(),
-        program: turn.program.clone(),
-        max_tokens: turn.max_tokens,
-        budget,
-        settled: program.to_settle(),
+    let mut may_send = true;
+    turn.reservation = match turn.budget {
+        None => calls::Reservation::Granted,
+        Some(budget) => {
+            let program = tables.programs.touch(&turn.program, tick.now);
+            let request = &call.arrival.id;
+            if let Some(decision) = program.draw(request, turn.max_tokens) {
+                decision
+            } else {
+                may_send = program.expected() + turn.max_tokens <= budget;
+                let start = journal::Start {
+                    turn: request.clone(),
+                    program: turn.program.clone(),
+                    least: turn.max_tokens,
+                    wanted: program.begin(request, turn.max_tokens, budget),
+                    budget,
+                    settled: program.to_settle(),
+                };
+                let row = tables.partitions.row(turn.partition);
+                row.queue.push_back(journal::Record::Start(start));
+                tables.dirty.partitions.insert(turn.partition);
+                calls::Reservation::Pending
+            }
+        }
     };
-    let partition = turn.partition;
-    if has_room {
+    if call.phase != calls::Phase::Resolving {
+        // It runs already, and its events wait for the decision.
+        tables.dirty.calls.insert(id);
+    } else if may_send {
         call.phase = calls::Phase::Placing;
         tables.dirty.place.insert(id);
     } else {
         call.phase = calls::Phase::Reserving;
     }
-    tables.partitions.row(partition).queue.push_back(journal::Record::Start(start));
-    tables.dirty.partitions.insert(partition);
 }
 
 /// Goes on where the journal has decided on the budget before the turn was sent.
@@ -136,5 +144,5 @@
     }
     call.phase = calls::Phase::Closed;
     world.emit(output::Output::Finish(id));
-    budgets::settle_soon(world, tick, id);
+    budgets::account(world, tick, id);
 }
--- a/crates/flamingotrail-gateway/src/tables/calls.rs
+++ b/crates/flamingotrail-gateway/src/tables/calls.rs
@@ -56,8 +56,10 @@
     /// The turn that was missing last, and the number of the read of its partition that tells
     /// whether it exists.
     pub awaits: Option<(ids::TurnId, u64)>,
-    /// Whether the journal was told of its end.
-    pub ended: bool,
+    /// Tokens that reached the caller, or will with the end of the answer.
+    pub tokens: u64,
+    /// Whether its allowance was told of its end.
+    pub accounted: bool,
 }
 
 /// An attempt under way.
--- a/crates/flamingotrail-gateway/src/tables/partitions.rs
+++ b/crates/flamingotrail-gateway/src/tables/partitions.rs
@@ -56,8 +56,10 @@
 pub struct Partitions {
     /// The rows.
     pub rows: collections::BTreeMap<ids::Partition, Partition>,
-    /// Since when the log can't be reached.
+    /// When the log failed first since it succeeded last.
     pub down_since: Option<time::Timestamp>,
+    /// Whether the log has failed for so long that it counts as away.
+    pub is_away: bool,
 }
 
 impl Partitions {
--- a/crates/flamingotrail-gateway/src/tables/programs.rs
+++ b/crates/flamingotrail-gateway/src/tables/programs.rs
@@ -1,4 +1,8 @@
-//! Budgets of programs, derived from the records of their partition in order.
+//! Budgets of programs.
+//!
+//! The log's part for a program gives every process the same account: allowances that are open, at
+//! their full size, and what those that are over have used. An allowance belongs to one process,
+//! whose turns of the program draw on it without asking the log again.
 
 use std::collections;
 
@@ -6,19 +10,48 @@
 
 use crate::ids;
 use crate::journal;
+use crate::tables::calls;
+
+/// Part of a program's remaining budget that one allowance takes at most: a program's turns come
+/// through several processes, and each needs room for its own.
+const PART_OF_ROOM: u64 = 5;
+/// Turns at their most that one allowance covers at most.
+const MAX_TURNS: u64 = 6;
+
+/// A part of a program's budget that is set aside for turns of this process.
+#[derive(Debug)]
+pub struct Allowance {
+    /// Tokens: as asked for until the log has decided.
+    pub size: u64,
+    /// The log's decision.
+    pub state: calls::Reservation,
+    /// Tokens that its ended turns have used.
+    pub used: u64,
+    /// Turns that run, with their tokens at most.
+    pub running: collections::BTreeMap<ids::TurnId, u64>,
+}
+
+impl Allowance {
+    /// Whether a turn of `tokens` at most fits beside what has run and runs.
+    fn fits(&self, tokens: u64) -> bool {
+        self.used + self.running.values().sum::<u64>() + tokens <= self.size
+    }
+}
 
 /// One program.
 #[derive(Debug, Default)]
 pub struct Program {
-    /// Tokens that its ended turns generated.
+    /// Tokens that the allowances have used that are over, by the log.
     pub settled: u64,
-    /// Tokens that its open turns may generate, by turn.
+    /// Sizes of the allowances that are open, by the log.
     pub open: collections::BTreeMap<ids::TurnId, u64>,
-    /// Turns that are over; their records are taken once.
+    /// Allowances that are over, by the log; each is taken once.
     pub over: collections::BTreeSet<ids::TurnId>,
-    /// Turns of this process whose start the log has not confirmed yet, with their tokens.
-    pub unconfirmed: collections::BTreeMap<ids::TurnId, u64>,
-    /// Turns that this process knows to be over and the log's part for the program does not tell yet.
+    /// This process's allowances, by the turn for which each was asked.
+    pub allowances: collections::BTreeMap<ids::TurnId, Allowance>,
+    /// The allowance on which the next turn draws.
+    pub current: Option<ids::TurnId>,
+    /// This process's allowances that are over, which the log has still to be told.
     pub unsettled: collections::BTreeMap<ids::TurnId, u64>,
     /// Whether the log is told of them soon.
     pub settling: bool,
@@ -37,53 +70,136 @@
         self.committed() + tokens <= budget
     }
 
-    /// Whether there is room for `tokens` beside the starts that the log has not confirmed.
-    pub fn has_room_locally(&self, tokens: u64, budget: u64) -> bool {
-        self.expected() + tokens <= budget
+    /// Tokens that are spent or may still be, by the log and by what this process knows beyond it.
+    pub fn expected(&self) -> u64 {
+        let open = self.open.iter().map(|(id, size)| self.unsettled.get(id).unwrap_or(size));
+        let asked = self.allowances.iter().filter(|(id, _)| !self.open.contains_key(*id));
+        self.settled + open.sum::<u64>() + asked.map(|(_, allowance)| allowance.size).sum::<u64>()
     }
 
-    /// Takes the start of `turn`: whether it is granted.
-    pub fn start(&mut self, turn: &ids::TurnId, tokens: u64, budget: u64) -> bool {
-        self.unconfirmed.remove(turn);
-        if self.open.contains_key(turn) {
-            return true;
+    /// Takes the log's order to open an allowance of `least` to `wanted` tokens: its size, or none
+    /// where the budget has no room.
+    pub fn open(&mut self, id: &ids::TurnId, least: u64, wanted: u64, budget: u64) -> Option<u64> {
+        if let Some(size) = self.open.get(id) {
+            return Some(*size);
         }
-        if self.over.contains(turn) || !self.has_room(tokens, budget) {
-            return false;
+        if self.over.contains(id) || !self.has_room(least, budget) {
+            return None;
         }
-        self.open.insert(turn.clone(), tokens);
-        true
+        let size = wanted.min(budget - self.committed());
+        self.open.insert(id.clone(), size);
+        Some(size)
     }
 
-    /// Takes the log's word that a turn is over.
+    /// Takes the log's word that an allowance is over.
     pub fn settle(&mut self, settled: &journal::Settled) {
         self.open.remove(&settled.turn);
-        self.unconfirmed.remove(&settled.turn);
         self.unsettled.remove(&settled.turn);
         if self.over.insert(settled.turn.clone()) {
             self.settled += settled.tokens;
         }
     }
 
-    /// Learns that a turn is over, outside of the log's part for the program.
-    pub fn learn(&mut self, turn: &ids::TurnId, tokens: u64) {
-        if !self.over.contains(turn) {
-            self.unsettled.insert(turn.clone(), tokens);
+    /// Draws on the current allowance for `turn`: the log's decision on it, or none where the turn
+    /// does not fit.
+    pub fn draw(&mut self, turn: &ids::TurnId, tokens: u64) -> Option<calls::Reservation> {
+        let allowance = self.allowances.get_mut(self.current.as_ref()?)?;
+        if !allowance.fits(tokens) {
+            return None;
+        }
+        allowance.running.insert(turn.clone(), tokens);
+        Some(allowance.state)
+    }
+
+    /// Begins an allowance with `turn` as its first; its size as asked of the log.
+    pub fn begin(&mut self, turn: &ids::TurnId, tokens: u64, budget: u64) -> u64 {
+        self.retire_current();
+        let room = budget.saturating_sub(self.expected());
+        let size = (room / PART_OF_ROOM).min(tokens.saturating_mul(MAX_TURNS)).max(tokens);
+        let running = collections::BTreeMap::from([(turn.clone(), tokens)]);
+        let state = calls::Reservation::Pending;
+        self.allowances.insert(turn.clone(), Allowance { size, state, used: 0, running });
+        self.current = Some(turn.clone());
+        size
+    }
+
+    /// Takes the log's decision on one of this process's allowances: the turns that draw on it, and
+    /// whether each may run; none of those in the last list fit, and have to ask again.
+    pub fn decide(
+        &mut self,
+        id: &ids::TurnId,
+        size: Option<u64>,
+    ) -> (Vec<(ids::TurnId, bool)>, Vec<ids::TurnId>) {
+        let Some(allowance) = self.allowances.get_mut(id) else { return Default::default() };
+        if allowance.state != calls::Reservation::Pending {
+            return Default::default();
+        }
+        let Some(size) = size else {
+            let denied = self.allowances.remove(id).map(|allowance| allowance.running);
+            if self.current.as_ref() == Some(id) {
+                self.current = None;
+            }
+            return (denied.into_iter().flatten().map(|(turn, _)| (turn, false)).collect(), vec![]);
+        };
+        allowance.state = calls::Reservation::Granted;
+        allowance.size = size;
+        let asked = std::mem::take(&mut allowance.running);
+        let mut granted = Vec::new();
+        let mut left_over = Vec::new();
+        // The turn for which it was asked fits in any case.
+        let first = asked.get_key_value(id).into_iter();
+        for (turn, tokens) in first.chain(asked.iter().filter(|(turn, _)| *turn != id)) {
+            if allowance.fits(*tokens) {
+                allowance.running.insert(turn.clone(), *tokens);
+                granted.push((turn.clone(), true));
+            } else {
+                left_over.push(turn.clone());
+            }
         }
+        self.retire_idle();
+        (granted, left_over)
     }
 
-    /// What the log has to be told of turns that are over.
+    /// Ends `turn` after `tokens`.
+    pub fn end(&mut self, turn: &ids::TurnId, tokens: u64) {
+        for allowance in self.allowances.values_mut() {
+            if allowance.running.remove(turn).is_some() {
+                allowance.used += tokens;
+            }
+        }
+        self.retire_idle();
+    }
+
+    /// Lets no further turn draw on the current allowance.
+    pub fn retire_current(&mut self) {
+        self.current = None;
+        self.retire_idle();
+    }
+
+    /// Whether a turn runs on the current allowance.
+    pub fn is_busy(&self) -> bool {
+        let current = self.current.as_ref().and_then(|id| self.allowances.get(id));
+        current.is_some_and(|allowance| !allowance.running.is_empty())
+    }
+
+    fn retire_idle(&mut self) {
+        let (current, unsettled) = (self.current.as_ref(), &mut self.unsettled);
+        self.allowances.retain(|id, allowance| {
+            let keep = current == Some(id)
+                || !allowance.running.is_empty()
+                || allowance.state == calls::Reservation::Pending;
+            if !keep {
+                unsettled.insert(id.clone(), allowance.used);
+            }
+            keep
+        });
+    }
+
+    /// What the log has to be told of allowances that are over.
     pub fn to_settle(&self) -> Vec<journal::Settled> {
         let rows = self.unsettled.iter();
         rows.map(|(turn, tokens)| journal::Settled { turn: turn.clone(), tokens: *tokens }).collect()
     }
-
-    /// Tokens that are spent or may still be, by the log and by what this process knows beyond it.
-    pub fn expected(&self) -> u64 {
-        let open = self.open.iter().chain(self.unconfirmed.iter());
-        let open: u64 = open.map(|(turn, max)| self.unsettled.get(turn).unwrap_or(max)).sum();
-        self.settled + open
-    }
 }
 
 /// All programs.
