--- a/crates/flamingotrail-gateway/src/ids.rs
+++ b/crates/flamingotrail-gateway/src/ids.rs
@@ -52,6 +52,10 @@
     /// A failure domain.
     DomainName
 );
+name!(
+    /// One process of the system.
+    InstanceName
+);
 name!(
     /// A region.
     RegionName
--- a/crates/flamingotrail-gateway/src/input.rs
+++ b/crates/flamingotrail-gateway/src/input.rs
@@ -8,6 +8,8 @@
 
 use crate::ids;
 use crate::journal;
+use crate::tables::custody;
+use crate::tables::peers;
 
 /// One input of a tick.
 #[derive(Clone, Debug)]
@@ -47,10 +49,54 @@
     Endpoints(Membership),
     /// A try to reach the platform's list or configuration has failed.
     ListUnreachable,
+    /// All other gateways.
+    Peers(collections::BTreeMap<ids::InstanceName, peers::Peer>),
+    /// Another gateway entrusts a record to this process.
+    Entrusted {
+        /// Ticket of the question.
+        ticket: u64,
+        /// The record.
+        record: Box<journal::Record>,
+    },
+    /// Another gateway has answered about a record that was entrusted to it; none where it did not
+    /// answer.
+    EntrustAnswered {
+        /// The gateway.
+        peer: ids::InstanceName,
+        /// The record.
+        key: journal::Key,
+        /// Its answer.
+        answer: Option<custody::Answer>,
+    },
+    /// Another gateway looks for a turn.
+    Sought {
+        /// Ticket of the question.
+        ticket: u64,
+        /// The turn.
+        turn: ids::TurnId,
+    },
+    /// Another gateway has answered about a turn; none where it did not answer.
+    SeekAnswered {
+        /// The call that looks for it.
+        call: ids::CallId,
+        /// The gateway.
+        peer: ids::InstanceName,
+        /// Its answer.
+        answer: Option<Found>,
+    },
     /// The process was told to stop.
     Drain,
 }
 
+/// What a gateway knows of a turn that another one looks for.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Found {
+    /// The turns of its chain that are known there, the sought one first; empty where it is not.
+    pub chain: Vec<journal::End>,
+    /// Whether the gateway has run for long enough to know each turn that was ever entrusted to it.
+    pub sure: bool,
+}
+
 /// A caller's request.
 #[derive(Clone, Debug)]
 pub struct Arrival {
--- a/crates/flamingotrail-gateway/src/journal.rs
+++ b/crates/flamingotrail-gateway/src/journal.rs
@@ -65,7 +65,34 @@
     pub settled: Vec<Settled>,
 }
 
+/// Name of a record that is the same in all its copies.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Key {
+    /// The start of an allowance.
+    Start(ids::TurnId),
+    /// The end of a turn.
+    End(ids::TurnId),
+}
+
 impl Record {
+    /// The record's name; none where nobody waits for such records.
+    pub fn key(&self) -> Option<Key> {
+        match self {
+            Record::Start(start) => Some(Key::Start(start.turn.clone())),
+            Record::End(end) => Some(Key::End(end.turn.clone())),
+            Record::Settle(_) => None,
+        }
+    }
+
+    /// The record's partition, among `count`.
+    pub fn partition(&self, count: u16) -> ids::Partition {
+        match self {
+            Record::Start(start) => ids::Partition::of_program(&start.program, count),
+            Record::End(end) => ids::Partition::of_turn(&end.turn, count),
+            Record::Settle(settle) => ids::Partition::of_program(&settle.program, count),
+        }
+    }
+
     /// Bytes that the record's texts take.
     pub fn text_bytes(&self) -> usize {
         match self {
--- a/crates/flamingotrail-gateway/src/output.rs
+++ b/crates/flamingotrail-gateway/src/output.rs
@@ -6,7 +6,9 @@
 use bytes::Bytes;
 
 use crate::ids;
+use crate::input;
 use crate::journal;
+use crate::tables::custody;
 
 /// One output of a tick.
 #[derive(Clone, Debug)]
@@ -35,6 +37,30 @@
         /// First offset.
         from: ids::Offset,
     },
+    /// Entrust a record to another gateway; answered by `EntrustAnswered`.
+    Entrust {
+        /// The gateway.
+        peer: ids::InstanceName,
+        /// Its address.
+        address: String,
+        /// The record.
+        record: Box<journal::Record>,
+    },
+    /// Answer another gateway about a record.
+    AnswerEntrusted(u64, custody::Answer),
+    /// Ask another gateway for a turn; answered by `SeekAnswered`.
+    Seek {
+        /// The call that looks for it.
+        call: ids::CallId,
+        /// The gateway.
+        peer: ids::InstanceName,
+        /// Its address.
+        address: String,
+        /// The turn.
+        turn: ids::TurnId,
+    },
+    /// Answer another gateway about a turn.
+    AnswerSought(u64, input::Found),
     /// Whether this process takes new callers.
     Ready(bool),
     /// Close the connection of a call's caller without an answer: a stream broke off.
--- a/crates/flamingotrail-gateway/src/schedule.rs
+++ b/crates/flamingotrail-gateway/src/schedule.rs
@@ -18,6 +18,8 @@
     System { name: "configuration", run: systems::configuration::run },
     System { name: "membership", run: systems::membership::run },
     System { name: "journal", run: systems::journal::run },
+    System { name: "custody", run: systems::custody::run },
+    System { name: "search", run: systems::search::run },
     System { name: "completion", run: systems::completion::run },
     System { name: "admission", run: systems::admission::run },
     System { name: "deadlines", run: systems::deadlines::run },
--- a/crates/flamingotrail-gateway/src/settings.rs
+++ b/crates/flamingotrail-gateway/src/settings.rs
@@ -8,7 +8,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct Identity {
     /// Instance name.
-    pub instance: String,
+    pub instance: ids::InstanceName,
+    /// Whether the whole system starts for the first time, so that nothing was kept before.
+    pub first_start: bool,
     /// Failure domain.
     pub domain: ids::DomainName,
     /// Region.
--- a/crates/flamingotrail-gateway/src/systems/admission.rs
+++ b/crates/flamingotrail-gateway/src/systems/admission.rs
@@ -66,7 +66,7 @@
         Some(_) => calls::Phase::Resolving,
         None => calls::Phase::Placing,
     };
-    if turn.is_some() && world.tables.partitions.is_away {
+    if turn.is_some() && world.tables.partitions.is_away && world.tables.peers.rows.is_empty() {
         return Err((arrival, unavailable));
     }
     Ok(calls::Call {
@@ -108,6 +108,7 @@
         budget: head.and_then(|head| head.budget),
         reservation: calls::Reservation::None,
         awaits: None,
+        search: None,
         tokens: 0,
         accounted: false,
     })
--- a/crates/flamingotrail-gateway/src/systems/ingest.rs
+++ b/crates/flamingotrail-gateway/src/systems/ingest.rs
@@ -1,6 +1,10 @@
 //! Sorts inputs by the system that takes them.
 
+use std::collections;
+
+use crate::ids;
 use crate::input;
+use crate::tables::peers;
 use crate::tables::timers;
 use crate::world;
 
@@ -24,11 +28,32 @@
             }
             input::Input::Endpoints(membership) => inbox.memberships.push(Some(membership)),
             input::Input::ListUnreachable => inbox.memberships.push(None),
+            input::Input::Peers(rows) => peers(world, rows),
+            input::Input::Entrusted { ticket, record } => inbox.entrusted.push((ticket, *record)),
+            input::Input::EntrustAnswered { peer, key, answer } => {
+                inbox.entrust_answers.push((peer, key, answer));
+            }
+            input::Input::Sought { ticket, turn } => inbox.sought.push((ticket, turn)),
+            input::Input::SeekAnswered { call, peer, answer } => {
+                inbox.seek_answers.push((call, peer, answer));
+            }
             input::Input::Drain => drain(world, tick),
         }
     }
 }
 
+fn peers(
+    world: &mut world::World,
+    mut rows: collections::BTreeMap<ids::InstanceName, peers::Peer>,
+) {
+    rows.remove(&world.identity.instance);
+    let count = rows.len();
+    if world.tables.peers.rows != rows {
+        world.event("peers_changed", format_args!("count={count}"));
+        world.tables.peers.rows = rows;
+    }
+}
+
 fn drain(world: &mut world::World, tick: &world::Tick) {
     if world.draining_since.is_some() {
         return;
--- a/crates/flamingotrail-gateway/src/systems/journal.rs
+++ b/crates/flamingotrail-gateway/src/systems/journal.rs
@@ -8,6 +8,7 @@
 use crate::input;
 use crate::journal;
 use crate::output;
+use crate::systems::custody;
 use crate::systems::turns;
 use crate::tables::calls;
 use crate::tables::timers;
@@ -19,6 +20,8 @@
 const MAX_PAUSE: time::Duration = time::Duration::from_millis(400);
 /// Time without any success after which the log counts as away: longer than its slow answers.
 const AWAY_AFTER: time::Duration = time::Duration::from_millis(300);
+/// Failures in a row after which the log may count as away.
+const AWAY_FAILURES: u32 = 2;
 /// Time that turns are kept beyond their route's retention, for clocks and reads that lag.
 pub const RETENTION_SLACK: time::Duration = time::Duration::from_secs(5);
 /// Retention of a turn whose route is not known: the longest of the users' sheets.
@@ -122,11 +125,13 @@
     let (at, queued) = (row.retry_at, row.queue.len());
     world.tables.timers.set(timers::Timer::Partition(partition), at);
     let partitions = &mut world.tables.partitions;
-    let since = *partitions.down_since.get_or_insert(tick.now);
-    if !partitions.is_away && tick.now.since(since) >= AWAY_AFTER {
+    partitions.failures += 1;
+    let silent = tick.now.since(partitions.last_success);
+    if !partitions.is_away && partitions.failures >= AWAY_FAILURES && silent >= AWAY_AFTER {
         partitions.is_away = true;
         let detail = format_args!("partition={partition} error={error:?} queued={queued}");
         world.event("log_lost", detail);
+        custody::log_lost(world);
     }
 }
 
@@ -146,10 +151,21 @@
     let row = world.tables.partitions.row(partition);
     row.failures = 0;
     row.retry_at = core_time::Timestamp::ZERO;
-    let since = world.tables.partitions.down_since.take();
-    if let (true, Some(since)) = (world.tables.partitions.is_away, since) {
-        world.tables.partitions.is_away = false;
-        let away_ms = tick.now.since(since).as_millis();
+    reached(world, tick);
+}
+
+/// Takes a sign that the platform's store answers this process.
+pub fn reached(world: &mut world::World, tick: &world::Tick) {
+    let partitions = &mut world.tables.partitions;
+    let away_ms = tick.now.since(partitions.last_success).as_millis();
+    partitions.last_success = tick.now;
+    partitions.failures = 0;
+    if std::mem::take(&mut partitions.is_away) {
+        // What waits is tried at once: the machines may be taken away soon.
+        for (partition, row) in &mut partitions.rows {
+            row.retry_at = core_time::Timestamp::ZERO;
+            world.tables.dirty.partitions.insert(*partition);
+        }
         world.event("log_regained", format_args!("away_ms={away_ms}"));
     }
 }
@@ -169,6 +185,18 @@
     let program = world.tables.programs.touch(&start.program, tick.now);
     start.settled.iter().for_each(|settled| program.settle(settled));
     let size = program.open(&start.turn, start.least, start.wanted, start.budget);
+    custody::logged(world, journal::Key::Start(start.turn.clone()), size);
+    decide(world, tick, start, size);
+}
+
+/// Takes the decision on one of this process's starts.
+pub fn decide(
+    world: &mut world::World,
+    tick: &world::Tick,
+    start: &journal::Start,
+    size: Option<u64>,
+) {
+    let program = world.tables.programs.touch(&start.program, tick.now);
     let (decided, left_over) = program.decide(&start.turn, size);
     if decided.is_empty() && left_over.is_empty() {
         return;
@@ -210,6 +238,12 @@
 }
 
 fn apply_end(world: &mut world::World, tick: &world::Tick, end: &journal::End) {
+    custody::logged(world, journal::Key::End(end.turn.clone()), None);
+    keep_turn(world, tick, end);
+}
+
+/// Takes a turn that counts.
+pub fn keep_turn(world: &mut world::World, tick: &world::Tick, end: &journal::End) {
     let expires = tick.now.after(longest_retention(world) + RETENTION_SLACK);
     world.tables.turns.insert(end, expires);
     if let Some(id) = world.tables.calls.by_turn.get(&end.turn) {
--- a/crates/flamingotrail-gateway/src/systems/membership.rs
+++ b/crates/flamingotrail-gateway/src/systems/membership.rs
@@ -7,6 +7,7 @@
 
 use crate::ids;
 use crate::input;
+use crate::systems::journal;
 use crate::tables::endpoints;
 use crate::tables::timers;
 use crate::world;
@@ -37,6 +38,7 @@
 }
 
 fn listed(world: &mut world::World, tick: &world::Tick, membership: input::Membership) {
+    journal::reached(world, tick);
     let endpoints = &mut world.tables.endpoints;
     endpoints.listed = true;
     endpoints.contact = Some(tick.now);
--- a/crates/flamingotrail-gateway/src/systems/timers.rs
+++ b/crates/flamingotrail-gateway/src/systems/timers.rs
@@ -17,6 +17,12 @@
             timers::Timer::AttemptSlow(call, attempt) => {
                 dirty.slow.insert((call, attempt));
             }
+            timers::Timer::Wait(key) => {
+                dirty.waits.insert(key);
+            }
+            timers::Timer::Entrusted(ticket) => {
+                dirty.entrusted.insert(ticket);
+            }
             timers::Timer::Partition(partition) => {
                 dirty.partitions.insert(partition);
             }
--- a/crates/flamingotrail-gateway/src/systems/turns.rs
+++ b/crates/flamingotrail-gateway/src/systems/turns.rs
@@ -6,6 +6,8 @@
 use crate::output;
 use crate::systems::budgets;
 use crate::systems::completion;
+use crate::systems::custody;
+use crate::systems::search;
 use crate::tables::calls;
 use crate::world;
 
@@ -41,20 +43,17 @@
     };
     let partition = ids::Partition::of_turn(&missing, world.settings.partitions);
     let row = tables.partitions.row(partition);
+    let mut is_absent = false;
     match &turn.awaits {
-        Some((awaited, number)) if *awaited == missing => {
-            if row.caught_up < *number {
-                return;
-            }
-        }
+        Some((awaited, number)) if *awaited == missing => is_absent = row.caught_up >= *number,
         _ => {
-            turn.awaits = Some((missing, row.ask_read()));
+            turn.awaits = Some((missing.clone(), row.ask_read()));
             tables.dirty.partitions.insert(partition);
-            return;
         }
     }
-    let refusal = output::Refusal { reason: output::Reason::NoSuchTurn, retry_after: None };
-    completion::refuse(world, tick, id, refusal);
+    if is_absent || tables.partitions.is_away {
+        search::step(world, tick, id, &missing, is_absent);
+    }
 }
 
 /// Sets a part of the budget aside for a turn; sends the turn at once where there is likely room.
@@ -63,6 +62,7 @@
     let Some(call) = tables.calls.rows.get_mut(&id) else { return };
     let Some(turn) = call.turn.as_mut() else { return };
     let mut may_send = true;
+    let mut asked = None;
     turn.reservation = match turn.budget {
         None => calls::Reservation::Granted,
         Some(budget) => {
@@ -80,9 +80,7 @@
                     budget,
                     settled: program.to_settle(),
                 };
-                let row = tables.partitions.row(turn.partition);
-                row.queue.push_back(journal::Record::Start(start));
-                tables.dirty.partitions.insert(turn.partition);
+                asked = Some(start);
                 calls::Reservation::Pending
             }
         }
@@ -96,6 +94,9 @@
     } else {
         call.phase = calls::Phase::Reserving;
     }
+    if let Some(start) = asked {
+        custody::submit(world, tick, journal::Record::Start(start));
+    }
 }
 
 /// Goes on where the journal has decided on the budget before the turn was sent.
--- a/crates/flamingotrail-gateway/src/tables/calls.rs
+++ b/crates/flamingotrail-gateway/src/tables/calls.rs
@@ -38,6 +38,17 @@
     Denied,
 }
 
+/// A search for a missing turn among the other gateways.
+#[derive(Clone, Debug)]
+pub struct Search {
+    /// The turn.
+    pub turn: ids::TurnId,
+    /// Gateways that have not answered.
+    pub asked: collections::BTreeSet<ids::InstanceName>,
+    /// Whether each answer so far tells for certain that the turn is not there.
+    pub sure: bool,
+}
+
 /// What only turns have.
 #[derive(Clone, Debug)]
 pub struct Turn {
@@ -56,6 +67,8 @@
     /// The turn that was missing last, and the number of the read of its partition that tells
     /// whether it exists.
     pub awaits: Option<(ids::TurnId, u64)>,
+    /// The search for a missing turn among the other gateways.
+    pub search: Option<Search>,
     /// Tokens that reached the caller, or will with the end of the answer.
     pub tokens: u64,
     /// Whether its allowance was told of its end.
--- a/crates/flamingotrail-gateway/src/tables/dirty.rs
+++ b/crates/flamingotrail-gateway/src/tables/dirty.rs
@@ -3,6 +3,7 @@
 use std::collections;
 
 use crate::ids;
+use crate::journal;
 
 /// Sets of rows; a system empties the set that it takes.
 #[derive(Debug, Default)]
@@ -15,6 +16,10 @@
     pub late: collections::BTreeSet<ids::CallId>,
     /// Attempts that have taken too long.
     pub slow: collections::BTreeSet<(ids::CallId, u32)>,
+    /// Records that have waited for the log for too long.
+    pub waits: collections::BTreeSet<journal::Key>,
+    /// Tickets of other gateways' records that are to be answered without the log.
+    pub entrusted: collections::BTreeSet<u64>,
     /// Partitions with something to append or read.
     pub partitions: collections::BTreeSet<ids::Partition>,
     /// Programs of which the log is to be told what is over.
@@ -34,6 +39,8 @@
             && self.place.is_empty()
             && self.late.is_empty()
             && self.slow.is_empty()
+            && self.waits.is_empty()
+            && self.entrusted.is_empty()
             && self.partitions.is_empty()
             && self.settle.is_empty()
             && !self.expiry
--- a/crates/flamingotrail-gateway/src/tables/inbox.rs
+++ b/crates/flamingotrail-gateway/src/tables/inbox.rs
@@ -2,6 +2,8 @@
 
 use crate::ids;
 use crate::input;
+use crate::journal;
+use crate::tables::custody;
 
 /// Inputs that wait for their system within a tick.
 #[derive(Debug, Default)]
@@ -18,6 +20,14 @@
     pub appended: Vec<(ids::Partition, Result<ids::Offset, input::LogError>)>,
     /// Results of reads.
     pub read: Vec<(ids::Partition, Result<input::Page, input::LogError>)>,
+    /// Records that other gateways entrust.
+    pub entrusted: Vec<(u64, journal::Record)>,
+    /// Answers of gateways to which records were entrusted.
+    pub entrust_answers: Vec<(ids::InstanceName, journal::Key, Option<custody::Answer>)>,
+    /// Turns that other gateways look for.
+    pub sought: Vec<(u64, ids::TurnId)>,
+    /// Answers of gateways that were asked for turns.
+    pub seek_answers: Vec<(ids::CallId, ids::InstanceName, Option<input::Found>)>,
     /// Configurations.
     pub configurations: Vec<input::Configuration>,
     /// Readings of the list; none where one failed.
@@ -33,6 +43,10 @@
             && self.delivered.is_empty()
             && self.appended.is_empty()
             && self.read.is_empty()
+            && self.entrusted.is_empty()
+            && self.entrust_answers.is_empty()
+            && self.sought.is_empty()
+            && self.seek_answers.is_empty()
             && self.configurations.is_empty()
             && self.memberships.is_empty()
     }
--- a/crates/flamingotrail-gateway/src/tables/mod.rs
+++ b/crates/flamingotrail-gateway/src/tables/mod.rs
@@ -3,10 +3,12 @@
 use flamingotrail_core::tables::timers as core_timers;
 
 pub mod calls;
+pub mod custody;
 pub mod dirty;
 pub mod endpoints;
 pub mod inbox;
 pub mod partitions;
+pub mod peers;
 pub mod programs;
 pub mod routes;
 pub mod timers;
@@ -25,6 +27,10 @@
     pub programs: programs::Programs,
     /// Turns that count.
     pub turns: turns::Turns,
+    /// Other gateways.
+    pub peers: peers::Peers,
+    /// Records on their way into the log.
+    pub custody: custody::Custody,
     /// Partitions of the log.
     pub partitions: partitions::Partitions,
     /// Timers.
--- a/crates/flamingotrail-gateway/src/tables/partitions.rs
+++ b/crates/flamingotrail-gateway/src/tables/partitions.rs
@@ -56,8 +56,10 @@
 pub struct Partitions {
     /// The rows.
     pub rows: collections::BTreeMap<ids::Partition, Partition>,
-    /// When the log failed first since it succeeded last.
-    pub down_since: Option<time::Timestamp>,
+    /// When the log, or anything else of the platform's store, answered last.
+    pub last_success: time::Timestamp,
+    /// Failures of the log since then.
+    pub failures: u32,
     /// Whether the log has failed for so long that it counts as away.
     pub is_away: bool,
 }
--- a/crates/flamingotrail-gateway/src/tables/timers.rs
+++ b/crates/flamingotrail-gateway/src/tables/timers.rs
@@ -1,6 +1,7 @@
 //! When rows are due again.
 
 use crate::ids;
+use crate::journal;
 
 /// What a timer is for. One timer of a kind and row exists at most.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -11,6 +12,10 @@
     CallRetry(ids::CallId),
     /// An attempt that may be repeated has taken too long.
     AttemptSlow(ids::CallId, u32),
+    /// A record has waited for the log for too long.
+    Wait(journal::Key),
+    /// Another gateway has waited for the log's word on a record for too long.
+    Entrusted(u64),
     /// A partition's append or read may be repeated.
     Partition(ids::Partition),
     /// The log may have to be told of a program's turns that are over.
--- a/crates/flamingotrail-runtime/src/gateway/executor.rs
+++ b/crates/flamingotrail-runtime/src/gateway/executor.rs
@@ -13,12 +13,15 @@
 use crate::gateway::callers;
 use crate::gateway::control;
 use crate::gateway::exchange;
+use crate::gateway::peers;
 use crate::gateway::slots;
 
 /// What carries out outputs.
 pub struct Executor {
     /// Attempts.
     pub exchange: exchange::Exchange,
+    /// Other gateways.
+    pub peers: peers::Peers,
     /// The platform's store.
     pub store: rc::Rc<store::StoreClient>,
     /// The way back into the control thread.
@@ -57,6 +60,18 @@
             output::Output::Abort(call) => self.slots().abort(call),
             output::Output::Append { partition, records } => self.append(partition, records),
             output::Output::Read { partition, from } => self.read(partition, from),
+            output::Output::Entrust { peer, address, record } => {
+                self.peers.entrust(peer, address, *record);
+            }
+            output::Output::AnswerEntrusted(ticket, answer) => {
+                self.peers.answer_entrusted(ticket, answer);
+            }
+            output::Output::Seek { call, peer, address, turn } => {
+                self.peers.seek(call, peer, address, turn);
+            }
+            output::Output::AnswerSought(ticket, found) => {
+                self.peers.answer_sought(ticket, &found);
+            }
             output::Output::Ready(ready) => {
                 self.ready.send_replace(ready);
             }
--- a/crates/flamingotrail-runtime/src/gateway/mod.rs
+++ b/crates/flamingotrail-runtime/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 pub mod executor;
 pub mod http1;
 pub mod operators;
+pub mod peers;
 pub mod pool;
 pub mod process;
 pub mod slots;
--- a/crates/flamingotrail-runtime/src/gateway/process.rs
+++ b/crates/flamingotrail-runtime/src/gateway/process.rs
@@ -2,6 +2,7 @@
 
 use std::cell;
 use std::io;
+use std::net;
 use std::rc;
 use std::time;
 
@@ -13,6 +14,7 @@
 use flamingotrail_adapter::store;
 use flamingotrail_gateway::input;
 use flamingotrail_gateway::settings;
+use flamingotrail_gateway::tables::peers as peers_table;
 use flamingotrail_gateway::world;
 use tokio::signal;
 use tokio::sync::watch as tokio_watch;
@@ -23,6 +25,7 @@
 use crate::gateway::exchange;
 use crate::gateway::executor;
 use crate::gateway::operators;
+use crate::gateway::peers;
 use crate::gateway::pool;
 use crate::gateway::slots;
 use crate::gateway::watch;
@@ -68,6 +71,16 @@
     callers.listen(deployment.callers).await?;
     actix_rt::spawn(watch::configuration(store.clone(), inlet.clone(), limits));
     actix_rt::spawn(watch::endpoints(store.clone(), inlet.clone()));
+    let link = net::SocketAddr::new(deployment.ip, deployment.link_ports.0);
+    let peers = peers::Peers::new(inlet.clone(), pool.clone());
+    peers.clone().listen(link).await?;
+    let own = peers_table::Peer {
+        address: link.to_string(),
+        domain: deployment.identity.domain.clone(),
+        region: deployment.identity.region.clone(),
+    };
+    let name = deployment.identity.instance.clone();
+    actix_rt::spawn(peers::follow(store.clone(), inlet.clone(), name, own));
     actix_rt::spawn(reap(pool.clone()));
     actix_rt::spawn(drain_on_signal(inlet.clone(), stage_tx.clone()));
     actix_rt::spawn(reload_on_signal());
@@ -80,6 +93,7 @@
     );
     let executor = executor::Executor {
         exchange: exchange::Exchange { pool, slots },
+        peers,
         store,
         inlet,
         ready: ready_tx,
--- a/crates/flamingotrail-runtime/src/gateway/watch.rs
+++ b/crates/flamingotrail-runtime/src/gateway/watch.rs
@@ -113,25 +113,31 @@
 }
 
 /// Follows a keyed topic: first the newest record of each key, then the records as they come.
-struct Follower {
+pub struct Follower {
     topic: &'static str,
     next: Option<u64>,
 }
 
 /// What one reading of a keyed topic has brought.
-struct Changes {
+pub struct Changes {
     /// Whether the records are all keys' newest ones.
-    whole: bool,
+    pub whole: bool,
     /// Keys and values in order.
-    records: Vec<(String, Bytes)>,
+    pub records: Vec<(String, Bytes)>,
 }
 
 impl Follower {
-    fn new(topic: &'static str) -> Self {
+    /// A follower that has read nothing.
+    pub fn new(topic: &'static str) -> Self {
         Follower { topic, next: None }
     }
 
-    async fn read(
+    /// Reads what is new; waits up to `wait` for it.
+    ///
+    /// # Errors
+    ///
+    /// A store that refuses or does not answer.
+    pub async fn read(
         &mut self,
         store: &store::StoreClient,
         wait: time::Duration,
--- /dev/null
+++ b/crates/flamingotrail-wire/src/gateway.rs
@@ -0,0 +1,229 @@
+//! Gateways' records in the log, and what gateways tell each other.
+//!
+//! Fields have names, so that a process passes over those that it does not know.
+
+use flamingotrail_gateway::ids;
+use flamingotrail_gateway::input;
+use flamingotrail_gateway::journal;
+use flamingotrail_gateway::tables::custody;
+use flamingotrail_gateway::tables::peers;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// A record on the wire.
+#[derive(Debug, Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+enum WireRecord {
+    Start {
+        turn: String,
+        program: String,
+        least: u64,
+        wanted: u64,
+        budget: u64,
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        settled: Vec<WireSettled>,
+    },
+    End {
+        turn: String,
+        previous: Option<String>,
+        endpoint: String,
+        #[serde(with = "serde_bytes")]
+        input: Vec<u8>,
+        #[serde(with = "serde_bytes")]
+        output: Vec<u8>,
+    },
+    Settle {
+        program: String,
+        settled: Vec<WireSettled>,
+    },
+}
+
+/// An allowance that is over, with its tokens.
+#[derive(Debug, Deserialize, Serialize)]
+struct WireSettled(String, u64);
+
+impl From<&journal::Settled> for WireSettled {
+    fn from(settled: &journal::Settled) -> Self {
+        WireSettled(settled.turn.to_string(), settled.tokens)
+    }
+}
+
+impl From<WireSettled> for journal::Settled {
+    fn from(WireSettled(turn, tokens): WireSettled) -> Self {
+        journal::Settled { turn: ids::TurnId::new(&turn), tokens }
+    }
+}
+
+impl From<&journal::Record> for WireRecord {
+    fn from(record: &journal::Record) -> Self {
+        match record {
+            journal::Record::Start(start) => WireRecord::Start {
+                turn: start.turn.to_string(),
+                program: start.program.to_string(),
+                least: start.least,
+                wanted: start.wanted,
+                budget: start.budget,
+                settled: start.settled.iter().map(WireSettled::from).collect(),
+            },
+            journal::Record::End(end) => WireRecord::End {
+                turn: end.turn.to_string(),
+                previous: end.previous.as_ref().map(ToString::to_string),
+                endpoint: end.endpoint.to_string(),
+                input: end.input.to_vec(),
+                output: end.output.to_vec(),
+            },
+            journal::Record::Settle(settle) => WireRecord::Settle {
+                program: settle.program.to_string(),
+                settled: settle.settled.iter().map(WireSettled::from).collect(),
+            },
+        }
+    }
+}
+
+impl From<WireRecord> for journal::Record {
+    fn from(record: WireRecord) -> Self {
+        match record {
+            WireRecord::Start { turn, program, least, wanted, budget, settled } => {
+                journal::Record::Start(journal::Start {
+                    turn: ids::TurnId::new(&turn),
+                    program: ids::ProgramId::new(&program),
+                    least,
+                    wanted,
+                    budget,
+                    settled: settled.into_iter().map(journal::Settled::from).collect(),
+                })
+            }
+            WireRecord::End { turn, previous, endpoint, input, output } => {
+                journal::Record::End(journal::End {
+                    turn: ids::TurnId::new(&turn),
+                    previous: previous.as_deref().map(ids::TurnId::new),
+                    endpoint: ids::EndpointId::new(&endpoint),
+                    input: input.into(),
+                    output: output.into(),
+                })
+            }
+            WireRecord::Settle { program, settled } => journal::Record::Settle(journal::Settle {
+                program: ids::ProgramId::new(&program),
+                settled: settled.into_iter().map(journal::Settled::from).collect(),
+            }),
+        }
+    }
+}
+
+/// Encodes a record.
+///
+/// # Errors
+///
+/// An encoder that fails.
+pub fn encode(record: &journal::Record) -> Result<Vec<u8>, rmp_serde::encode::Error> {
+    rmp_serde::to_vec_named(&WireRecord::from(record))
+}
+
+/// Decodes a record.
+///
+/// # Errors
+///
+/// Bytes that are no record, or one of a newer version.
+pub fn decode(bytes: &[u8]) -> Result<journal::Record, rmp_serde::decode::Error> {
+    rmp_serde::from_slice::<WireRecord>(bytes).map(journal::Record::from)
+}
+
+/// What a gateway says of a record that was entrusted to it.
+#[derive(Debug, Deserialize, Serialize)]
+struct WireAnswer {
+    logged: bool,
+    size: Option<u64>,
+}
+
+/// Encodes an answer about an entrusted record.
+///
+/// # Errors
+///
+/// An encoder that fails.
+pub fn encode_answer(answer: custody::Answer) -> Result<Vec<u8>, rmp_serde::encode::Error> {
+    let answer = match answer {
+        custody::Answer::Logged(size) => WireAnswer { logged: true, size },
+        custody::Answer::Kept(size) => WireAnswer { logged: false, size },
+    };
+    rmp_serde::to_vec_named(&answer)
+}
+
+/// Decodes an answer about an entrusted record.
+///
+/// # Errors
+///
+/// Bytes that are no answer.
+pub fn decode_answer(bytes: &[u8]) -> Result<custody::Answer, rmp_serde::decode::Error> {
+    let WireAnswer { logged, size } = rmp_serde::from_slice(bytes)?;
+    Ok(if logged { custody::Answer::Logged(size) } else { custody::Answer::Kept(size) })
+}
+
+/// What a gateway knows of a turn that another one looks for.
+#[derive(Debug, Deserialize, Serialize)]
+struct WireFound {
+    chain: Vec<WireRecord>,
+    sure: bool,
+}
+
+/// Encodes an answer about a turn.
+///
+/// # Errors
+///
+/// An encoder that fails.
+pub fn encode_found(found: &input::Found) -> Result<Vec<u8>, rmp_serde::encode::Error> {
+    let records = found.chain.iter().map(|end| journal::Record::End(end.clone()));
+    let chain = records.map(|record| WireRecord::from(&record)).collect();
+    rmp_serde::to_vec_named(&WireFound { chain, sure: found.sure })
+}
+
+/// Decodes an answer about a turn.
+///
+/// # Errors
+///
+/// Bytes that are no answer.
+pub fn decode_found(bytes: &[u8]) -> Result<input::Found, rmp_serde::decode::Error> {
+    let WireFound { chain, sure } = rmp_serde::from_slice(bytes)?;
+    let chain = chain
+        .into_iter()
+        .filter_map(|record| match journal::Record::from(record) {
+            journal::Record::End(end) => Some(end),
+            _ => None,
+        })
+        .collect();
+    Ok(input::Found { chain, sure })
+}
+
+/// A gateway as the others find it.
+#[derive(Debug, Deserialize, Serialize)]
+struct WirePeer {
+    address: String,
+    domain: String,
+    region: String,
+}
+
+/// Encodes a gateway's entry.
+///
+/// # Errors
+///
+/// An encoder that fails.
+pub fn encode_peer(peer: &peers::Peer) -> Result<Vec<u8>, rmp_serde::encode::Error> {
+    rmp_serde::to_vec_named(&WirePeer {
+        address: peer.address.clone(),
+        domain: peer.domain.to_string(),
+        region: peer.region.to_string(),
+    })
+}
+
+/// Decodes a gateway's entry.
+///
+/// # Errors
+///
+/// Bytes that are no entry.
+pub fn decode_peer(bytes: &[u8]) -> Result<peers::Peer, rmp_serde::decode::Error> {
+    let WirePeer { address, domain, region } = rmp_serde::from_slice(bytes)?;
+    Ok(peers::Peer {
+        address,
+        domain: ids::DomainName::new(&domain),
+        region: ids::RegionName::new(&region),
+    })
+}
--- a/crates/flamingotrail-wire/src/lib.rs
+++ b/crates/flamingotrail-wire/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod engine;
 pub mod errors;
 pub mod frames;
+pub mod gateway;
 pub mod headers;
 pub mod history;
 pub mod ids;
