Relay records through other gateways; nothing counts before it stands in the log

Ruled out: a slow flush (far gateways had 20 ms). Copies in memory can't carry the promise, so custody is gone; a gateway that is cut off has its records appended, and missing turns read, by one that is not. While no gateway reaches the log, turns are told to come back in a second.

--- a/crates/flamingotrail-gateway/src/input.rs
+++ b/crates/flamingotrail-gateway/src/input.rs
@@ -8,7 +8,6 @@
 
 use crate::ids;
 use crate::journal;
-use crate::tables::custody;
 use crate::tables::peers;
 
 /// One input of a tick.
@@ -66,7 +65,7 @@
         /// The record.
         key: journal::Key,
         /// Its answer.
-        answer: Option<custody::Answer>,
+        answer: Option<EntrustAnswer>,
     },
     /// Another gateway looks for a turn.
     Sought {
@@ -88,12 +87,21 @@
     Drain,
 }
 
-/// What a gateway knows of a turn that another one looks for.
+/// What a gateway says of a record that was entrusted to it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EntrustAnswer {
+    /// Whether it stands in the log; otherwise it may get there later.
+    pub logged: bool,
+    /// For a start, the size of the allowance; none where the budget has no room.
+    pub size: Option<u64>,
+}
+
+/// What a gateway has found of a turn that another one looks for.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Found {
-    /// The turns of its chain that are known there, the sought one first; empty where it is not.
+    /// The turns of its chain, the sought one first; empty where there is none.
     pub chain: Vec<journal::End>,
-    /// Whether the gateway has run for long enough to know each turn that was ever entrusted to it.
+    /// Whether the log was read to its end for it.
     pub sure: bool,
 }
 
--- a/crates/flamingotrail-gateway/src/output.rs
+++ b/crates/flamingotrail-gateway/src/output.rs
@@ -8,7 +8,6 @@
 use crate::ids;
 use crate::input;
 use crate::journal;
-use crate::tables::custody;
 
 /// One output of a tick.
 #[derive(Clone, Debug)]
@@ -47,7 +46,7 @@
         record: Box<journal::Record>,
     },
     /// Answer another gateway about a record.
-    AnswerEntrusted(u64, custody::Answer),
+    AnswerEntrusted(u64, input::EntrustAnswer),
     /// Ask another gateway for a turn; answered by `SeekAnswered`.
     Seek {
         /// The call that looks for it.
--- a/crates/flamingotrail-gateway/src/settings.rs
+++ b/crates/flamingotrail-gateway/src/settings.rs
@@ -9,8 +9,6 @@
 pub struct Identity {
     /// Instance name.
     pub instance: ids::InstanceName,
-    /// Whether the whole system starts for the first time, so that nothing was kept before.
-    pub first_start: bool,
     /// Failure domain.
     pub domain: ids::DomainName,
     /// Region.
--- a/crates/flamingotrail-gateway/src/systems/admission.rs
+++ b/crates/flamingotrail-gateway/src/systems/admission.rs
@@ -13,6 +13,16 @@
 /// When a caller should come back while this process can't serve it, but others may.
 pub const COME_BACK: time::Duration = time::Duration::from_millis(100);
 
+/// When a turn should come back while no gateway reaches the log: callers wait for a third of their
+/// time at most, and an outage takes seconds.
+const OUTAGE_PAUSE: time::Duration = time::Duration::from_millis(1_000);
+
+/// Whether neither this process nor another one, as far as it knows, reaches the log.
+pub fn is_log_out_of_reach(world: &world::World) -> bool {
+    let tables = &world.tables;
+    tables.partitions.is_away && (tables.peers.rows.is_empty() || !tables.relay.works())
+}
+
 /// Takes the requests of the inbox.
 pub fn run(world: &mut world::World, _tick: &world::Tick) {
     for arrival in std::mem::take(&mut world.tables.inbox.arrivals) {
@@ -66,8 +76,9 @@
         Some(_) => calls::Phase::Resolving,
         None => calls::Phase::Placing,
     };
-    if turn.is_some() && world.tables.partitions.is_away && world.tables.peers.rows.is_empty() {
-        return Err((arrival, unavailable));
+    if turn.is_some() && is_log_out_of_reach(world) {
+        let refusal = output::Refusal { retry_after: Some(OUTAGE_PAUSE), ..unavailable };
+        return Err((arrival, refusal));
     }
     Ok(calls::Call {
         route: route.name.clone(),
@@ -108,7 +119,7 @@
         budget: head.and_then(|head| head.budget),
         reservation: calls::Reservation::None,
         awaits: None,
-        search: None,
+        search: calls::Search::default(),
         tokens: 0,
         accounted: false,
     })
--- a/crates/flamingotrail-gateway/src/systems/completion.rs
+++ b/crates/flamingotrail-gateway/src/systems/completion.rs
@@ -8,8 +8,8 @@
 use crate::journal;
 use crate::output;
 use crate::systems::budgets;
-use crate::systems::custody;
 use crate::systems::placement;
+use crate::systems::relay;
 use crate::tables::calls;
 use crate::tables::timers;
 use crate::world;
@@ -67,7 +67,7 @@
         input::Outcome::NotSent(_) | input::Outcome::Refused { .. } => again(world, tick, id),
         input::Outcome::Answered { status, .. } => answered(world, tick, id, status),
         input::Outcome::Streamed { complete: true, events, output, .. } => {
-            streamed(world, tick, id, &running.endpoint, events, output);
+            streamed(world, id, &running.endpoint, events, output);
         }
         input::Outcome::Streamed { complete: false, .. } => {
             void(world, tick, id, &outcome);
@@ -172,7 +172,6 @@
 /// Puts a whole stream into the journal, or ends it at once where no turn is kept.
 fn streamed(
     world: &mut world::World,
-    tick: &world::Tick,
     id: ids::CallId,
     endpoint: &ids::EndpointId,
     events: u64,
@@ -203,7 +202,7 @@
     world.out.push(output::Output::Event(output::Event::new("turn_ended", detail)));
     call.phase = calls::Phase::Settling;
     tables.dirty.calls.insert(id);
-    custody::submit(world, tick, journal::Record::End(end));
+    relay::submit(world, journal::Record::End(end));
 }
 
 /// Goes on after an attempt that may have run and has no answer.
--- a/crates/flamingotrail-gateway/src/systems/journal.rs
+++ b/crates/flamingotrail-gateway/src/systems/journal.rs
@@ -8,7 +8,7 @@
 use crate::input;
 use crate::journal;
 use crate::output;
-use crate::systems::custody;
+use crate::systems::relay;
 use crate::systems::turns;
 use crate::tables::calls;
 use crate::tables::timers;
@@ -110,6 +110,8 @@
         .map(|(id, _)| *id)
         .collect();
     world.tables.dirty.calls.extend(waiting);
+    let lookups = world.tables.relay.lookups.keys();
+    world.tables.dirty.lookups.extend(lookups);
 }
 
 fn failed(
@@ -131,7 +133,7 @@
         partitions.is_away = true;
         let detail = format_args!("partition={partition} error={error:?} queued={queued}");
         world.event("log_lost", detail);
-        custody::log_lost(world);
+        relay::log_lost(world);
     }
 }
 
@@ -185,7 +187,7 @@
     let program = world.tables.programs.touch(&start.program, tick.now);
     start.settled.iter().for_each(|settled| program.settle(settled));
     let size = program.open(&start.turn, start.least, start.wanted, start.budget);
-    custody::logged(world, journal::Key::Start(start.turn.clone()), size);
+    relay::logged(world, &journal::Key::Start(start.turn.clone()), size);
     decide(world, tick, start, size);
 }
 
@@ -238,7 +240,7 @@
 }
 
 fn apply_end(world: &mut world::World, tick: &world::Tick, end: &journal::End) {
-    custody::logged(world, journal::Key::End(end.turn.clone()), None);
+    relay::logged(world, &journal::Key::End(end.turn.clone()), None);
     keep_turn(world, tick, end);
 }
 
--- a/crates/flamingotrail-gateway/src/systems/readiness.rs
+++ b/crates/flamingotrail-gateway/src/systems/readiness.rs
@@ -3,6 +3,7 @@
 use std::time;
 
 use crate::output;
+use crate::systems::admission;
 use crate::tables::timers;
 use crate::world;
 
@@ -32,7 +33,9 @@
 }
 
 fn is_ready(world: &world::World) -> bool {
+    let alone = !world.tables.peers.rows.is_empty() && admission::is_log_out_of_reach(world);
     world.draining_since.is_none()
+        && !alone
         && world.tables.routes.current.is_some()
         && world.tables.endpoints.listed
 }
--- a/crates/flamingotrail-gateway/src/systems/timers.rs
+++ b/crates/flamingotrail-gateway/src/systems/timers.rs
@@ -20,8 +20,8 @@
             timers::Timer::Wait(key) => {
                 dirty.waits.insert(key);
             }
-            timers::Timer::Entrusted(ticket) => {
-                dirty.entrusted.insert(ticket);
+            timers::Timer::Relay(ticket) => {
+                dirty.overdue.insert(ticket);
             }
             timers::Timer::Partition(partition) => {
                 dirty.partitions.insert(partition);
--- a/crates/flamingotrail-gateway/src/systems/turns.rs
+++ b/crates/flamingotrail-gateway/src/systems/turns.rs
@@ -4,10 +4,10 @@
 use crate::ids;
 use crate::journal;
 use crate::output;
+use crate::systems::admission;
 use crate::systems::budgets;
 use crate::systems::completion;
-use crate::systems::custody;
-use crate::systems::search;
+use crate::systems::relay;
 use crate::tables::calls;
 use crate::world;
 
@@ -51,8 +51,18 @@
             tables.dirty.partitions.insert(partition);
         }
     }
-    if is_absent || tables.partitions.is_away {
-        search::step(world, tick, id, &missing, is_absent);
+    if is_absent || turn.search.is_absent {
+        let refusal = output::Refusal { reason: output::Reason::NoSuchTurn, retry_after: None };
+        completion::refuse(world, tick, id, refusal);
+        return;
+    }
+    if !tables.partitions.is_away {
+        return;
+    }
+    if admission::is_log_out_of_reach(world) {
+        completion::give_up(world, tick, id);
+    } else {
+        relay::seek(world, tick, id, &missing);
     }
 }
 
@@ -95,7 +105,7 @@
         call.phase = calls::Phase::Reserving;
     }
     if let Some(start) = asked {
-        custody::submit(world, tick, journal::Record::Start(start));
+        relay::submit(world, journal::Record::Start(start));
     }
 }
 
--- a/crates/flamingotrail-gateway/src/tables/calls.rs
+++ b/crates/flamingotrail-gateway/src/tables/calls.rs
@@ -38,15 +38,15 @@
     Denied,
 }
 
-/// A search for a missing turn among the other gateways.
-#[derive(Clone, Debug)]
+/// A search for a missing turn by the hand of other gateways.
+#[derive(Clone, Debug, Default)]
 pub struct Search {
-    /// The turn.
-    pub turn: ids::TurnId,
-    /// Gateways that have not answered.
-    pub asked: collections::BTreeSet<ids::InstanceName>,
-    /// Whether each answer so far tells for certain that the turn is not there.
-    pub sure: bool,
+    /// The gateway that was asked and has not answered.
+    pub asked: Option<ids::InstanceName>,
+    /// Gateways that were asked.
+    pub tried: collections::BTreeSet<ids::InstanceName>,
+    /// Whether one has read the log and the turn is not there.
+    pub is_absent: bool,
 }
 
 /// What only turns have.
@@ -67,8 +67,8 @@
     /// The turn that was missing last, and the number of the read of its partition that tells
     /// whether it exists.
     pub awaits: Option<(ids::TurnId, u64)>,
-    /// The search for a missing turn among the other gateways.
-    pub search: Option<Search>,
+    /// The search for a missing turn by the hand of other gateways.
+    pub search: Search,
     /// Tokens that reached the caller, or will with the end of the answer.
     pub tokens: u64,
     /// Whether its allowance was told of its end.
--- a/crates/flamingotrail-gateway/src/tables/dirty.rs
+++ b/crates/flamingotrail-gateway/src/tables/dirty.rs
@@ -16,10 +16,12 @@
     pub late: collections::BTreeSet<ids::CallId>,
     /// Attempts that have taken too long.
     pub slow: collections::BTreeSet<(ids::CallId, u32)>,
-    /// Records that have waited for the log for too long.
+    /// Records that are to be offered to other gateways.
     pub waits: collections::BTreeSet<journal::Key>,
-    /// Tickets of other gateways' records that are to be answered without the log.
-    pub entrusted: collections::BTreeSet<u64>,
+    /// Lookups of other gateways whose next step may be possible.
+    pub lookups: collections::BTreeSet<u64>,
+    /// Tickets of other gateways that have waited for too long.
+    pub overdue: collections::BTreeSet<u64>,
     /// Partitions with something to append or read.
     pub partitions: collections::BTreeSet<ids::Partition>,
     /// Programs of which the log is to be told what is over.
@@ -40,7 +42,8 @@
             && self.late.is_empty()
             && self.slow.is_empty()
             && self.waits.is_empty()
-            && self.entrusted.is_empty()
+            && self.lookups.is_empty()
+            && self.overdue.is_empty()
             && self.partitions.is_empty()
             && self.settle.is_empty()
             && !self.expiry
--- a/crates/flamingotrail-gateway/src/tables/inbox.rs
+++ b/crates/flamingotrail-gateway/src/tables/inbox.rs
@@ -3,7 +3,6 @@
 use crate::ids;
 use crate::input;
 use crate::journal;
-use crate::tables::custody;
 
 /// Inputs that wait for their system within a tick.
 #[derive(Debug, Default)]
@@ -23,7 +22,7 @@
     /// Records that other gateways entrust.
     pub entrusted: Vec<(u64, journal::Record)>,
     /// Answers of gateways to which records were entrusted.
-    pub entrust_answers: Vec<(ids::InstanceName, journal::Key, Option<custody::Answer>)>,
+    pub entrust_answers: Vec<(ids::InstanceName, journal::Key, Option<input::EntrustAnswer>)>,
     /// Turns that other gateways look for.
     pub sought: Vec<(u64, ids::TurnId)>,
     /// Answers of gateways that were asked for turns.
--- a/crates/flamingotrail-gateway/src/tables/mod.rs
+++ b/crates/flamingotrail-gateway/src/tables/mod.rs
@@ -3,13 +3,13 @@
 use flamingotrail_core::tables::timers as core_timers;
 
 pub mod calls;
-pub mod custody;
 pub mod dirty;
 pub mod endpoints;
 pub mod inbox;
 pub mod partitions;
 pub mod peers;
 pub mod programs;
+pub mod relay;
 pub mod routes;
 pub mod timers;
 pub mod turns;
@@ -29,8 +29,8 @@
     pub turns: turns::Turns,
     /// Other gateways.
     pub peers: peers::Peers,
-    /// Records on their way into the log.
-    pub custody: custody::Custody,
+    /// Records and lookups that go to the log by another gateway's hand.
+    pub relay: relay::Relay,
     /// Partitions of the log.
     pub partitions: partitions::Partitions,
     /// Timers.
--- a/crates/flamingotrail-gateway/src/tables/programs.rs
+++ b/crates/flamingotrail-gateway/src/tables/programs.rs
@@ -47,10 +47,6 @@
     pub open: collections::BTreeMap<ids::TurnId, u64>,
     /// Allowances that are over, by the log; each is taken once.
     pub over: collections::BTreeSet<ids::TurnId>,
-    /// Allowances that were decided on without the log, which has still to take them.
-    pub unlogged: collections::BTreeMap<ids::TurnId, u64>,
-    /// Allowances that are over, as told without the log.
-    pub unlogged_over: collections::BTreeMap<ids::TurnId, u64>,
     /// This process's allowances, by the turn for which each was asked.
     pub allowances: collections::BTreeMap<ids::TurnId, Allowance>,
     /// The allowance on which the next turn draws.
@@ -77,34 +73,14 @@
     /// Tokens that are spent or may still be, by the log and by what this process knows beyond it.
     pub fn expected(&self) -> u64 {
         let own = self.allowances.iter().map(|(id, allowance)| (id, &allowance.size));
-        let mut sizes: collections::BTreeMap<_, _> = self.unlogged.iter().chain(own).collect();
-        sizes.extend(self.open.iter());
-        sizes.extend(self.unlogged_over.iter().chain(self.unsettled.iter()));
+        let mut sizes: collections::BTreeMap<_, _> = own.chain(self.open.iter()).collect();
+        sizes.extend(self.unsettled.iter());
         self.settled + sizes.values().copied().sum::<u64>()
     }
 
-    /// Decides on an allowance while the log is away.
-    pub fn open_unlogged(&mut self, start: &journal::Start) -> Option<u64> {
-        for settled in &start.settled {
-            if !self.over.contains(&settled.turn) {
-                self.unlogged_over.insert(settled.turn.clone(), settled.tokens);
-            }
-        }
-        if let Some(size) = self.open.get(&start.turn).or_else(|| self.unlogged.get(&start.turn)) {
-            return Some(*size);
-        }
-        if self.over.contains(&start.turn) || self.expected() + start.least > start.budget {
-            return None;
-        }
-        // Two gateways may decide at once, so no more is given than the bound allows to exceed.
-        self.unlogged.insert(start.turn.clone(), start.least);
-        Some(start.least)
-    }
-
     /// Takes the log's order to open an allowance of `least` to `wanted` tokens: its size, or none
     /// where the budget has no room.
     pub fn open(&mut self, id: &ids::TurnId, least: u64, wanted: u64, budget: u64) -> Option<u64> {
-        self.unlogged.remove(id);
         if let Some(size) = self.open.get(id) {
             return Some(*size);
         }
@@ -119,8 +95,6 @@
     /// Takes the log's word that an allowance is over.
     pub fn settle(&mut self, settled: &journal::Settled) {
         self.open.remove(&settled.turn);
-        self.unlogged.remove(&settled.turn);
-        self.unlogged_over.remove(&settled.turn);
         self.unsettled.remove(&settled.turn);
         if self.over.insert(settled.turn.clone()) {
             self.settled += settled.tokens;
--- /dev/null
+++ b/crates/flamingotrail-gateway/src/tables/relay.rs
@@ -0,0 +1,50 @@
+//! Records and lookups that go to the log by the hand of another gateway: this process's own while
+//! the log does not answer it, and those of others.
+
+use std::collections;
+
+use crate::ids;
+use crate::journal;
+
+/// One of this process's records that somebody waits for.
+#[derive(Debug)]
+pub struct Wait {
+    /// The record.
+    pub record: journal::Record,
+    /// The gateway that was asked to append it and has not answered.
+    pub asked: Option<ids::InstanceName>,
+    /// Gateways that were asked and could not.
+    pub tried: collections::BTreeSet<ids::InstanceName>,
+}
+
+/// A lookup for another gateway.
+#[derive(Clone, Debug)]
+pub struct Lookup {
+    /// The turn whose chain is asked for.
+    pub turn: ids::TurnId,
+    /// The turn that was missing last, and the number of the read that tells whether it exists.
+    pub awaits: Option<(ids::TurnId, u64)>,
+}
+
+/// Everything that is relayed.
+#[derive(Debug, Default)]
+pub struct Relay {
+    /// This process's own records.
+    pub waits: collections::BTreeMap<journal::Key, Wait>,
+    /// Records of others, by the ticket under which the answer is expected.
+    pub entrusted: collections::BTreeMap<u64, journal::Key>,
+    /// Lookups for others by ticket.
+    pub lookups: collections::BTreeMap<u64, Lookup>,
+    /// Gateways in a row that could not help.
+    pub failures: u32,
+}
+
+/// Gateways in a row that can't help after which the log counts as out of everybody's reach.
+const FAILURES: u32 = 2;
+
+impl Relay {
+    /// Whether others likely reach the log.
+    pub fn works(&self) -> bool {
+        self.failures < FAILURES
+    }
+}
--- a/crates/flamingotrail-gateway/src/tables/timers.rs
+++ b/crates/flamingotrail-gateway/src/tables/timers.rs
@@ -12,10 +12,10 @@
     CallRetry(ids::CallId),
     /// An attempt that may be repeated has taken too long.
     AttemptSlow(ids::CallId, u32),
-    /// A record has waited for the log for too long.
+    /// A record may be offered to other gateways again.
     Wait(journal::Key),
-    /// Another gateway has waited for the log's word on a record for too long.
-    Entrusted(u64),
+    /// Another gateway has waited for the log's word for too long.
+    Relay(u64),
     /// A partition's append or read may be repeated.
     Partition(ids::Partition),
     /// The log may have to be told of a program's turns that are over.
--- a/crates/flamingotrail-gateway/src/tables/turns.rs
+++ b/crates/flamingotrail-gateway/src/tables/turns.rs
@@ -81,6 +81,31 @@
         Ok(texts)
     }
 
+    /// The first turn of the chain that ends with `turn`, from its end, that is not here.
+    pub fn missing<'a>(&'a self, turn: &'a ids::TurnId) -> Option<&'a ids::TurnId> {
+        self.chain(turn).err()
+    }
+
+    /// The records of the chain that ends with `turn`, that one first.
+    pub fn ends(&self, turn: &ids::TurnId) -> Vec<journal::End> {
+        let mut ends: Vec<journal::End> = Vec::new();
+        let mut next = Some(turn.clone());
+        while let Some((id, row)) = next.and_then(|id| self.rows.get_key_value(&id)) {
+            if ends.len() == MAX_CHAIN {
+                break;
+            }
+            next = row.previous.clone();
+            ends.push(journal::End {
+                turn: id.clone(),
+                previous: row.previous.clone(),
+                endpoint: row.endpoint.clone(),
+                input: row.input.clone(),
+                output: row.output.clone(),
+            });
+        }
+        ends
+    }
+
     /// Drops what expired before `now`.
     pub fn expire(&mut self, now: time::Timestamp) {
         let bytes = &mut self.bytes;
--- a/crates/flamingotrail-runtime/src/gateway/peers.rs
+++ b/crates/flamingotrail-runtime/src/gateway/peers.rs
@@ -20,7 +20,6 @@
 use flamingotrail_gateway::ids;
 use flamingotrail_gateway::input;
 use flamingotrail_gateway::journal;
-use flamingotrail_gateway::tables::custody;
 use flamingotrail_gateway::tables::peers;
 use flamingotrail_wire::gateway as wire;
 use tokio::sync::oneshot;
@@ -35,7 +34,7 @@
 /// Path before the id of a turn that is sought.
 const TURNS: &str = "/v1/turns/";
 /// Time for an answer of another gateway: a round trip between regions, and its wait for the log.
-const ANSWER_TIMEOUT: time::Duration = time::Duration::from_millis(400);
+const ANSWER_TIMEOUT: time::Duration = time::Duration::from_millis(450);
 /// Time for a connection to another gateway.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(250);
 /// Bytes of an answer at most: a long chain.
@@ -125,7 +124,7 @@
     }
 
     /// Answers another gateway about a record.
-    pub fn answer_entrusted(&self, ticket: u64, answer: custody::Answer) {
+    pub fn answer_entrusted(&self, ticket: u64, answer: input::EntrustAnswer) {
         self.resolve(ticket, wire::encode_answer(answer));
     }
 
--- a/crates/flamingotrail-wire/src/gateway.rs
+++ b/crates/flamingotrail-wire/src/gateway.rs
@@ -5,7 +5,6 @@
 use flamingotrail_gateway::ids;
 use flamingotrail_gateway::input;
 use flamingotrail_gateway::journal;
-use flamingotrail_gateway::tables::custody;
 use flamingotrail_gateway::tables::peers;
 use serde::Deserialize;
 use serde::Serialize;
@@ -140,12 +139,8 @@
 /// # Errors
 ///
 /// An encoder that fails.
-pub fn encode_answer(answer: custody::Answer) -> Result<Vec<u8>, rmp_serde::encode::Error> {
-    let answer = match answer {
-        custody::Answer::Logged(size) => WireAnswer { logged: true, size },
-        custody::Answer::Kept(size) => WireAnswer { logged: false, size },
-    };
-    rmp_serde::to_vec_named(&answer)
+pub fn encode_answer(answer: input::EntrustAnswer) -> Result<Vec<u8>, rmp_serde::encode::Error> {
+    rmp_serde::to_vec_named(&WireAnswer { logged: answer.logged, size: answer.size })
 }
 
 /// Decodes an answer about an entrusted record.
@@ -153,9 +148,9 @@
 /// # Errors
 ///
 /// Bytes that are no answer.
-pub fn decode_answer(bytes: &[u8]) -> Result<custody::Answer, rmp_serde::decode::Error> {
+pub fn decode_answer(bytes: &[u8]) -> Result<input::EntrustAnswer, rmp_serde::decode::Error> {
     let WireAnswer { logged, size } = rmp_serde::from_slice(bytes)?;
-    Ok(if logged { custody::Answer::Logged(size) } else { custody::Answer::Kept(size) })
+    Ok(input::EntrustAnswer { logged, size })
 }
 
 /// What a gateway knows of a turn that another one looks for.
