Hold turns through an outage of the log instead of refusing them

Cause: refusals with a second's pause used up a turn's three tries within 4 s, less than an outage; a turn that is held has 2 s a try and goes out at once when the log is back.

--- a/crates/flamingotrail-gateway/src/systems/admission.rs
+++ b/crates/flamingotrail-gateway/src/systems/admission.rs
@@ -13,10 +13,6 @@
 /// When a caller should come back while this process can't serve it, but others may.
 pub const COME_BACK: time::Duration = time::Duration::from_millis(100);
 
-/// When a turn should come back while no gateway reaches the log: callers wait for a third of their
-/// time at most, and an outage takes seconds.
-const OUTAGE_PAUSE: time::Duration = time::Duration::from_millis(1_000);
-
 /// Whether neither this process nor another one, as far as it knows, reaches the log.
 pub fn is_log_out_of_reach(world: &world::World) -> bool {
     let tables = &world.tables;
@@ -76,10 +72,6 @@
         Some(_) => calls::Phase::Resolving,
         None => calls::Phase::Placing,
     };
-    if turn.is_some() && is_log_out_of_reach(world) {
-        let refusal = output::Refusal { retry_after: Some(OUTAGE_PAUSE), ..unavailable };
-        return Err((arrival, refusal));
-    }
     Ok(calls::Call {
         route: route.name.clone(),
         kind: route.kind,
--- a/crates/flamingotrail-gateway/src/systems/completion.rs
+++ b/crates/flamingotrail-gateway/src/systems/completion.rs
@@ -312,7 +312,9 @@
     let tokens = events * tokens_per_event(world, id);
     let call = world.tables.calls.rows.get_mut(&id);
     if let Some(turn) = call.and_then(|call| call.turn.as_mut()) {
-        turn.tokens = turn.tokens.max(tokens);
+        // Before its part of the budget is granted, none of its events go out.
+        let handed = turn.reservation == calls::Reservation::Granted;
+        turn.tokens = turn.tokens.max(if handed { tokens } else { 0 });
     }
     budgets::account(world, tick, id);
 }
--- a/crates/flamingotrail-gateway/src/systems/turns.rs
+++ b/crates/flamingotrail-gateway/src/systems/turns.rs
@@ -4,7 +4,6 @@
 use crate::ids;
 use crate::journal;
 use crate::output;
-use crate::systems::admission;
 use crate::systems::budgets;
 use crate::systems::completion;
 use crate::systems::relay;
@@ -59,11 +58,7 @@
     if !tables.partitions.is_away {
         return;
     }
-    if admission::is_log_out_of_reach(world) {
-        completion::give_up(world, tick, id);
-    } else {
-        relay::seek(world, tick, id, &missing);
-    }
+    relay::seek(world, tick, id, &missing);
 }
 
 /// Sets a part of the budget aside for a turn; sends the turn at once where there is likely room.
