--- a/crates/flamingotrail-gateway/src/input.rs
+++ b/crates/flamingotrail-gateway/src/input.rs
@@ -230,6 +230,8 @@
 pub enum LogError {
     /// The log says that nothing was done.
     Refused,
+    /// The log takes no more calls at the moment; nothing was done.
+    Busy,
     /// No answer: it may have been done, or may be done later.
     Unknown,
     /// The records are gone; the oldest that is kept.
--- a/crates/flamingotrail-gateway/src/settings.rs
+++ b/crates/flamingotrail-gateway/src/settings.rs
@@ -22,6 +22,8 @@
 pub struct Settings {
     /// Partitions of the log that hold programs.
     pub partitions: u16,
+    /// Appends a second that the log takes of all processes together.
+    pub appends_per_s: f64,
     /// How long a leaving endpoint may still get requests.
     pub drain: time::Duration,
     /// How long a process that was told to stop may take.
--- a/crates/flamingotrail-gateway/src/systems/budgets.rs
+++ b/crates/flamingotrail-gateway/src/systems/budgets.rs
@@ -10,6 +10,7 @@
 use crate::ids;
 use crate::journal;
 use crate::output;
+use crate::systems::relay;
 use crate::tables::calls;
 use crate::tables::timers;
 use crate::world;
@@ -62,8 +63,6 @@
     if settled.is_empty() {
         return;
     }
-    let partition = ids::Partition::of_program(id, world.settings.partitions);
     let record = journal::Record::Settle(journal::Settle { program: id.clone(), settled });
-    world.tables.partitions.row(partition).queue.push_back(record);
-    world.tables.dirty.partitions.insert(partition);
+    relay::submit(world, tick, record);
 }
--- a/crates/flamingotrail-gateway/src/systems/completion.rs
+++ b/crates/flamingotrail-gateway/src/systems/completion.rs
@@ -67,7 +67,7 @@
         input::Outcome::NotSent(_) | input::Outcome::Refused { .. } => again(world, tick, id),
         input::Outcome::Answered { status, .. } => answered(world, tick, id, status),
         input::Outcome::Streamed { complete: true, events, output, .. } => {
-            streamed(world, id, &running.endpoint, events, output);
+            streamed(world, tick, id, &running.endpoint, events, output);
         }
         input::Outcome::Streamed { complete: false, .. } => {
             void(world, tick, id, &outcome);
@@ -172,6 +172,7 @@
 /// Puts a whole stream into the journal, or ends it at once where no turn is kept.
 fn streamed(
     world: &mut world::World,
+    tick: &world::Tick,
     id: ids::CallId,
     endpoint: &ids::EndpointId,
     events: u64,
@@ -202,7 +203,7 @@
     world.out.push(output::Output::Event(output::Event::new("turn_ended", detail)));
     call.phase = calls::Phase::Settling;
     tables.dirty.calls.insert(id);
-    relay::submit(world, journal::Record::End(end));
+    relay::submit(world, tick, journal::Record::End(end));
 }
 
 /// Goes on after an attempt that may have run and has no answer.
--- a/crates/flamingotrail-gateway/src/systems/journal.rs
+++ b/crates/flamingotrail-gateway/src/systems/journal.rs
@@ -8,6 +8,7 @@
 use crate::input;
 use crate::journal;
 use crate::output;
+use crate::systems::log_io;
 use crate::systems::relay;
 use crate::systems::turns;
 use crate::tables::calls;
@@ -120,6 +121,10 @@
     partition: ids::Partition,
     error: input::LogError,
 ) {
+    if error == input::LogError::Busy {
+        let share = log_io::share(world);
+        world.tables.pace.refused(share, tick.now);
+    }
     let row = world.tables.partitions.row(partition);
     let pause = FIRST_PAUSE.saturating_mul(1 << row.failures.min(5)).min(MAX_PAUSE);
     row.failures += 1;
@@ -187,7 +192,7 @@
     let program = world.tables.programs.touch(&start.program, tick.now);
     start.settled.iter().for_each(|settled| program.settle(settled));
     let size = program.open(&start.turn, start.least, start.wanted, start.budget);
-    relay::logged(world, &journal::Key::Start(start.turn.clone()), size);
+    relay::logged(world, tick, &journal::Key::Start(start.turn.clone()), size);
     decide(world, tick, start, size);
 }
 
@@ -240,7 +245,7 @@
 }
 
 fn apply_end(world: &mut world::World, tick: &world::Tick, end: &journal::End) {
-    relay::logged(world, &journal::Key::End(end.turn.clone()), None);
+    relay::logged(world, tick, &journal::Key::End(end.turn.clone()), None);
     keep_turn(world, tick, end);
 }
 
--- a/crates/flamingotrail-gateway/src/systems/log_io.rs
+++ b/crates/flamingotrail-gateway/src/systems/log_io.rs
@@ -1,8 +1,10 @@
-//! Begins appends and reads: one of each at a time for each partition.
+//! Begins appends and reads: one of each at a time for each partition, appends at the pace that the
+//! log takes.
 
 use crate::ids;
 use crate::journal;
 use crate::output;
+use crate::tables::timers;
 use crate::world;
 
 /// Records of one append at most.
@@ -10,7 +12,7 @@
 /// Bytes of texts of one append at most; the platform takes 2 MiB.
 const MAX_BYTES: usize = 1 << 20;
 
-/// Looks at the dirty partitions.
+/// Looks at the dirty partitions, and at those that wait for the pace.
 pub fn run(world: &mut world::World, tick: &world::Tick) {
     for partition in std::mem::take(&mut world.tables.dirty.partitions) {
         let row = world.tables.partitions.row(partition);
@@ -18,12 +20,42 @@
             continue;
         }
         if row.needs_append() {
-            row.appending = next_batch(&mut row.queue);
-            let records = row.appending.clone();
-            world.out.push(output::Output::Append { partition, records });
+            let since = row.waits_since;
+            world.tables.partitions.paced.insert((since, partition));
         }
         read(world, partition);
     }
+    append_paced(world, tick);
+}
+
+fn append_paced(world: &mut world::World, tick: &world::Tick) {
+    world.tables.dirty.pace = false;
+    let share = share(world);
+    while let Some((since, partition)) = world.tables.partitions.paced.first().copied() {
+        let tables = &mut world.tables;
+        let row = tables.partitions.row(partition);
+        if row.needs_append() && row.retry_at <= tick.now {
+            if !tables.pace.take(share, tick.now) {
+                tables.timers.set_earlier(timers::Timer::Pace, tables.pace.next(tick.now));
+                return;
+            }
+            append(world, tick, partition);
+        }
+        world.tables.partitions.paced.remove(&(since, partition));
+    }
+}
+
+/// This process's even share of the log's limit, in appends a second.
+pub fn share(world: &world::World) -> f64 {
+    world.settings.appends_per_s / (world.tables.peers.rows.len() + 1) as f64
+}
+
+fn append(world: &mut world::World, tick: &world::Tick, partition: ids::Partition) {
+    let row = world.tables.partitions.row(partition);
+    row.appending = next_batch(&mut row.queue);
+    row.waits_since = tick.now;
+    let records = row.appending.clone();
+    world.out.push(output::Output::Append { partition, records });
 }
 
 fn read(world: &mut world::World, partition: ids::Partition) {
--- a/crates/flamingotrail-gateway/src/systems/relay.rs
+++ b/crates/flamingotrail-gateway/src/systems/relay.rs
@@ -50,15 +50,19 @@
 }
 
 /// Hands one of this process's records to the log.
-pub fn submit(world: &mut world::World, record: journal::Record) {
+pub fn submit(world: &mut world::World, tick: &world::Tick, record: journal::Record) {
     let partition = record.partition(world.settings.partitions);
     let tables = &mut world.tables;
+    let row = tables.partitions.row(partition);
+    if row.queue.is_empty() {
+        row.waits_since = tick.now;
+    }
     if let Some(key) = record.key() {
         if tables.partitions.is_away {
             tables.dirty.waits.insert(key.clone());
         }
         let wait =
-            relay::Wait { record: record.clone(), asked: None, tried: Default::default() };
+            relay::Wait { record: record.clone(), since: tick.now, asked: None, tried: Default::default() };
         tables.relay.waits.insert(key, wait);
     }
     tables.partitions.row(partition).queue.push_back(record);
@@ -75,9 +79,15 @@
 }
 
 /// Takes the log's word that a record stands in it; for a start, with its decision.
-pub fn logged(world: &mut world::World, key: &journal::Key, size: Option<u64>) {
+pub fn logged(
+    world: &mut world::World,
+    tick: &world::Tick,
+    key: &journal::Key,
+    size: Option<u64>,
+) {
     let relay = &mut world.tables.relay;
-    if relay.waits.remove(key).is_some() {
+    if let Some(wait) = relay.waits.remove(key) {
+        world.tables.pace.delayed(tick.now.since(wait.since), tick.now);
         world.tables.timers.clear(&timers::Timer::Wait(key.clone()));
     }
     let entrusted = relay.entrusted.iter().filter(|(_, entrusted)| *entrusted == key);
--- a/crates/flamingotrail-gateway/src/systems/timers.rs
+++ b/crates/flamingotrail-gateway/src/systems/timers.rs
@@ -29,6 +29,7 @@
             timers::Timer::Settle(program) => {
                 dirty.settle.insert(program);
             }
+            timers::Timer::Pace => dirty.pace = true,
             timers::Timer::Expiry => dirty.expiry = true,
             timers::Timer::Lapsed => dirty.lapsed = true,
             timers::Timer::Drain => dirty.drain = true,
--- a/crates/flamingotrail-gateway/src/systems/turns.rs
+++ b/crates/flamingotrail-gateway/src/systems/turns.rs
@@ -100,7 +100,7 @@
         call.phase = calls::Phase::Reserving;
     }
     if let Some(start) = asked {
-        relay::submit(world, journal::Record::Start(start));
+        relay::submit(world, tick, journal::Record::Start(start));
     }
 }
 
--- a/crates/flamingotrail-gateway/src/tables/dirty.rs
+++ b/crates/flamingotrail-gateway/src/tables/dirty.rs
@@ -26,6 +26,8 @@
     pub partitions: collections::BTreeSet<ids::Partition>,
     /// Programs of which the log is to be told what is over.
     pub settle: collections::BTreeSet<ids::ProgramId>,
+    /// Whether appends may go on.
+    pub pace: bool,
     /// Whether rows may have expired.
     pub expiry: bool,
     /// Whether lapsed endpoints are due.
@@ -46,6 +48,7 @@
             && self.overdue.is_empty()
             && self.partitions.is_empty()
             && self.settle.is_empty()
+            && !self.pace
             && !self.expiry
             && !self.lapsed
             && !self.drain
--- a/crates/flamingotrail-gateway/src/tables/mod.rs
+++ b/crates/flamingotrail-gateway/src/tables/mod.rs
@@ -6,6 +6,7 @@
 pub mod dirty;
 pub mod endpoints;
 pub mod inbox;
+pub mod pace;
 pub mod partitions;
 pub mod peers;
 pub mod programs;
@@ -33,6 +34,8 @@
     pub relay: relay::Relay,
     /// Partitions of the log.
     pub partitions: partitions::Partitions,
+    /// Pace of appends.
+    pub pace: pace::Pace,
     /// Timers.
     pub timers: core_timers::Timers<timers::Timer>,
     /// Rows that systems still have to look at.
--- a/crates/flamingotrail-gateway/src/tables/partitions.rs
+++ b/crates/flamingotrail-gateway/src/tables/partitions.rs
@@ -14,6 +14,8 @@
     pub applied: u64,
     /// Offset up to which records are needed.
     pub wanted: u64,
+    /// When the oldest record that waits was handed in.
+    pub waits_since: time::Timestamp,
     /// Records that wait for an append.
     pub queue: collections::VecDeque<journal::Record>,
     /// Records of the append under way.
@@ -60,6 +62,8 @@
     pub last_success: time::Timestamp,
     /// Failures of the log since then.
     pub failures: u32,
+    /// Partitions with records that wait for the pace of appends, the oldest first.
+    pub paced: collections::BTreeSet<(time::Timestamp, ids::Partition)>,
     /// Whether the log has failed for so long that it counts as away.
     pub is_away: bool,
 }
--- a/crates/flamingotrail-gateway/src/tables/relay.rs
+++ b/crates/flamingotrail-gateway/src/tables/relay.rs
@@ -3,6 +3,8 @@
 
 use std::collections;
 
+use flamingotrail_core::time;
+
 use crate::ids;
 use crate::journal;
 
@@ -11,6 +13,8 @@
 pub struct Wait {
     /// The record.
     pub record: journal::Record,
+    /// When it was handed in.
+    pub since: time::Timestamp,
     /// The gateway that was asked to append it and has not answered.
     pub asked: Option<ids::InstanceName>,
     /// Gateways that were asked and could not.
--- a/crates/flamingotrail-gateway/src/tables/timers.rs
+++ b/crates/flamingotrail-gateway/src/tables/timers.rs
@@ -20,6 +20,8 @@
     Partition(ids::Partition),
     /// The log may have to be told of a program's turns that are over.
     Settle(ids::ProgramId),
+    /// Appends may go on.
+    Pace,
     /// Turns and programs may have expired.
     Expiry,
     /// Endpoints that left the list while it could not be read are dropped.
--- a/crates/flamingotrail-runtime/src/gateway/process.rs
+++ b/crates/flamingotrail-runtime/src/gateway/process.rs
@@ -53,6 +53,7 @@
     let clock = clock::Clock::new();
     let settings = settings::Settings {
         partitions: deployment.store.partitions * deployment::PROGRAM_TOPICS,
+        appends_per_s: deployment.store.writes_per_s,
         drain: deployment.drain,
         grace: deployment.grace,
     };
