--- a/crates/flamingotrail-gateway/src/ids.rs
+++ b/crates/flamingotrail-gateway/src/ids.rs
@@ -96,15 +96,17 @@
 }
 
 impl Partition {
-    /// The partition that holds the budget of `program`, among `count`.
+    /// The partition that holds the budget of `program`, among `count`. Budgets have the upper half of
+    /// the partitions, where reading them brings no texts of turns.
     pub fn of_program(program: &ProgramId, count: u16) -> Partition {
-        Partition::of_text(program.as_str(), count)
+        let half = count / 2;
+        Partition(half + Partition::of_text(program.as_str(), count - half).0)
     }
 
-    /// The partition that holds `turn`, among `count`. It follows from the turn's id alone, so that a
-    /// turn is found without knowing its program.
+    /// The partition that holds `turn`, among `count`, in the lower half. It follows from the turn's
+    /// id alone, so that a turn is found without knowing its program.
     pub fn of_turn(turn: &TurnId, count: u16) -> Partition {
-        Partition::of_text(turn.as_str(), count)
+        Partition::of_text(turn.as_str(), count / 2)
     }
 
     fn of_text(text: &str, count: u16) -> Partition {
--- a/crates/flamingotrail-gateway/src/systems/journal.rs
+++ b/crates/flamingotrail-gateway/src/systems/journal.rs
@@ -68,7 +68,15 @@
         }
         return;
     }
-    row.wanted = row.wanted.max(end);
+    // What stands between is read, for the order of starts; an end counts whatever its order.
+    if records.iter().any(|record| matches!(record, journal::Record::Start(_))) {
+        row.wanted = row.wanted.max(end);
+    }
+    for record in &records {
+        if let journal::Record::End(end) = record {
+            apply_end(world, tick, end);
+        }
+    }
 }
 
 fn read(
