--- a/crates/flamingotrail-gateway/src/systems/admission.rs
+++ b/crates/flamingotrail-gateway/src/systems/admission.rs
@@ -13,6 +13,10 @@
 /// When a caller should come back while this process can't serve it, but others may.
 pub const COME_BACK: time::Duration = time::Duration::from_millis(100);
 
+/// When a turn that was not sent should come back while no gateway reaches the log: callers wait for
+/// a third of their time at most, and an outage takes seconds.
+pub const OUTAGE_PAUSE: time::Duration = time::Duration::from_millis(1_000);
+
 /// Whether neither this process nor another one, as far as it knows, reaches the log.
 pub fn is_log_out_of_reach(world: &world::World) -> bool {
     let tables = &world.tables;
--- a/crates/flamingotrail-gateway/src/systems/completion.rs
+++ b/crates/flamingotrail-gateway/src/systems/completion.rs
@@ -7,6 +7,7 @@
 use crate::input;
 use crate::journal;
 use crate::output;
+use crate::systems::admission;
 use crate::systems::budgets;
 use crate::systems::placement;
 use crate::systems::relay;
@@ -225,7 +226,9 @@
     let Some(call) = world.tables.calls.rows.get(&id) else { return };
     let not_run = call.ran == 0 && call.running.is_none();
     let refusal = if not_run {
-        let retry_after = Some(placement::come_back(call));
+        let outage = call.turn.is_some() && admission::is_log_out_of_reach(world);
+        let retry_after =
+            Some(if outage { admission::OUTAGE_PAUSE } else { placement::come_back(call) });
         output::Refusal { reason: output::Reason::Unavailable, retry_after }
     } else if call.left(tick.now) < MIN_LEFT {
         output::Refusal { reason: output::Reason::TimedOut, retry_after: None }
--- a/crates/flamingotrail-gateway/src/systems/relay.rs
+++ b/crates/flamingotrail-gateway/src/systems/relay.rs
@@ -74,8 +74,16 @@
     let tables = &mut world.tables;
     tables.relay.failures = 0;
     tables.dirty.waits.extend(tables.relay.waits.keys().cloned());
-    let resolving = tables.calls.rows.iter().filter(|(_, call)| call.phase == calls::Phase::Resolving);
-    tables.dirty.calls.extend(resolving.map(|(id, _)| *id));
+    wake_unsent(world);
+}
+
+/// Looks again at the turns that wait for the log before they can be sent.
+fn wake_unsent(world: &mut world::World) {
+    let tables = &mut world.tables;
+    let unsent = tables.calls.rows.iter().filter(|(_, call)| {
+        matches!(call.phase, calls::Phase::Resolving | calls::Phase::Reserving)
+    });
+    tables.dirty.calls.extend(unsent.map(|(id, _)| *id));
 }
 
 /// Takes the log's word that a record stands in it; for a start, with its decision.
@@ -243,6 +251,9 @@
         tables.peers.failed(peer, tick.now);
     }
     tables.relay.failures = if useful { 0 } else { tables.relay.failures.saturating_add(1) };
+    if !useful && !tables.relay.works() {
+        wake_unsent(world);
+    }
 }
 
 /// Asks another gateway for the chain of `turn`, of which `call` misses a part; asks each once.
--- a/crates/flamingotrail-gateway/src/systems/turns.rs
+++ b/crates/flamingotrail-gateway/src/systems/turns.rs
@@ -4,6 +4,7 @@
 use crate::ids;
 use crate::journal;
 use crate::output;
+use crate::systems::admission;
 use crate::systems::budgets;
 use crate::systems::completion;
 use crate::systems::relay;
@@ -58,7 +59,11 @@
     if !tables.partitions.is_away {
         return;
     }
-    relay::seek(world, tick, id, &missing);
+    if admission::is_log_out_of_reach(world) {
+        completion::give_up(world, tick, id);
+    } else {
+        relay::seek(world, tick, id, &missing);
+    }
 }
 
 /// Sets a part of the budget aside for a turn; sends the turn at once where there is likely room.
@@ -116,6 +121,8 @@
             let refusal = output::Refusal { reason: output::Reason::BudgetSpent, retry_after: None };
             completion::refuse(world, tick, id, refusal);
         }
+        // It was not sent, so its caller had better come back than wait.
+        _ if admission::is_log_out_of_reach(world) => completion::give_up(world, tick, id),
         _ => {}
     }
 }
