--- a/crates/flamingotrail-gateway/src/systems/journal.rs
+++ b/crates/flamingotrail-gateway/src/systems/journal.rs
@@ -175,6 +175,7 @@
     let away_ms = tick.now.since(partitions.last_success).as_millis();
     partitions.last_success = tick.now;
     partitions.failures = 0;
+    partitions.probe = None;
     if std::mem::take(&mut partitions.is_away) {
         // What waits is tried at once: the machines may be taken away soon.
         for (partition, row) in &mut partitions.rows {
--- a/crates/flamingotrail-gateway/src/systems/log_io.rs
+++ b/crates/flamingotrail-gateway/src/systems/log_io.rs
@@ -15,6 +15,9 @@
 /// Looks at the dirty partitions, and at those that wait for the pace.
 pub fn run(world: &mut world::World, tick: &world::Tick) {
     for partition in std::mem::take(&mut world.tables.dirty.partitions) {
+        if is_held_back(world, partition) {
+            continue;
+        }
         let row = world.tables.partitions.row(partition);
         if row.retry_at > tick.now {
             continue;
@@ -28,6 +31,17 @@
     append_paced(world, tick);
 }
 
+/// Whether a partition waits for the log to be back: while it is away, one partition at a time finds
+/// out, and all are tried at once when it answers.
+fn is_held_back(world: &mut world::World, partition: ids::Partition) -> bool {
+    let partitions = &mut world.tables.partitions;
+    if !partitions.is_away {
+        return false;
+    }
+    let probe = *partitions.probe.get_or_insert(partition);
+    probe != partition
+}
+
 fn append_paced(world: &mut world::World, tick: &world::Tick) {
     world.tables.dirty.pace = false;
     let share = share(world);
--- a/crates/flamingotrail-gateway/src/systems/relay.rs
+++ b/crates/flamingotrail-gateway/src/systems/relay.rs
@@ -173,17 +173,24 @@
 /// Asks another gateway to append a record while the log does not answer this one.
 fn entrust(world: &mut world::World, tick: &world::Tick, key: &journal::Key) {
     let tables = &mut world.tables;
+    // While none can help, one record at a time finds out whether any can again.
+    let may_ask =
+        tables.relay.works() || tick.now.since(tables.relay.probed) >= RETRY_PAUSE;
     let Some(wait) = tables.relay.waits.get_mut(key) else { return };
     if wait.asked.is_some() || !tables.partitions.is_away {
         return;
     }
     let own = &world.identity;
-    let Some((peer, address)) = helper(&tables.peers, own, tick, &wait.tried) else {
-        wait.tried.clear();
+    let helper = helper(&tables.peers, own, tick, &wait.tried).filter(|_| may_ask);
+    let Some((peer, address)) = helper else {
+        if may_ask {
+            wait.tried.clear();
+        }
         let at = tick.now.after(RETRY_PAUSE);
         tables.timers.set(timers::Timer::Wait(key.clone()), at);
         return;
     };
+    tables.relay.probed = tick.now;
     wait.asked = Some(peer.clone());
     wait.tried.insert(peer.clone());
     let record = Box::new(wait.record.clone());
--- a/crates/flamingotrail-gateway/src/tables/partitions.rs
+++ b/crates/flamingotrail-gateway/src/tables/partitions.rs
@@ -62,6 +62,8 @@
     pub last_success: time::Timestamp,
     /// Failures of the log since then.
     pub failures: u32,
+    /// The partition that finds out whether a log that is away answers again.
+    pub probe: Option<ids::Partition>,
     /// Partitions with records that wait for the pace of appends, the oldest first.
     pub paced: collections::BTreeSet<(time::Timestamp, ids::Partition)>,
     /// Whether the log has failed for so long that it counts as away.
--- a/crates/flamingotrail-gateway/src/tables/relay.rs
+++ b/crates/flamingotrail-gateway/src/tables/relay.rs
@@ -41,6 +41,8 @@
     pub lookups: collections::BTreeMap<u64, Lookup>,
     /// Gateways in a row that could not help.
     pub failures: u32,
+    /// When a gateway was asked last while none could help.
+    pub probed: time::Timestamp,
 }
 
 /// Gateways in a row that can't help after which the log counts as out of everybody's reach.
