Test gateways: decisions over a log in memory, and real processes over stand-ins of the platform

A test found that a turn was sent, and then broken off with 502, where another gateway had spent the budget: a turn that goes on from others is now sent before the log's decision only where the known part of the budget has room for three turns.

--- a/crates/flamingotrail-gateway/src/ids.rs
+++ b/crates/flamingotrail-gateway/src/ids.rs
@@ -88,9 +88,8 @@
 pub fn stable_hash(text: &str) -> u64 {
     const OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
     const PRIME: u64 = 0x0000_0100_0000_01b3;
-    let hash = text
-        .bytes()
-        .fold(OFFSET_BASIS, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(PRIME));
+    let hash =
+        text.bytes().fold(OFFSET_BASIS, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(PRIME));
     // The low bits of FNV mix poorly for short names.
     hash ^ (hash >> 32)
 }
--- a/crates/flamingotrail-gateway/src/systems/admission.rs
+++ b/crates/flamingotrail-gateway/src/systems/admission.rs
@@ -2,9 +2,9 @@
 
 use std::time;
 
+use crate::ids;
 use crate::input;
 use crate::output;
-use crate::ids;
 use crate::tables::calls;
 use crate::tables::routes;
 use crate::tables::timers;
@@ -34,7 +34,8 @@
     let id = arrival.call;
     let call = match build(world, arrival) {
         Ok(call) => call,
-        Err((arrival, refusal)) => {
+        Err(refused) => {
+            let (arrival, refusal) = *refused;
             let reason = refusal.reason.as_str();
             let version = world.tables.routes.version().unwrap_or(0);
             let detail = format_args!(
@@ -57,18 +58,18 @@
 fn build(
     world: &world::World,
     arrival: input::Arrival,
-) -> Result<calls::Call, (input::Arrival, output::Refusal)> {
+) -> Result<calls::Call, Box<(input::Arrival, output::Refusal)>> {
     let unavailable =
         output::Refusal { reason: output::Reason::Unavailable, retry_after: Some(COME_BACK) };
     let no_route = output::Refusal { reason: output::Reason::NoRoute, retry_after: None };
     let route = match world.tables.routes.select(&arrival.host, &arrival.path) {
-        routes::Selection::Unknown => return Err((arrival, unavailable)),
-        routes::Selection::None => return Err((arrival, no_route)),
+        routes::Selection::Unknown => return Err(Box::new((arrival, unavailable))),
+        routes::Selection::None => return Err(Box::new((arrival, no_route))),
         routes::Selection::Route(route) => route,
     };
     let key = arrival.program.as_ref().map_or(arrival.id.as_str(), |head| head.id.as_str());
     let Some(service) = routes::pick_service(route, key) else {
-        return Err((arrival, unavailable));
+        return Err(Box::new((arrival, unavailable)));
     };
     let patience = arrival.patience.unwrap_or(route.timeout).min(route.timeout);
     let turn = turn_of(world, &arrival, route);
@@ -106,7 +107,8 @@
     route.retention?;
     let head = arrival.program.as_ref();
     // A turn outside of a program is a program of its own.
-    let program = head.map_or_else(|| ids::ProgramId::new(arrival.id.as_str()), |head| head.id.clone());
+    let program =
+        head.map_or_else(|| ids::ProgramId::new(arrival.id.as_str()), |head| head.id.clone());
     Some(calls::Turn {
         partition: ids::Partition::of_program(&program, world.settings.partitions),
         program,
--- a/crates/flamingotrail-gateway/src/systems/budgets.rs
+++ b/crates/flamingotrail-gateway/src/systems/budgets.rs
@@ -41,10 +41,8 @@
     }
     turn.accounted = true;
     program.end(&call.arrival.id, turn.tokens);
-    let detail = format_args!(
-        "request={} program={} tokens={}",
-        call.arrival.id, turn.program, turn.tokens
-    );
+    let detail =
+        format_args!("request={} program={} tokens={}", call.arrival.id, turn.program, turn.tokens);
     world.out.push(output::Output::Event(output::Event::new("turn_accounted", detail)));
     if program.settling || program.has_room(turn.max_tokens * AMPLE_TURNS, budget) {
         return;
--- a/crates/flamingotrail-gateway/src/systems/completion.rs
+++ b/crates/flamingotrail-gateway/src/systems/completion.rs
@@ -303,12 +303,7 @@
 }
 
 /// Frees what a turn that does not count has reserved, less what its caller was given.
-fn void(
-    world: &mut world::World,
-    tick: &world::Tick,
-    id: ids::CallId,
-    outcome: &input::Outcome,
-) {
+fn void(world: &mut world::World, tick: &world::Tick, id: ids::CallId, outcome: &input::Outcome) {
     let events = match outcome {
         input::Outcome::Streamed { events, .. } => *events,
         _ => 0,
--- a/crates/flamingotrail-gateway/src/systems/deadlines.rs
+++ b/crates/flamingotrail-gateway/src/systems/deadlines.rs
@@ -1,9 +1,9 @@
 //! Ends calls that ran out of time.
 
+use crate::output;
 use crate::systems::completion;
 use crate::tables::calls;
 use crate::world;
-use crate::output;
 
 /// Ends the calls that are late.
 pub fn run(world: &mut world::World, tick: &world::Tick) {
@@ -13,8 +13,7 @@
             continue;
         }
         let sent = call.ran > 0 || call.running.is_some();
-        let reason =
-            if sent { output::Reason::TimedOut } else { output::Reason::Unavailable };
+        let reason = if sent { output::Reason::TimedOut } else { output::Reason::Unavailable };
         let retry_after = (!sent).then_some(crate::systems::admission::COME_BACK);
         completion::refuse(world, tick, id, output::Refusal { reason, retry_after });
     }
--- a/crates/flamingotrail-gateway/src/systems/journal.rs
+++ b/crates/flamingotrail-gateway/src/systems/journal.rs
@@ -151,11 +151,7 @@
 }
 
 /// Half to all of `pause`, so that processes that failed together do not come back together.
-fn spread(
-    pause: time::Duration,
-    partition: ids::Partition,
-    tick: &world::Tick,
-) -> time::Duration {
+fn spread(pause: time::Duration, partition: ids::Partition, tick: &world::Tick) -> time::Duration {
     const STEPS: u64 = 64;
     let mixed = ids::stable_hash(&format!("{partition}/{}", tick.now.micros()));
     let step = u32::try_from(mixed % STEPS).unwrap_or(0);
--- a/crates/flamingotrail-gateway/src/systems/placement.rs
+++ b/crates/flamingotrail-gateway/src/systems/placement.rs
@@ -69,11 +69,7 @@
     world.tables.timers.set(timers::Timer::CallRetry(id), tick.now.after(NO_ENDPOINT_PAUSE));
 }
 
-fn choose(
-    world: &world::World,
-    tick: &world::Tick,
-    call: &calls::Call,
-) -> Option<ids::EndpointId> {
+fn choose(world: &world::World, tick: &world::Tick, call: &calls::Call) -> Option<ids::EndpointId> {
     let service = world.tables.routes.service(&call.service);
     let request = policy::Request {
         prompt: &call.arrival.prompt,
@@ -96,12 +92,7 @@
     ranked.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))).map(|(_, _, id)| id.clone())
 }
 
-fn send(
-    world: &mut world::World,
-    tick: &world::Tick,
-    id: ids::CallId,
-    endpoint: ids::EndpointId,
-) {
+fn send(world: &mut world::World, tick: &world::Tick, id: ids::CallId, endpoint: ids::EndpointId) {
     let tables = &mut world.tables;
     let Some(call) = tables.calls.rows.get_mut(&id) else { return };
     let Some(row) = tables.endpoints.rows.get_mut(&endpoint) else { return };
@@ -141,7 +132,10 @@
             .map(|_| FIRST_URGENCY.saturating_add(call.priority).min(LAST_URGENCY)),
         body,
         repeatable,
-        gated: call.turn.as_ref().is_some_and(|turn| turn.reservation != calls::Reservation::Granted),
+        gated: call
+            .turn
+            .as_ref()
+            .is_some_and(|turn| turn.reservation != calls::Reservation::Granted),
         endpoint,
     };
     let detail = format_args!(
--- a/crates/flamingotrail-gateway/src/systems/relay.rs
+++ b/crates/flamingotrail-gateway/src/systems/relay.rs
@@ -61,8 +61,12 @@
         if tables.partitions.is_away {
             tables.dirty.waits.insert(key.clone());
         }
-        let wait =
-            relay::Wait { record: record.clone(), since: tick.now, asked: None, tried: Default::default() };
+        let wait = relay::Wait {
+            record: record.clone(),
+            since: tick.now,
+            asked: None,
+            tried: Default::default(),
+        };
         tables.relay.waits.insert(key, wait);
     }
     tables.partitions.row(partition).queue.push_back(record);
@@ -87,12 +91,7 @@
 }
 
 /// Takes the log's word that a record stands in it; for a start, with its decision.
-pub fn logged(
-    world: &mut world::World,
-    tick: &world::Tick,
-    key: &journal::Key,
-    size: Option<u64>,
-) {
+pub fn logged(world: &mut world::World, tick: &world::Tick, key: &journal::Key, size: Option<u64>) {
     let relay = &mut world.tables.relay;
     if let Some(wait) = relay.waits.remove(key) {
         world.tables.pace.delayed(tick.now.since(wait.since), tick.now);
@@ -109,12 +108,7 @@
 }
 
 /// Takes another gateway's record into the log, where it answers this process.
-fn entrusted(
-    world: &mut world::World,
-    tick: &world::Tick,
-    ticket: u64,
-    record: journal::Record,
-) {
+fn entrusted(world: &mut world::World, tick: &world::Tick, ticket: u64, record: journal::Record) {
     let Some(key) = record.key() else { return };
     if world.tables.partitions.is_away {
         let answer = input::EntrustAnswer { logged: false, size: None };
@@ -174,8 +168,7 @@
 fn entrust(world: &mut world::World, tick: &world::Tick, key: &journal::Key) {
     let tables = &mut world.tables;
     // While none can help, one record at a time finds out whether any can again.
-    let may_ask =
-        tables.relay.works() || tick.now.since(tables.relay.probed) >= RETRY_PAUSE;
+    let may_ask = tables.relay.works() || tick.now.since(tables.relay.probed) >= RETRY_PAUSE;
     let Some(wait) = tables.relay.waits.get_mut(key) else { return };
     if wait.asked.is_some() || !tables.partitions.is_away {
         return;
@@ -288,7 +281,7 @@
 ) {
     let sure = answer.as_ref().is_some_and(|found| found.sure);
     helped(world, tick, peer, answer.is_some(), sure);
-    let chain = answer.map(|found| found.chain).unwrap_or_else(Vec::new);
+    let chain: Vec<journal::End> = answer.into_iter().flat_map(|found| found.chain).collect();
     let is_absent = sure && chain.is_empty();
     for end in &chain {
         journal_system::keep_turn(world, tick, end);
--- a/crates/flamingotrail-gateway/src/systems/turns.rs
+++ b/crates/flamingotrail-gateway/src/systems/turns.rs
@@ -11,6 +11,10 @@
 use crate::tables::calls;
 use crate::world;
 
+/// Turns at their most for which the known part of a budget has to have room, so that a turn that goes
+/// on from others is sent before the log has decided: other gateways may have run some of them.
+const SURE_TURNS: u64 = 3;
+
 /// Looks at the dirty calls.
 pub fn run(world: &mut world::World, tick: &world::Tick) {
     for id in std::mem::take(&mut world.tables.dirty.calls) {
@@ -81,7 +85,8 @@
             if let Some(decision) = program.draw(request, turn.max_tokens) {
                 decision
             } else {
-                may_send = program.expected() + turn.max_tokens <= budget;
+                let turns = if turn.previous.is_some() { SURE_TURNS } else { 1 };
+                may_send = program.expected() + turn.max_tokens * turns <= budget;
                 let start = journal::Start {
                     turn: request.clone(),
                     program: turn.program.clone(),
@@ -118,7 +123,8 @@
             world.tables.dirty.place.insert(id);
         }
         Some(calls::Reservation::Denied) => {
-            let refusal = output::Refusal { reason: output::Reason::BudgetSpent, retry_after: None };
+            let refusal =
+                output::Refusal { reason: output::Reason::BudgetSpent, retry_after: None };
             completion::refuse(world, tick, id, refusal);
         }
         // It was not sent, so its caller had better come back than wait.
@@ -145,10 +151,8 @@
 fn settle(world: &mut world::World, tick: &world::Tick, id: ids::CallId) {
     open(world, tick, id);
     let Some(call) = world.tables.calls.rows.get_mut(&id) else { return };
-    let granted = call
-        .turn
-        .as_ref()
-        .is_some_and(|turn| turn.reservation == calls::Reservation::Granted);
+    let granted =
+        call.turn.as_ref().is_some_and(|turn| turn.reservation == calls::Reservation::Granted);
     if call.phase != calls::Phase::Settling
         || !granted
         || !world.tables.turns.rows.contains_key(&call.arrival.id)
--- a/crates/flamingotrail-gateway/src/tables/programs.rs
+++ b/crates/flamingotrail-gateway/src/tables/programs.rs
@@ -199,7 +199,8 @@
     /// What the log has to be told of allowances that are over.
     pub fn to_settle(&self) -> Vec<journal::Settled> {
         let rows = self.unsettled.iter();
-        rows.map(|(turn, tokens)| journal::Settled { turn: turn.clone(), tokens: *tokens }).collect()
+        rows.map(|(turn, tokens)| journal::Settled { turn: turn.clone(), tokens: *tokens })
+            .collect()
     }
 }
 
--- a/crates/flamingotrail-gateway/src/tables/routes.rs
+++ b/crates/flamingotrail-gateway/src/tables/routes.rs
@@ -42,7 +42,9 @@
         let route = configuration
             .routes
             .iter()
-            .filter(|route| route.host.eq_ignore_ascii_case(host) && path.starts_with(&route.prefix))
+            .filter(|route| {
+                route.host.eq_ignore_ascii_case(host) && path.starts_with(&route.prefix)
+            })
             .max_by_key(|route| route.prefix.len());
         route.map_or(Selection::None, Selection::Route)
     }
--- /dev/null
+++ b/crates/flamingotrail-gateway/tests/decisions/budgets.rs
@@ -0,0 +1,148 @@
+//! Budgets: what callers get of a program never exceeds its budget, whatever the order of records.
+
+use crate::fixture;
+use flamingotrail_gateway::ids;
+use flamingotrail_gateway::input;
+use flamingotrail_gateway::output;
+use flamingotrail_gateway::tables::programs;
+use proptest::prelude::*;
+
+#[test]
+fn end_waits_for_the_budget_where_it_is_logged_first() {
+    let mut log = fixture::Log::default();
+    let mut gateway = fixture::Gateway::new("one");
+    let arrival = fixture::turn(1, "a", "p", None, 800);
+    let budget = ids::Partition::of_program(&ids::ProgramId::new("p"), fixture::PARTITIONS);
+    gateway.arrive(arrival);
+    // The start is not answered yet, and the end of the turn is.
+    gateway.end(1, fixture::streamed(2));
+    let end = ids::Partition::of_turn(&ids::TurnId::new("a"), fixture::PARTITIONS);
+    let result = Ok(ids::Offset(0));
+    gateway.tick(vec![input::Input::Appended { partition: end, result }]);
+    let before = gateway.has_finished(1);
+    gateway.serve(&mut log);
+
+    assert_ne!(budget, end, "budgets and turns have partitions of their own");
+    assert!(!before, "the budget was not set aside yet");
+    assert!(gateway.has_finished(1));
+}
+
+#[test]
+fn turn_beyond_the_budget_is_refused_and_never_sent() {
+    let mut log = fixture::Log::default();
+    let mut gateway = fixture::Gateway::new("one");
+    gateway.serve_turn(fixture::turn(1, "a", "p", None, 160), 10, &mut log);
+    gateway.serve_turn(fixture::turn(2, "b", "p", Some("a"), 160), 10, &mut log);
+
+    gateway.arrive(fixture::turn(3, "c", "p", Some("b"), 160));
+    gateway.serve(&mut log);
+
+    assert_eq!(gateway.reason(3), Some(output::Reason::BudgetSpent));
+    assert!(!gateway.sent.iter().any(|sent| sent.call == ids::CallId(3)));
+}
+
+#[test]
+fn budget_holds_over_two_gateways() {
+    let mut log = fixture::Log::default();
+    let mut first = fixture::Gateway::new("one");
+    let mut second = fixture::Gateway::new("two");
+    first.arrive(fixture::turn(1, "a", "p", None, 100));
+    first.serve(&mut log);
+
+    second.arrive(fixture::turn(1, "b", "p", None, 100));
+    second.serve(&mut log);
+
+    assert!(first.opened.contains(&ids::CallId(1)) || !first.sent[0].gated);
+    assert!(second.opened.is_empty(), "80 of 100 tokens are set aside at the other gateway");
+    assert!(second.reason(1).is_some());
+}
+
+#[test]
+fn budget_holds_over_a_restart_with_turns_under_way() {
+    let mut log = fixture::Log::default();
+    let mut before = fixture::Gateway::new("one");
+    before.arrive(fixture::turn(1, "a", "p", None, 100));
+    before.serve(&mut log);
+
+    let mut after = fixture::Gateway::new("one");
+    after.arrive(fixture::turn(1, "b", "p", None, 100));
+    after.serve(&mut log);
+
+    assert!(after.opened.is_empty(), "what the lost process set aside counts as used");
+}
+
+#[test]
+fn caller_that_leaves_before_the_decision_uses_nothing() {
+    let mut log = fixture::Log::default();
+    let mut gateway = fixture::Gateway::new("one");
+    gateway.arrive(fixture::turn(1, "a", "p", None, 100));
+    gateway.tick(vec![input::Input::Left(ids::CallId(1))]);
+    gateway.end(1, input::Outcome::Cancelled);
+    gateway.serve(&mut log);
+
+    gateway.arrive(fixture::turn(2, "b", "p", None, 100));
+    gateway.serve(&mut log);
+
+    assert_eq!(gateway.cancelled, [ids::CallId(1)]);
+    assert!(gateway.reason(2).is_none());
+    assert_eq!(gateway.sent.last().map(|sent| sent.call), Some(ids::CallId(2)));
+}
+
+#[test]
+fn one_start_serves_several_turns_of_a_program() {
+    let mut log = fixture::Log::default();
+    let mut gateway = fixture::Gateway::new("one");
+
+    let mut previous = None;
+    for call in 0..6 {
+        let id = format!("t{call}");
+        gateway.serve_turn(fixture::turn(call, &id, "p", previous.as_deref(), 8_000), 2, &mut log);
+        previous = Some(id);
+    }
+
+    assert_eq!(gateway.finished.len(), 6);
+    assert!(log.appends <= 8, "6 ends and 2 starts at most, not {}", log.appends);
+}
+
+#[test]
+fn turn_near_the_budget_is_not_sent_before_the_log_has_decided() {
+    let mut log = fixture::Log::default();
+    let mut first = fixture::Gateway::new("one");
+    let mut second = fixture::Gateway::new("two");
+    first.serve_turn(fixture::turn(1, "a", "p", None, 160), 10, &mut log);
+    second.serve_turn(fixture::turn(1, "b", "p", Some("a"), 160), 10, &mut log);
+
+    // What the second gateway's turn used is not known here until the log is read.
+    first.arrive(fixture::turn(2, "c", "p", Some("b"), 160));
+    first.serve(&mut log);
+
+    assert_eq!(first.reason(2), Some(output::Reason::BudgetSpent));
+    assert!(!first.sent.iter().any(|sent| sent.call == ids::CallId(2)));
+}
+
+fn turn_id(number: u8) -> ids::TurnId {
+    ids::TurnId::new(&format!("t{number}"))
+}
+
+proptest! {
+    /// Allowances that are open, and what those that are over used, never exceed the budget.
+    #[test]
+    fn committed_stays_within_the_budget(
+        steps in proptest::collection::vec((0_u8..12, 1_u64..60, 0_u64..120, any::<bool>()), 1..60),
+        budget in 50_u64..400,
+    ) {
+        let mut program = programs::Program::default();
+        for (number, least, more, settles) in steps {
+            let id = turn_id(number);
+            if let (true, Some(size)) = (settles, program.open.get(&id).copied()) {
+                let tokens = size.min(more);
+                let settled = flamingotrail_gateway::journal::Settled { turn: id, tokens };
+                program.settle(&settled);
+                program.settle(&settled);
+            } else {
+                program.open(&id, least, least + more, budget);
+            }
+            prop_assert!(program.committed() <= budget);
+        }
+    }
+}
--- /dev/null
+++ b/crates/flamingotrail-gateway/tests/decisions/fixture.rs
@@ -0,0 +1,317 @@
+//! Fixtures: a log in memory, gateways over it, and the requests and answers that drive them.
+
+use std::collections;
+use std::time;
+
+use bytes::Bytes;
+use flamingotrail_core::time as core_time;
+use flamingotrail_gateway::ids;
+use flamingotrail_gateway::input;
+use flamingotrail_gateway::journal;
+use flamingotrail_gateway::output;
+use flamingotrail_gateway::settings;
+use flamingotrail_gateway::tables::peers;
+use flamingotrail_gateway::world;
+
+/// Partitions of the log in tests.
+pub const PARTITIONS: u16 = 8;
+/// Tokens in an event of the engines in tests.
+pub const TOKENS_PER_EVENT: u64 = 8;
+
+/// A log in memory.
+#[derive(Default)]
+pub struct Log {
+    pub rows: collections::BTreeMap<ids::Partition, Vec<journal::Record>>,
+    /// What it answers while it is away; the records are taken all the same where `loses` is set.
+    pub error: Option<input::LogError>,
+    pub loses: bool,
+    pub appends: usize,
+    pub reads: usize,
+}
+
+/// A gateway and what it has asked for.
+pub struct Gateway {
+    pub world: world::World,
+    pub now: core_time::Timestamp,
+    pub sent: Vec<output::Dispatch>,
+    pub opened: Vec<ids::CallId>,
+    pub finished: Vec<ids::CallId>,
+    pub refused: Vec<(ids::CallId, output::Refusal)>,
+    pub aborted: Vec<ids::CallId>,
+    pub cancelled: Vec<ids::CallId>,
+    pub entrusted: Vec<(String, journal::Record)>,
+    pub ready: Option<bool>,
+    pub stopped: bool,
+    pending: Vec<output::Output>,
+}
+
+pub fn identity(name: &str) -> settings::Identity {
+    let domain = ids::DomainName::new("north-a");
+    let region = ids::RegionName::new("north");
+    settings::Identity {
+        instance: ids::InstanceName::new(name),
+        regions: collections::BTreeMap::from([
+            (domain.clone(), region.clone()),
+            (ids::DomainName::new("south-a"), ids::RegionName::new("south")),
+        ]),
+        domain,
+        region,
+    }
+}
+
+pub fn route(prefix: &str, kind: input::RouteKind, service: &str) -> input::Route {
+    input::Route {
+        name: format!("route{prefix}"),
+        host: "desk.example".to_owned(),
+        prefix: prefix.to_owned(),
+        kind,
+        timeout: time::Duration::from_secs(4),
+        target: time::Duration::from_millis(400),
+        priority: 0,
+        split: vec![(ids::ServiceName::new(service), 1)],
+        max_attempts: 2,
+        retention: None,
+    }
+}
+
+pub fn configuration(version: u64) -> input::Configuration {
+    let mut chat = route("/chat/", input::RouteKind::Stream, "engine");
+    chat.retention = Some(time::Duration::from_secs(60));
+    let engine = input::Engine { tokens_per_event: TOKENS_PER_EVENT, memory_tokens: 100_000 };
+    input::Configuration {
+        version,
+        routes: vec![
+            chat,
+            route("/look/", input::RouteKind::Idempotent, "ledger"),
+            route("/book/", input::RouteKind::Once, "ledger"),
+        ],
+        services: collections::BTreeMap::from([
+            (
+                ids::ServiceName::new("engine"),
+                input::Service { max_connections: None, engine: Some(engine) },
+            ),
+            (ids::ServiceName::new("ledger"), input::Service::default()),
+        ]),
+    }
+}
+
+pub fn endpoint(service: &str, domain: &str) -> input::Endpoint {
+    input::Endpoint {
+        service: ids::ServiceName::new(service),
+        address: "127.0.0.1:1".to_owned(),
+        domain: ids::DomainName::new(domain),
+        slots: 4,
+        draining: false,
+        cold: time::Duration::ZERO,
+    }
+}
+
+pub fn membership(endpoints: &[(&str, input::Endpoint)]) -> input::Membership {
+    let rows = endpoints.iter().map(|(id, row)| (ids::EndpointId::new(id), row.clone()));
+    input::Membership { endpoints: rows.collect() }
+}
+
+pub fn endpoints() -> input::Membership {
+    membership(&[
+        ("engine-1", endpoint("engine", "north-a")),
+        ("engine-2", endpoint("engine", "south-a")),
+        ("ledger-1", endpoint("ledger", "north-a")),
+        ("ledger-2", endpoint("ledger", "north-a")),
+    ])
+}
+
+pub fn peer(name: &str, region: &str) -> (ids::InstanceName, peers::Peer) {
+    let row = peers::Peer {
+        address: format!("{name}:7"),
+        domain: ids::DomainName::new(&format!("{region}-a")),
+        region: ids::RegionName::new(region),
+    };
+    (ids::InstanceName::new(name), row)
+}
+
+pub fn arrival(call: u64, id: &str, path: &str) -> input::Arrival {
+    input::Arrival {
+        call: ids::CallId(call),
+        id: ids::TurnId::new(id),
+        host: "desk.example".to_owned(),
+        path: path.to_owned(),
+        received: core_time::Timestamp::ZERO,
+        patience: Some(time::Duration::from_secs(4)),
+        program: None,
+        usage: None,
+        previous: None,
+        prompt: Vec::new(),
+        body: Bytes::from(format!("input of {id};")),
+    }
+}
+
+pub fn turn(
+    call: u64,
+    id: &str,
+    program: &str,
+    previous: Option<&str>,
+    budget: u64,
+) -> input::Arrival {
+    let mut arrival = arrival(call, id, "/chat/1");
+    arrival.program = Some(input::ProgramHead {
+        id: ids::ProgramId::new(program),
+        session: ids::SessionId::new("line"),
+        finish_in: None,
+        budget: Some(budget),
+    });
+    arrival.usage = Some(input::Usage { prompt: 100, max_output: 80 });
+    arrival.previous = previous.map(ids::TurnId::new);
+    arrival
+}
+
+pub fn streamed(events: u64) -> input::Outcome {
+    let output = Bytes::from("word\n".repeat(events as usize));
+    input::Outcome::Streamed { complete: true, events, output, load: None }
+}
+
+pub fn answered(status: u16) -> input::Outcome {
+    input::Outcome::Answered { status, signed: true, load: None }
+}
+
+impl Gateway {
+    /// A gateway that knows a configuration and the endpoints.
+    pub fn new(name: &str) -> Self {
+        let mut gateway = Gateway::empty(name);
+        gateway.tick(vec![
+            input::Input::Configuration(Box::new(configuration(1))),
+            input::Input::Endpoints(endpoints()),
+        ]);
+        gateway
+    }
+
+    /// A gateway that knows nothing.
+    pub fn empty(name: &str) -> Self {
+        let settings = settings::Settings {
+            partitions: PARTITIONS,
+            appends_per_s: 1000.0,
+            drain: time::Duration::from_secs(3),
+            grace: time::Duration::from_secs(8),
+        };
+        Gateway {
+            world: world::World::new(identity(name), settings),
+            now: core_time::Timestamp::new(1),
+            sent: Vec::new(),
+            opened: Vec::new(),
+            finished: Vec::new(),
+            refused: Vec::new(),
+            aborted: Vec::new(),
+            cancelled: Vec::new(),
+            entrusted: Vec::new(),
+            ready: None,
+            stopped: false,
+            pending: Vec::new(),
+        }
+    }
+
+    pub fn tick(&mut self, inputs: Vec<input::Input>) {
+        for output in self.world.tick(self.now, inputs) {
+            match output {
+                output::Output::Send(dispatch) => self.sent.push(*dispatch),
+                output::Output::Open(call) => self.opened.push(call),
+                output::Output::Finish(call) => self.finished.push(call),
+                output::Output::Refuse(call, refusal) => self.refused.push((call, refusal)),
+                output::Output::Abort(call) => self.aborted.push(call),
+                output::Output::Cancel(call) => self.cancelled.push(call),
+                output::Output::Entrust { address, record, .. } => {
+                    self.entrusted.push((address, *record));
+                }
+                output::Output::Ready(ready) => self.ready = Some(ready),
+                output::Output::Stopped => self.stopped = true,
+                output::Output::Append { .. } | output::Output::Read { .. } => {
+                    self.pending.push(output);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    pub fn arrive(&mut self, mut arrival: input::Arrival) {
+        arrival.received = self.now;
+        self.tick(vec![input::Input::Arrived(Box::new(arrival))]);
+    }
+
+    /// Ends the running attempt of `call`.
+    pub fn end(&mut self, call: u64, outcome: input::Outcome) {
+        let call = ids::CallId(call);
+        let attempt = self.sent.iter().rfind(|sent| sent.call == call).expect("sent").attempt;
+        self.tick(vec![input::Input::Outcome { call, attempt, outcome }]);
+    }
+
+    /// Moves time on; what is due happens on the way.
+    pub fn wait(&mut self, span: time::Duration, log: &mut Log) {
+        self.serve(log);
+        let end = self.now.after(span);
+        while let Some(due) = self.world.next_due().filter(|due| *due <= end) {
+            self.now = self.now.max(due);
+            self.tick(Vec::new());
+            self.serve(log);
+        }
+        self.now = end;
+        self.tick(Vec::new());
+        self.serve(log);
+    }
+
+    /// Lets `log` answer everything that was asked of it.
+    pub fn serve(&mut self, log: &mut Log) {
+        while !self.pending.is_empty() {
+            let inputs = std::mem::take(&mut self.pending);
+            let inputs = inputs.into_iter().map(|output| log.answer(output)).collect();
+            self.tick(inputs);
+        }
+    }
+
+    /// Serves a turn whole: its events and its end go out.
+    pub fn serve_turn(&mut self, arrival: input::Arrival, events: u64, log: &mut Log) {
+        let call = arrival.call.0;
+        self.arrive(arrival);
+        self.serve(log);
+        self.end(call, streamed(events));
+        self.serve(log);
+        self.tick(vec![input::Input::Delivered(ids::CallId(call))]);
+        self.serve(log);
+    }
+
+    pub fn reason(&self, call: u64) -> Option<output::Reason> {
+        let refused = self.refused.iter().find(|(id, _)| *id == ids::CallId(call));
+        refused.map(|(_, refusal)| refusal.reason)
+    }
+
+    pub fn has_finished(&self, call: u64) -> bool {
+        self.finished.contains(&ids::CallId(call))
+    }
+
+    pub fn body(&self, call: u64) -> Vec<u8> {
+        let sent = self.sent.iter().rfind(|sent| sent.call == ids::CallId(call)).expect("sent");
+        sent.body.concat()
+    }
+}
+
+impl Log {
+    fn answer(&mut self, output: output::Output) -> input::Input {
+        match output {
+            output::Output::Append { partition, records } => {
+                self.appends += 1;
+                let row = self.rows.entry(partition).or_default();
+                let offset = ids::Offset(row.len() as u64);
+                if self.error.is_none() || self.loses {
+                    row.extend(records);
+                }
+                let result = self.error.map_or(Ok(offset), Err);
+                input::Input::Appended { partition, result }
+            }
+            output::Output::Read { partition, from } => {
+                self.reads += 1;
+                let row = self.rows.entry(partition).or_default();
+                let records = row.iter().skip(from.0 as usize).cloned().map(Some).collect();
+                let page = input::Page { from, end: ids::Offset(row.len() as u64), records };
+                input::Input::Read { partition, result: self.error.map_or(Ok(page), Err) }
+            }
+            other => panic!("the log can't answer {other:?}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/flamingotrail-gateway/tests/decisions/turns.rs
@@ -0,0 +1,182 @@
+//! Turns: chains over gateways, restarts and outages of the log.
+
+use crate::fixture;
+use std::time;
+
+use flamingotrail_gateway::ids;
+use flamingotrail_gateway::input;
+use flamingotrail_gateway::output;
+
+const BUDGET: u64 = 8_000;
+
+#[test]
+fn next_turn_at_another_gateway_gets_the_whole_chain() {
+    let mut log = fixture::Log::default();
+    let mut first = fixture::Gateway::new("one");
+    let mut second = fixture::Gateway::new("two");
+    first.serve_turn(fixture::turn(1, "a", "p", None, BUDGET), 2, &mut log);
+    first.serve_turn(fixture::turn(2, "b", "p", Some("a"), BUDGET), 1, &mut log);
+
+    second.arrive(fixture::turn(1, "c", "p", Some("b"), BUDGET));
+    second.serve(&mut log);
+
+    let body = String::from_utf8(second.body(1)).expect("text");
+    assert_eq!(body, "input of a;word\nword\ninput of b;word\ninput of c;");
+}
+
+#[test]
+fn new_program_continues_a_turn_of_another_program_after_a_restart() {
+    let mut log = fixture::Log::default();
+    let mut before = fixture::Gateway::new("one");
+    before.serve_turn(fixture::turn(1, "a", "old", None, BUDGET), 1, &mut log);
+
+    let mut after = fixture::Gateway::new("one");
+    after.arrive(fixture::turn(1, "b", "new", Some("a"), BUDGET));
+    after.serve(&mut log);
+
+    assert_eq!(after.body(1), b"input of a;word\ninput of b;");
+    assert!(log.reads <= 2, "a turn is found by its id alone, with {} reads", log.reads);
+}
+
+#[test]
+fn turn_that_does_not_exist_is_refused_after_one_read() {
+    let mut log = fixture::Log::default();
+    let mut gateway = fixture::Gateway::new("one");
+
+    gateway.arrive(fixture::turn(1, "b", "p", Some("nowhere"), BUDGET));
+    gateway.serve(&mut log);
+
+    assert_eq!(gateway.reason(1), Some(output::Reason::NoSuchTurn));
+    assert_eq!(log.reads, 1);
+    assert!(gateway.sent.is_empty());
+}
+
+#[test]
+fn turn_is_not_called_missing_while_the_log_is_away() {
+    let mut log = fixture::Log::default();
+    let mut before = fixture::Gateway::new("one");
+    before.serve_turn(fixture::turn(1, "a", "p", None, BUDGET), 1, &mut log);
+    let mut after = fixture::Gateway::new("two");
+    log.error = Some(input::LogError::Refused);
+
+    after.arrive(fixture::turn(1, "b", "p", Some("a"), BUDGET));
+    after.wait(time::Duration::from_secs(2), &mut log);
+
+    assert_eq!(after.reason(1), Some(output::Reason::Unavailable));
+}
+
+#[test]
+fn end_of_a_turn_waits_for_the_log() {
+    let mut log = fixture::Log::default();
+    let mut gateway = fixture::Gateway::new("one");
+    gateway.arrive(fixture::turn(1, "a", "p", None, BUDGET));
+    gateway.serve(&mut log);
+    log.error = Some(input::LogError::Unknown);
+
+    gateway.end(1, fixture::streamed(2));
+    gateway.wait(time::Duration::from_secs(1), &mut log);
+    let before = gateway.has_finished(1);
+    log.error = None;
+    gateway.wait(time::Duration::from_secs(1), &mut log);
+
+    assert!(!before, "the turn was not yet in the log");
+    assert!(gateway.has_finished(1));
+}
+
+#[test]
+fn record_that_landed_without_an_answer_counts_once() {
+    let mut log =
+        fixture::Log { error: Some(input::LogError::Unknown), loses: true, ..Default::default() };
+    let mut gateway = fixture::Gateway::new("one");
+    gateway.arrive(fixture::turn(1, "a", "p", None, 160));
+    gateway.serve(&mut log);
+    log.error = None;
+    log.loses = false;
+    gateway.wait(time::Duration::from_secs(1), &mut log);
+    gateway.end(1, fixture::streamed(10));
+    gateway.serve(&mut log);
+
+    gateway.arrive(fixture::turn(2, "b", "p", Some("a"), 160));
+    gateway.serve(&mut log);
+
+    assert!(gateway.has_finished(1));
+    assert!(gateway.reason(2).is_none(), "80 of 160 tokens are left: {:?}", gateway.reason(2));
+}
+
+#[test]
+fn held_turn_goes_out_when_the_log_is_back() {
+    let mut log = fixture::Log { error: Some(input::LogError::Refused), ..fixture::Log::default() };
+    let mut gateway = fixture::Gateway::new("one");
+    gateway.arrive(fixture::turn(1, "a", "p", None, BUDGET));
+    gateway.wait(time::Duration::from_millis(700), &mut log);
+    gateway.end(1, fixture::streamed(3));
+    gateway.wait(time::Duration::from_millis(500), &mut log);
+    let opened_before = gateway.opened.len();
+
+    log.error = None;
+    gateway.wait(time::Duration::from_secs(1), &mut log);
+
+    assert_eq!(opened_before, 0, "no token goes out before the budget is set aside");
+    assert_eq!(gateway.opened.first(), Some(&ids::CallId(1)));
+    assert!(gateway.has_finished(1));
+}
+
+#[test]
+fn log_that_is_away_is_probed_by_one_partition() {
+    let mut log = fixture::Log { error: Some(input::LogError::Refused), ..fixture::Log::default() };
+    let mut gateway = fixture::Gateway::new("one");
+    for call in 0..20 {
+        let id = format!("t{call}");
+        gateway.arrive(fixture::turn(call, &id, &format!("p{call}"), None, BUDGET));
+    }
+    gateway.wait(time::Duration::from_secs(1), &mut log);
+    let before = log.appends;
+
+    gateway.wait(time::Duration::from_secs(2), &mut log);
+
+    let tries = log.appends - before;
+    assert!((4..=12).contains(&tries), "one partition tries each 200 to 400 ms, not {tries} times");
+}
+
+#[test]
+fn record_goes_by_another_gateway_while_the_log_answers_only_that_one() {
+    let mut away =
+        fixture::Log { error: Some(input::LogError::Refused), ..fixture::Log::default() };
+    let mut gateway = fixture::Gateway::new("one");
+    let peers = [fixture::peer("far", "south"), fixture::peer("near", "north")].into();
+    gateway.tick(vec![input::Input::Peers(peers)]);
+    gateway.arrive(fixture::turn(1, "a", "p", None, BUDGET));
+    gateway.wait(time::Duration::from_secs(1), &mut away);
+
+    let (address, record) = gateway.entrusted.first().cloned().expect("a record is entrusted");
+    let peer = ids::InstanceName::new("near");
+    let answer = Some(input::EntrustAnswer { logged: true, size: Some(480) });
+    let key = record.key().expect("a start has a key");
+    gateway.tick(vec![input::Input::EntrustAnswered { peer, key, answer }]);
+
+    assert_eq!(address, "near:7", "the nearest gateway is asked first");
+    assert_eq!(gateway.opened, [ids::CallId(1)]);
+}
+
+#[test]
+fn gateway_that_no_other_can_help_is_not_ready() {
+    let mut away =
+        fixture::Log { error: Some(input::LogError::Refused), ..fixture::Log::default() };
+    let mut gateway = fixture::Gateway::new("one");
+    let peers = [fixture::peer("two", "north"), fixture::peer("three", "north")].into();
+    gateway.tick(vec![input::Input::Peers(peers)]);
+    gateway.arrive(fixture::turn(1, "a", "p", None, BUDGET));
+    gateway.wait(time::Duration::from_secs(1), &mut away);
+    let ready_before = gateway.ready;
+
+    for _ in 0..2 {
+        let (address, record) = gateway.entrusted.last().cloned().expect("entrusted");
+        let peer = ids::InstanceName::new(address.trim_end_matches(":7"));
+        let key = record.key().expect("a start has a key");
+        gateway.tick(vec![input::Input::EntrustAnswered { peer, key, answer: None }]);
+        gateway.wait(time::Duration::from_millis(50), &mut away);
+    }
+
+    assert_eq!(ready_before, Some(true));
+    assert_eq!(gateway.ready, Some(false));
+}
--- a/crates/flamingotrail-runtime/src/configs/daemon.rs
+++ b/crates/flamingotrail-runtime/src/configs/daemon.rs
@@ -142,7 +142,10 @@
 
     fn try_from(args: &DaemonArgs) -> Result<Self, String> {
         let log_level = args.log_level.parse().map_err(|_| {
-            format!("--log-level {:?} is not known; give error, warn, info, debug or trace", args.log_level)
+            format!(
+                "--log-level {:?} is not known; give error, warn, info, debug or trace",
+                args.log_level
+            )
         })?;
         Ok(GatewayConfig { log_level })
     }
--- a/crates/flamingotrail-runtime/src/gateway/callers.rs
+++ b/crates/flamingotrail-runtime/src/gateway/callers.rs
@@ -217,7 +217,9 @@
         if let Some(span) = refusal.retry_after {
             let value = header::HeaderValue::from_str(&format!("{:.3}", span.as_secs_f64()));
             let value = value.map_err(io::Error::other)?;
-            response.headers_mut().insert(header::HeaderName::from_static(names::RETRY_AFTER), value);
+            response
+                .headers_mut()
+                .insert(header::HeaderName::from_static(names::RETRY_AFTER), value);
         }
         connection.write_head(response, body::BodySize::Sized(0), None).await?;
         Ok(self.keeps_alive(connection))
--- a/crates/flamingotrail-runtime/src/gateway/slots.rs
+++ b/crates/flamingotrail-runtime/src/gateway/slots.rs
@@ -60,8 +60,7 @@
         request: rc::Rc<Request>,
     ) -> mpsc::UnboundedReceiver<Reply> {
         let (tx, rx) = mpsc::unbounded_channel();
-        let slot =
-            Slot { request, tx, answer: None, stream: None, is_open: false, cancel: None };
+        let slot = Slot { request, tx, answer: None, stream: None, is_open: false, cancel: None };
         self.rows.borrow_mut().insert(call, slot);
         rx
     }
--- a/crates/flamingotrail-runtime/src/gateway/watch.rs
+++ b/crates/flamingotrail-runtime/src/gateway/watch.rs
@@ -83,7 +83,8 @@
     loop {
         match follower.read(&store, CONFIGURATION_WAIT).await {
             Ok(changes) => {
-                let newest = changes.records.into_iter().rfind(|(key, _)| key == configuration::KEY);
+                let newest =
+                    changes.records.into_iter().rfind(|(key, _)| key == configuration::KEY);
                 if let Some((_, value)) = newest {
                     publish(&inlet, &limits, &value);
                 }
@@ -170,7 +171,10 @@
                 Ok(record) => records.push(record),
                 Err(error) => {
                     let topic = self.topic;
-                    log::warn!("event=record_unreadable topic={topic} error={:?}", error.to_string());
+                    log::warn!(
+                        "event=record_unreadable topic={topic} error={:?}",
+                        error.to_string()
+                    );
                 }
             }
         }
--- /dev/null
+++ b/crates/flamingotrail-standins/src/fleet/server.rs
@@ -0,0 +1,121 @@
+//! A small HTTP/1.1 server, one thread a connection.
+
+use std::io;
+use std::io::BufRead as _;
+use std::io::Read as _;
+use std::io::Write as _;
+use std::net;
+use std::sync;
+use std::thread;
+
+/// A request.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// Method.
+    pub method: String,
+    /// Path with its query.
+    pub target: String,
+    /// Headers, names in lower case.
+    pub headers: Vec<(String, String)>,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+impl Request {
+    /// The first header of a name, given in lower case.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(key, _)| key == name).map(|(_, value)| value.as_str())
+    }
+
+    /// The path without its query.
+    pub fn path(&self) -> &str {
+        self.target.split('?').next().unwrap_or_default()
+    }
+
+    /// A parameter of the query.
+    pub fn query(&self, name: &str) -> Option<&str> {
+        let (_, query) = self.target.split_once('?')?;
+        query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
+    }
+}
+
+/// What a handler wants done with the connection.
+#[derive(Debug)]
+pub enum Answer {
+    /// Write these bytes and go on.
+    Bytes(Vec<u8>),
+    /// Close the connection without an answer.
+    Close,
+}
+
+/// An answer with a status, headers and a body of known length.
+pub fn answer(status: u16, headers: &[(&str, &str)], body: &[u8]) -> Answer {
+    let mut bytes = format!("HTTP/1.1 {status} Status\r\n").into_bytes();
+    for (name, value) in headers {
+        bytes.extend_from_slice(format!("{name}: {value}\r\n").as_bytes());
+    }
+    bytes.extend_from_slice(format!("Content-Length: {}\r\n\r\n", body.len()).as_bytes());
+    bytes.extend_from_slice(body);
+    Answer::Bytes(bytes)
+}
+
+/// Serves `handler` on a free port of loopback for as long as the test runs.
+///
+/// # Errors
+///
+/// No free port.
+pub fn serve(
+    handler: impl Fn(&Request) -> Answer + Send + Sync + 'static,
+) -> io::Result<net::SocketAddr> {
+    let listener = net::TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0))?;
+    let address = listener.local_addr()?;
+    let handler = sync::Arc::new(handler);
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let handler = handler.clone();
+            thread::spawn(move || connection(stream, &*handler));
+        }
+    });
+    Ok(address)
+}
+
+/// Serves one connection; a failed one is the other side's matter.
+fn connection(stream: net::TcpStream, handler: &dyn Fn(&Request) -> Answer) {
+    let Ok(mut out) = stream.try_clone() else { return };
+    let mut reader = io::BufReader::new(stream);
+    while let Ok(Some(request)) = read(&mut reader) {
+        match handler(&request) {
+            Answer::Bytes(bytes) => {
+                if out.write_all(&bytes).is_err() {
+                    return;
+                }
+            }
+            Answer::Close => return,
+        }
+    }
+}
+
+fn read(reader: &mut io::BufReader<net::TcpStream>) -> io::Result<Option<Request>> {
+    let mut line = String::new();
+    if reader.read_line(&mut line)? == 0 {
+        return Ok(None);
+    }
+    let mut words = line.split_whitespace();
+    let (Some(method), Some(target)) = (words.next(), words.next()) else { return Ok(None) };
+    let mut request = Request {
+        method: method.to_owned(),
+        target: target.to_owned(),
+        headers: Vec::new(),
+        body: Vec::new(),
+    };
+    loop {
+        let mut line = String::new();
+        reader.read_line(&mut line)?;
+        let Some((name, value)) = line.trim_end().split_once(':') else { break };
+        request.headers.push((name.to_ascii_lowercase(), value.trim().to_owned()));
+    }
+    let length = request.header("content-length").and_then(|text| text.parse().ok());
+    request.body.resize(length.unwrap_or(0), 0);
+    reader.read_exact(&mut request.body)?;
+    Ok(Some(request))
+}
--- a/crates/flamingotrail-standins/src/lib.rs
+++ b/crates/flamingotrail-standins/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod bench;
 pub mod deployment;
 pub mod engine;
+pub mod fleet;
 pub mod http;
 pub mod list;
 pub mod local;
--- a/crates/flamingotraild/src/main.rs
+++ b/crates/flamingotraild/src/main.rs
@@ -54,7 +54,9 @@
             return process::ExitCode::from(WRONG_SETTINGS);
         }
     };
-    if let Err(error) = logging::init_queued(config.log_level, deployment.identity.instance.as_str()) {
+    if let Err(error) =
+        logging::init_queued(config.log_level, deployment.identity.instance.as_str())
+    {
         eprintln!("logging can't be set up: {error}; report this as a defect");
         return process::ExitCode::FAILURE;
     }
