--- a/crates/flamingotrail-runtime/src/configs/daemon.rs
+++ b/crates/flamingotrail-runtime/src/configs/daemon.rs
@@ -113,6 +113,9 @@
     /// Threads for callers' connections.
     #[arg(long, env = "FLAMINGOTRAIL_THREADS", default_value = "2")]
     pub threads: String,
+    /// Port of the metrics, on the instance's address; role `gateway` only.
+    #[arg(long, env = "FLAMINGOTRAIL_METRICS_PORT", default_value = "9464")]
+    pub metrics_port: String,
     /// Seed of the random numbers; drawn from the clock where it is left out.
     #[arg(long, env = "FLAMINGOTRAIL_SEED", default_value = "")]
     pub seed: String,
@@ -135,6 +138,8 @@
 pub struct GatewayConfig {
     /// Lines below this level are left out.
     pub log_level: log::LevelFilter,
+    /// Port of the metrics, on the instance's address.
+    pub metrics_port: u16,
 }
 
 impl TryFrom<&DaemonArgs> for GatewayConfig {
@@ -147,7 +152,10 @@
                 args.log_level
             )
         })?;
-        Ok(GatewayConfig { log_level })
+        let metrics_port = args.metrics_port.parse().map_err(|_| {
+            format!("--metrics-port {:?} is no port; give a number up to 65535", args.metrics_port)
+        })?;
+        Ok(GatewayConfig { log_level, metrics_port })
     }
 }
 
--- a/crates/flamingotrail-runtime/src/gateway/callers.rs
+++ b/crates/flamingotrail-runtime/src/gateway/callers.rs
@@ -26,6 +26,7 @@
 use crate::clock;
 use crate::gateway::control;
 use crate::gateway::http1;
+use crate::gateway::metrics;
 use crate::gateway::slots;
 
 /// Pause after a failed accept, which may be for want of descriptors.
@@ -53,6 +54,7 @@
     next: rc::Rc<cell::Cell<u64>>,
     limits: rc::Rc<cell::Cell<configuration::Limits>>,
     stage: watch::Receiver<Stage>,
+    metrics: rc::Rc<metrics::Metrics>,
 }
 
 impl Callers {
@@ -63,8 +65,9 @@
         clock: clock::Clock,
         limits: rc::Rc<cell::Cell<configuration::Limits>>,
         stage: watch::Receiver<Stage>,
+        metrics: rc::Rc<metrics::Metrics>,
     ) -> Self {
-        Callers { inlet, slots, clock, next: rc::Rc::default(), limits, stage }
+        Callers { inlet, slots, clock, next: rc::Rc::default(), limits, stage, metrics }
     }
 
     /// Accepts callers at `address` until the last stage of a shutdown.
@@ -148,7 +151,9 @@
             };
             return self.write_refusal(connection, refusal).await.unwrap_or(false);
         }
+        let started = time::Instant::now();
         let written = self.write(connection, &mut rx).await;
+        self.metrics.answered(connection.status(), started.elapsed());
         self.slots.remove(call);
         match written {
             Ok(keep) => {
--- a/crates/flamingotrail-runtime/src/gateway/executor.rs
+++ b/crates/flamingotrail-runtime/src/gateway/executor.rs
@@ -1,6 +1,7 @@
 //! Carries out what the control thread asks for.
 
 use std::rc;
+use std::time;
 
 use flamingotrail_adapter::store;
 use flamingotrail_gateway::ids;
@@ -13,6 +14,7 @@
 use crate::gateway::callers;
 use crate::gateway::control;
 use crate::gateway::exchange;
+use crate::gateway::metrics;
 use crate::gateway::peers;
 use crate::gateway::slots;
 
@@ -24,6 +26,8 @@
     pub peers: peers::Peers,
     /// The platform's store.
     pub store: rc::Rc<store::StoreClient>,
+    /// Metrics.
+    pub metrics: rc::Rc<metrics::Metrics>,
     /// The way back into the control thread.
     pub inlet: control::Inlet,
     /// Whether this process takes new callers.
@@ -77,6 +81,7 @@
             }
             output::Output::Stopped => {}
             output::Output::Event(event) => {
+                self.metrics.event(event.name);
                 log::info!("event={} {}", event.name, event.detail);
             }
         }
@@ -99,8 +104,11 @@
 
     fn append(&self, partition: ids::Partition, records: Vec<journal::Record>) {
         let (store, inlet) = (self.store.clone(), self.inlet.clone());
+        let metrics = self.metrics.clone();
         actix_rt::spawn(async move {
+            let start = time::Instant::now();
             let result = store.append(partition, &records).await;
+            metrics.log_call("append", result.is_ok(), start.elapsed());
             if let Err(error) = &result {
                 log::debug!("event=append_failed error={:?}", error.to_string());
             }
@@ -111,8 +119,11 @@
 
     fn read(&self, partition: ids::Partition, from: ids::Offset) {
         let (store, inlet) = (self.store.clone(), self.inlet.clone());
+        let metrics = self.metrics.clone();
         actix_rt::spawn(async move {
+            let start = time::Instant::now();
             let result = store.read(partition, from).await;
+            metrics.log_call("read", result.is_ok(), start.elapsed());
             if let Err(error) = &result {
                 log::debug!("event=read_failed error={:?}", error.to_string());
             }
--- a/crates/flamingotrail-runtime/src/gateway/http1.rs
+++ b/crates/flamingotrail-runtime/src/gateway/http1.rs
@@ -63,6 +63,7 @@
     buf: BytesMut,
     out: BytesMut,
     codec: h1::Codec,
+    status: u16,
 }
 
 impl Connection {
@@ -76,9 +77,15 @@
             buf: BytesMut::new(),
             out: BytesMut::new(),
             codec: h1::Codec::default(),
+            status: 0,
         }
     }
 
+    /// Status of the answer to the present request; 0 where none was written.
+    pub fn status(&self) -> u16 {
+        self.status
+    }
+
     /// Whether the connection may take another request after the present answer.
     pub fn keeps_alive(&self) -> bool {
         self.codec.keep_alive()
@@ -113,6 +120,7 @@
     /// A request that can't be taken, or a connection that failed.
     pub async fn read(&mut self, limits: &configuration::Limits) -> Result<Incoming, ReadError> {
         let received = time::Instant::now();
+        self.status = 0;
         let head = self.read_head(limits);
         let request = match tokio::time::timeout(limits.head_timeout, head).await {
             Ok(request) => request?,
@@ -204,6 +212,7 @@
         size: body::BodySize,
         whole: Option<&Bytes>,
     ) -> io::Result<()> {
+        self.status = response.status().as_u16();
         self.codec.encode(h1::Message::Item((response, size)), &mut self.out)?;
         if let Some(body) = whole {
             self.codec.encode(h1::Message::Chunk(Some(body.clone())), &mut self.out)?;
--- a/crates/flamingotrail-runtime/src/gateway/mod.rs
+++ b/crates/flamingotrail-runtime/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 pub mod exchange;
 pub mod executor;
 pub mod http1;
+pub mod metrics;
 pub mod operators;
 pub mod peers;
 pub mod pool;
--- a/crates/flamingotrail-runtime/src/gateway/process.rs
+++ b/crates/flamingotrail-runtime/src/gateway/process.rs
@@ -20,10 +20,12 @@
 use tokio::sync::watch as tokio_watch;
 
 use crate::clock;
+use crate::configs::daemon;
 use crate::gateway::callers;
 use crate::gateway::control;
 use crate::gateway::exchange;
 use crate::gateway::executor;
+use crate::gateway::metrics;
 use crate::gateway::operators;
 use crate::gateway::peers;
 use crate::gateway::pool;
@@ -42,6 +44,9 @@
     /// An address.
     #[error("an address or thread can't be used: {0}; give free addresses of this instance")]
     Io(#[from] io::Error),
+    /// Metrics.
+    #[error("the metrics can't be registered: {0}; report this as a defect")]
+    Metrics(#[from] prometheus::Error),
 }
 
 /// Runs the gateway until it was told to stop and has finished what ran.
@@ -49,8 +54,12 @@
 /// # Errors
 ///
 /// An address that can't be used.
-pub async fn run(deployment: deployment::Deployment) -> Result<(), StartError> {
+pub async fn run(
+    deployment: deployment::Deployment,
+    config: daemon::GatewayConfig,
+) -> Result<(), StartError> {
     let clock = clock::Clock::new();
+    let metrics = rc::Rc::new(metrics::Metrics::new()?);
     let settings = settings::Settings {
         partitions: deployment.store.partitions * deployment::PROGRAM_TOPICS,
         appends_per_s: deployment.store.writes_per_s,
@@ -67,11 +76,19 @@
     let (stage_tx, stage_rx) = tokio_watch::channel(callers::Stage::Serving);
 
     operators::listen(deployment.readiness, Readiness { ready: ready_rx }).await?;
-    let callers =
-        callers::Callers::new(inlet.clone(), slots.clone(), clock, limits.clone(), stage_rx);
+    let callers = callers::Callers::new(
+        inlet.clone(),
+        slots.clone(),
+        clock,
+        limits.clone(),
+        stage_rx,
+        metrics.clone(),
+    );
     callers.listen(deployment.callers).await?;
     actix_rt::spawn(watch::configuration(store.clone(), inlet.clone(), limits));
     actix_rt::spawn(watch::endpoints(store.clone(), inlet.clone()));
+    let metrics_address = net::SocketAddr::new(deployment.ip, config.metrics_port);
+    operators::listen(metrics_address, metrics.clone()).await?;
     let link = net::SocketAddr::new(deployment.ip, deployment.link_ports.0);
     let peers = peers::Peers::new(inlet.clone(), pool.clone());
     peers.clone().listen(link).await?;
@@ -96,6 +113,7 @@
         exchange: exchange::Exchange { pool, slots },
         peers,
         store,
+        metrics,
         inlet,
         ready: ready_tx,
         stage: stage_tx,
--- a/crates/flamingotrail-runtime/src/metrics.rs
+++ b/crates/flamingotrail-runtime/src/metrics.rs
@@ -126,7 +126,7 @@
     register(registry, prometheus::IntCounter::with_opts(opts(name, help))?)
 }
 
-fn counters(
+pub(crate) fn counters(
     registry: &prometheus::Registry,
     name: &str,
     help: &str,
@@ -143,7 +143,7 @@
     register(registry, prometheus::IntGauge::with_opts(opts(name, help))?)
 }
 
-fn histogram(
+pub(crate) fn histogram(
     registry: &prometheus::Registry,
     name: &str,
     help: &str,
--- a/crates/flamingotrail-standins/src/fleet/gateways.rs
+++ b/crates/flamingotrail-standins/src/fleet/gateways.rs
@@ -20,6 +20,8 @@
 pub struct Gateway {
     /// Address for callers.
     pub callers: net::SocketAddr,
+    /// Address of the metrics.
+    pub metrics: net::SocketAddr,
     readiness: net::SocketAddr,
     child: process::Child,
 }
@@ -35,8 +37,8 @@
     name: &str,
     store: net::SocketAddr,
 ) -> io::Result<Gateway> {
-    let [callers, readiness, link] =
-        [processes::free_address()?, processes::free_address()?, processes::free_address()?];
+    let [callers, readiness] = [processes::free_address()?, processes::free_address()?];
+    let [link, metrics] = [processes::free_address()?, processes::free_address()?];
     fs::create_dir_all(folder)?;
     let settings = folder.join(format!("{name}.yaml"));
     let link_port = link.port();
@@ -54,9 +56,10 @@
     let child = process::Command::new(program)
         .args(["--role", "gateway"])
         .env("FLAMINGOTRAIL_SETTINGS", &settings)
+        .env("FLAMINGOTRAIL_METRICS_PORT", metrics.port().to_string())
         .stdout(process::Stdio::null())
         .spawn()?;
-    let gateway = Gateway { callers, readiness, child };
+    let gateway = Gateway { callers, metrics, readiness, child };
     Ok(gateway)
 }
 
--- a/crates/flamingotrail-standins/tests/gateways.rs
+++ b/crates/flamingotrail-standins/tests/gateways.rs
@@ -231,6 +231,18 @@
     assert_eq!(fleet.plain.bodies().len(), 1);
 }
 
+#[test]
+fn metrics_count_answers_and_calls_to_the_log() {
+    let fleet = fleet("metrics");
+    let gateway = fleet.start("one");
+    turn(&gateway, "a", None, "8000");
+
+    let answer = caller::call(gateway.metrics, "GET", "/metrics", &[], "").expect("an answer");
+
+    assert!(answer.text.contains("flamingotrail_gateway_answers_total{status=\"200\"} 1"));
+    assert!(answer.text.contains("kind=\"append\",outcome=\"done\"} 2"), "{}", answer.text);
+}
+
 #[test]
 fn signals_reload_and_drain() {
     let fleet = fleet("signals");
--- a/crates/flamingotraild/src/main.rs
+++ b/crates/flamingotraild/src/main.rs
@@ -60,7 +60,7 @@
         eprintln!("logging can't be set up: {error}; report this as a defect");
         return process::ExitCode::FAILURE;
     }
-    match actix_rt::System::new().block_on(gateway::run(deployment)) {
+    match actix_rt::System::new().block_on(gateway::run(deployment, config)) {
         Ok(()) => process::ExitCode::SUCCESS,
         Err(error) => {
             log::error!("event=start_failed error={:?}", error.to_string());
