Don't give up the only attempt of an idempotent call for being slow

Ruled out: runners that lose answers (the outcome is 'cancelled' on healthy ones). The timer is now set only where another attempt is allowed; the test fails without that.

--- a/crates/flamingotrail-config/src/check.rs
+++ b/crates/flamingotrail-config/src/check.rs
@@ -108,7 +108,7 @@
                 Err(error) => {
                     let at = start + error.span().map_or(0, |span| span.start);
                     let problem = error.message().replace('\n', " ");
-                    let remedy = "correct the object; docs/OPERATING.md lists the fields";
+                    let remedy = "correct the object; docs/OPERATIONS.md lists the fields";
                     self.mistake(Place { file, at }, problem, remedy);
                 }
             }
--- a/crates/flamingotrail-gateway/src/systems/placement.rs
+++ b/crates/flamingotrail-gateway/src/systems/placement.rs
@@ -148,7 +148,7 @@
         call.route
     );
     world.out.push(output::Output::Event(output::Event::new("sent", detail)));
-    if repeatable && call.may_run_again() {
+    if repeatable && call.ran + 1 < call.max_attempts {
         let slow = tick.now.after(within / SLOW_OF_LEFT);
         tables.timers.set(timers::Timer::AttemptSlow(id, call.attempts), slow);
     }
--- a/crates/flamingotrail-gateway/tests/decisions/calls.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/calls.rs
@@ -64,6 +64,34 @@
     assert_eq!(gateway.cancelled, [ids::CallId(1)]);
 }
 
+#[test]
+fn only_attempt_of_a_call_is_not_given_up_for_being_slow() {
+    let mut log = fixture::Log::default();
+    let mut gateway = fixture::Gateway::new("one");
+    let mut set = fixture::configuration(2);
+    set.routes[1].max_attempts = 1;
+    gateway.tick(vec![input::Input::Configuration(Box::new(set))]);
+    gateway.arrive(fixture::arrival(1, "a", "/look/1"));
+
+    gateway.wait(time::Duration::from_millis(3_900), &mut log);
+
+    assert!(gateway.cancelled.is_empty());
+}
+
+#[test]
+fn slow_attempt_of_an_idempotent_call_is_made_elsewhere() {
+    let mut log = fixture::Log::default();
+    let mut gateway = fixture::Gateway::new("one");
+    gateway.arrive(fixture::arrival(1, "a", "/look/1"));
+
+    gateway.wait(time::Duration::from_millis(1_500), &mut log);
+    gateway.end(1, input::Outcome::Cancelled);
+
+    assert_eq!(gateway.cancelled, [ids::CallId(1)]);
+    assert_eq!(gateway.sent.len(), 2);
+    assert_ne!(gateway.sent[0].endpoint, gateway.sent[1].endpoint);
+}
+
 #[test]
 fn caller_that_leaves_stops_the_endpoint() {
     let mut gateway = fixture::Gateway::new("one");
--- a/crates/flamingotrail-runtime/src/admin.rs
+++ b/crates/flamingotrail-runtime/src/admin.rs
@@ -64,7 +64,7 @@
             }
             (&Method::POST, "/drain") => self.drain(),
             (_, path) => {
-                let text = format!("{path} is not served; see docs/OPERATING.md\n");
+                let text = format!("{path} is not served; see docs/OPERATIONS.md\n");
                 plain(StatusCode::NOT_FOUND, text)
             }
         }
--- a/crates/flamingotrail-runtime/src/gateway/pool.rs
+++ b/crates/flamingotrail-runtime/src/gateway/pool.rs
@@ -18,7 +18,7 @@
 const KEEP_ALIVE_USED: u32 = 70;
 /// Longest idle time before a request that may run once only: endpoints at times drop idle
 /// connections early, and the request would be lost.
-const MAX_IDLE_ONCE: time::Duration = time::Duration::from_millis(1_500);
+const MAX_IDLE_ONCE: time::Duration = time::Duration::from_millis(3_000);
 
 /// Idle connections by endpoint.
 #[derive(Clone, Default)]
