--- a/crates/flamingotrail-gateway/src/ids.rs
+++ b/crates/flamingotrail-gateway/src/ids.rs
@@ -36,10 +36,6 @@
     /// An agent program.
     ProgramId
 );
-name!(
-    /// A line of turns within a program.
-    SessionId
-);
 name!(
     /// One start of an endpoint.
     EndpointId
--- a/crates/flamingotrail-gateway/src/input.rs
+++ b/crates/flamingotrail-gateway/src/input.rs
@@ -137,10 +137,6 @@
 pub struct ProgramHead {
     /// The program.
     pub id: ids::ProgramId,
-    /// The line of turns.
-    pub session: ids::SessionId,
-    /// Time until the program should be finished.
-    pub finish_in: Option<time::Duration>,
     /// Tokens that it may generate.
     pub budget: Option<u64>,
 }
@@ -299,8 +295,6 @@
 /// A service.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Service {
-    /// Connections that an endpoint accepts.
-    pub max_connections: Option<u32>,
     /// Its model engines.
     pub engine: Option<Engine>,
 }
@@ -310,8 +304,6 @@
 pub struct Engine {
     /// Tokens in one event of a stream.
     pub tokens_per_event: u64,
-    /// Tokens that an engine's memory holds.
-    pub memory_tokens: u64,
 }
 
 /// One reading of the platform's list.
--- a/crates/flamingotrail-gateway/src/output.rs
+++ b/crates/flamingotrail-gateway/src/output.rs
@@ -109,6 +109,8 @@
     NoRoute,
     /// The turn that it continues does not exist.
     NoSuchTurn,
+    /// The log can't take a turn of this size.
+    TooLarge,
     /// The program's budget is spent.
     BudgetSpent,
     /// It did not run and never will: nothing can take it now.
@@ -125,6 +127,7 @@
         match self {
             Reason::NoRoute => "no_route",
             Reason::NoSuchTurn => "no_such_turn",
+            Reason::TooLarge => "too_large",
             Reason::BudgetSpent => "budget_spent",
             Reason::Unavailable => "unavailable",
             Reason::TimedOut => "timed_out",
--- a/crates/flamingotrail-gateway/src/settings.rs
+++ b/crates/flamingotrail-gateway/src/settings.rs
@@ -24,8 +24,10 @@
     pub partitions: u16,
     /// Appends a second that the log takes of all processes together.
     pub appends_per_s: f64,
-    /// How long a leaving endpoint may still get requests.
-    pub drain: time::Duration,
+    /// Bytes of a record of the log at most.
+    pub record_bytes: usize,
+    /// Bytes of the records of one append at most.
+    pub append_bytes: usize,
     /// How long a process that was told to stop may take.
     pub grace: time::Duration,
 }
--- a/crates/flamingotrail-gateway/src/systems/admission.rs
+++ b/crates/flamingotrail-gateway/src/systems/admission.rs
@@ -13,9 +13,12 @@
 /// When a caller should come back while this process can't serve it, but others may.
 pub const COME_BACK: time::Duration = time::Duration::from_millis(100);
 
+/// Part of a record that a turn's input may take: its output stands in the same record.
+const INPUT_OF_RECORD: usize = 2;
+
 /// When a turn that was not sent should come back while no gateway reaches the log: callers wait for
 /// a third of their time at most, and an outage takes seconds.
-pub const OUTAGE_PAUSE: time::Duration = time::Duration::from_millis(1_000);
+pub const OUTAGE_PAUSE: time::Duration = time::Duration::from_millis(1_300);
 
 /// Whether neither this process nor another one, as far as it knows, reaches the log.
 pub fn is_log_out_of_reach(world: &world::World) -> bool {
@@ -73,6 +76,10 @@
     };
     let patience = arrival.patience.unwrap_or(route.timeout).min(route.timeout);
     let turn = turn_of(world, &arrival, route);
+    if turn.is_some() && arrival.body.len() > world.settings.record_bytes / INPUT_OF_RECORD {
+        let too_large = output::Refusal { reason: output::Reason::TooLarge, retry_after: None };
+        return Err(Box::new((arrival, too_large)));
+    }
     let phase = match turn {
         Some(_) => calls::Phase::Resolving,
         None => calls::Phase::Placing,
--- a/crates/flamingotrail-gateway/src/systems/log_io.rs
+++ b/crates/flamingotrail-gateway/src/systems/log_io.rs
@@ -9,8 +9,8 @@
 
 /// Records of one append at most.
 const MAX_RECORDS: usize = 256;
-/// Bytes of texts of one append at most; the platform takes 2 MiB.
-const MAX_BYTES: usize = 1 << 20;
+/// Part of an append's bytes that the texts of its records may take; the rest is for their other fields.
+const TEXTS_OF_APPEND: usize = 2;
 
 /// Looks at the dirty partitions, and at those that wait for the pace.
 pub fn run(world: &mut world::World, tick: &world::Tick) {
@@ -65,8 +65,9 @@
 }
 
 fn append(world: &mut world::World, tick: &world::Tick, partition: ids::Partition) {
+    let max_bytes = world.settings.append_bytes / TEXTS_OF_APPEND;
     let row = world.tables.partitions.row(partition);
-    row.appending = next_batch(&mut row.queue);
+    row.appending = next_batch(&mut row.queue, max_bytes);
     row.waits_since = tick.now;
     let records = row.appending.clone();
     world.out.push(output::Output::Append { partition, records });
@@ -83,12 +84,15 @@
     world.out.push(output::Output::Read { partition, from });
 }
 
-fn next_batch(queue: &mut std::collections::VecDeque<journal::Record>) -> Vec<journal::Record> {
+fn next_batch(
+    queue: &mut std::collections::VecDeque<journal::Record>,
+    max_bytes: usize,
+) -> Vec<journal::Record> {
     let mut bytes = 0;
     let mut batch = Vec::new();
     while let Some(record) = queue.front() {
         bytes += record.text_bytes();
-        if batch.len() == MAX_RECORDS || (bytes > MAX_BYTES && !batch.is_empty()) {
+        if batch.len() == MAX_RECORDS || (bytes > max_bytes && !batch.is_empty()) {
             break;
         }
         batch.extend(queue.pop_front());
--- a/crates/flamingotrail-gateway/src/systems/timers.rs
+++ b/crates/flamingotrail-gateway/src/systems/timers.rs
@@ -13,6 +13,7 @@
             }
             timers::Timer::CallRetry(call) => {
                 dirty.place.insert(call);
+                dirty.calls.insert(call);
             }
             timers::Timer::AttemptSlow(call, attempt) => {
                 dirty.slow.insert((call, attempt));
--- a/crates/flamingotrail-gateway/src/systems/turns.rs
+++ b/crates/flamingotrail-gateway/src/systems/turns.rs
@@ -1,6 +1,8 @@
 //! Moves turns on: finds the turns that they continue, reserves their part of the budget, and lets
 //! the end of an answer go once the journal has its turn.
 
+use std::time;
+
 use crate::ids;
 use crate::journal;
 use crate::output;
@@ -9,12 +11,17 @@
 use crate::systems::completion;
 use crate::systems::relay;
 use crate::tables::calls;
+use crate::tables::timers;
 use crate::world;
 
 /// Turns at their most for which the known part of a budget has to have room, so that a turn that goes
 /// on from others is sent before the log has decided: other gateways may have run some of them.
 const SURE_TURNS: u64 = 3;
 
+/// Time that a turn waits for a log that no gateway reaches before its caller is told to come back: a
+/// program's three tries have to outlast an outage of seconds, and callers leave after 2 s.
+const OUTAGE_WAIT: time::Duration = time::Duration::from_millis(1_200);
+
 /// Looks at the dirty calls.
 pub fn run(world: &mut world::World, tick: &world::Tick) {
     for id in std::mem::take(&mut world.tables.dirty.calls) {
@@ -64,12 +71,23 @@
         return;
     }
     if admission::is_log_out_of_reach(world) {
-        completion::give_up(world, tick, id);
+        wait_for_log(world, tick, id);
     } else {
         relay::seek(world, tick, id, &missing);
     }
 }
 
+/// Lets a turn that can't be sent wait for the log for a while; then its caller had better come back.
+fn wait_for_log(world: &mut world::World, tick: &world::Tick, id: ids::CallId) {
+    let Some(call) = world.tables.calls.rows.get(&id) else { return };
+    let end = call.arrival.received.after(OUTAGE_WAIT);
+    if tick.now < end {
+        world.tables.timers.set(timers::Timer::CallRetry(id), end);
+    } else {
+        completion::give_up(world, tick, id);
+    }
+}
+
 /// Sets a part of the budget aside for a turn; sends the turn at once where there is likely room.
 pub fn reserve(world: &mut world::World, tick: &world::Tick, id: ids::CallId) {
     let tables = &mut world.tables;
@@ -127,8 +145,7 @@
                 output::Refusal { reason: output::Reason::BudgetSpent, retry_after: None };
             completion::refuse(world, tick, id, refusal);
         }
-        // It was not sent, so its caller had better come back than wait.
-        _ if admission::is_log_out_of_reach(world) => completion::give_up(world, tick, id),
+        _ if admission::is_log_out_of_reach(world) => wait_for_log(world, tick, id),
         _ => {}
     }
 }
--- a/crates/flamingotrail-gateway/tests/decisions/fixture.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/fixture.rs
@@ -77,7 +77,7 @@
 pub fn configuration(version: u64) -> input::Configuration {
     let mut chat = route("/chat/", input::RouteKind::Stream, "engine");
     chat.retention = Some(time::Duration::from_secs(60));
-    let engine = input::Engine { tokens_per_event: TOKENS_PER_EVENT, memory_tokens: 100_000 };
+    let engine = input::Engine { tokens_per_event: TOKENS_PER_EVENT };
     input::Configuration {
         version,
         routes: vec![
@@ -86,10 +86,7 @@
             route("/book/", input::RouteKind::Once, "ledger"),
         ],
         services: collections::BTreeMap::from([
-            (
-                ids::ServiceName::new("engine"),
-                input::Service { max_connections: None, engine: Some(engine) },
-            ),
+            (ids::ServiceName::new("engine"), input::Service { engine: Some(engine) }),
             (ids::ServiceName::new("ledger"), input::Service::default()),
         ]),
     }
@@ -153,12 +150,8 @@
     budget: u64,
 ) -> input::Arrival {
     let mut arrival = arrival(call, id, "/chat/1");
-    arrival.program = Some(input::ProgramHead {
-        id: ids::ProgramId::new(program),
-        session: ids::SessionId::new("line"),
-        finish_in: None,
-        budget: Some(budget),
-    });
+    arrival.program =
+        Some(input::ProgramHead { id: ids::ProgramId::new(program), budget: Some(budget) });
     arrival.usage = Some(input::Usage { prompt: 100, max_output: 80 });
     arrival.previous = previous.map(ids::TurnId::new);
     arrival
@@ -189,7 +182,8 @@
         let settings = settings::Settings {
             partitions: PARTITIONS,
             appends_per_s: 1000.0,
-            drain: time::Duration::from_secs(3),
+            record_bytes: 10_000,
+            append_bytes: 100_000,
             grace: time::Duration::from_secs(8),
         };
         Gateway {
--- a/crates/flamingotrail-gateway/tests/decisions/turns.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/turns.rs
@@ -180,3 +180,17 @@
     assert_eq!(ready_before, Some(true));
     assert_eq!(gateway.ready, Some(false));
 }
+
+#[test]
+fn turn_that_no_record_can_hold_is_refused() {
+    let mut log = fixture::Log::default();
+    let mut gateway = fixture::Gateway::new("one");
+    let mut arrival = fixture::turn(1, "a", "p", None, BUDGET);
+    arrival.body = vec![b'x'; 6_000].into();
+
+    gateway.arrive(arrival);
+    gateway.serve(&mut log);
+
+    assert_eq!(gateway.reason(1), Some(output::Reason::TooLarge));
+    assert_eq!(log.appends, 0);
+}
--- a/crates/flamingotrail-runtime/src/gateway/callers.rs
+++ b/crates/flamingotrail-runtime/src/gateway/callers.rs
@@ -256,6 +256,7 @@
 fn status(reason: output::Reason) -> StatusCode {
     match reason {
         output::Reason::NoRoute | output::Reason::NoSuchTurn => StatusCode::NOT_FOUND,
+        output::Reason::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
         output::Reason::BudgetSpent => StatusCode::PAYMENT_REQUIRED,
         output::Reason::Unavailable => StatusCode::SERVICE_UNAVAILABLE,
         output::Reason::TimedOut => StatusCode::GATEWAY_TIMEOUT,
--- a/crates/flamingotrail-runtime/src/gateway/process.rs
+++ b/crates/flamingotrail-runtime/src/gateway/process.rs
@@ -63,7 +63,8 @@
     let settings = settings::Settings {
         partitions: deployment.store.partitions * deployment::PROGRAM_TOPICS,
         appends_per_s: deployment.store.writes_per_s,
-        drain: deployment.drain,
+        record_bytes: deployment.store.record_bytes,
+        append_bytes: deployment.store.append_bytes,
         grace: deployment.grace,
     };
     let world = world::World::new(deployment.identity.clone(), settings);
