--- a/crates/flamingotrail-gateway/src/systems/completion.rs
+++ b/crates/flamingotrail-gateway/src/systems/completion.rs
@@ -91,13 +91,18 @@
     match outcome {
         input::Outcome::NotSent(_) | input::Outcome::Lost(_) => row.failed(tick.now),
         input::Outcome::Refused { load, .. } => {
+            // A full endpoint that tells its load is placed by that; it has not failed.
             row.told(tick.now, *load);
-            row.failed(tick.now);
+            if load.is_none() {
+                row.failed(tick.now);
+            }
         }
         input::Outcome::Answered { status, load, .. } => {
             row.told(tick.now, *load);
             if *status < SERVER_ERRORS {
                 row.succeeded();
+            } else {
+                row.failed(tick.now);
             }
         }
         input::Outcome::Streamed { complete, load, .. } => {
--- a/crates/flamingotrail-gateway/src/tables/endpoints.rs
+++ b/crates/flamingotrail-gateway/src/tables/endpoints.rs
@@ -21,7 +21,7 @@
     pub load: Option<(core_time::Timestamp, input::Load)>,
     /// Attempts of this process that it has begun since it told its load.
     pub sent_since: u32,
-    /// Failures in a row.
+    /// Failures of late: each success halves them.
     pub failures: u32,
     /// Not to be chosen before this time unless there is no other.
     pub avoid_until: core_time::Timestamp,
@@ -59,10 +59,10 @@
         self.avoid_until = self.avoid_until.max(now.after(span));
     }
 
-    /// Takes a success.
+    /// Takes a success: one among failures does not end the pause, as an endpoint may fail a part of
+    /// its requests.
     pub fn succeeded(&mut self) {
-        self.failures = 0;
-        self.avoid_until = core_time::Timestamp::ZERO;
+        self.failures /= 2;
     }
 
     /// Takes the load that it told at `now`.
--- a/crates/flamingotrail-gateway/tests/decisions/calls.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/calls.rs
@@ -207,3 +207,23 @@
     let appends = log.appends - before;
     assert!(appends <= 20, "an even share is 10 a second; {appends} in half a second");
 }
+
+#[test]
+fn endpoint_that_fails_a_part_of_its_calls_is_passed_over() {
+    let mut gateway = fixture::Gateway::new("one");
+    gateway.arrive(fixture::arrival(1, "a", "/book/1"));
+    gateway.arrive(fixture::arrival(2, "b", "/book/1"));
+    let grey = gateway.sent[0].endpoint.clone();
+    let calls: Vec<u64> = (1..=2)
+        .filter(|call| {
+            gateway.sent.iter().any(|sent| sent.call.0 == *call && sent.endpoint == grey)
+        })
+        .collect();
+    gateway.end(calls[0], fixture::answered(500));
+
+    gateway.arrive(fixture::arrival(3, "c", "/book/1"));
+    gateway.arrive(fixture::arrival(4, "d", "/book/1"));
+
+    let chosen: Vec<_> = gateway.sent.iter().filter(|sent| sent.call.0 >= 3).collect();
+    assert!(chosen.iter().all(|sent| sent.endpoint != grey));
+}
