Authenticate usage and finish of a continuation's turns

A caller could have changed what it used. Ruled out: the decoder (the changed text decodes to another value).

--- a/crates/flamingotrail-core/src/history.rs
+++ b/crates/flamingotrail-core/src/history.rs
@@ -104,6 +104,22 @@
     }
 }
 
+impl TurnRecord {
+    /// The fields that the chained digest leaves out, as bytes.
+    fn accounts(&self) -> Vec<u8> {
+        let finish = match self.finish {
+            work::Finish::Stop => 0,
+            work::Finish::Length => 1,
+            work::Finish::Budget => 2,
+        };
+        let usage = &self.usage;
+        [finish, usage.prompt_tokens, usage.cached_tokens, usage.completion_tokens]
+            .iter()
+            .flat_map(|number: &u32| number.to_be_bytes())
+            .collect()
+    }
+}
+
 /// The chained digest before the first turn.
 pub fn chain_start(conversation: &ids::ConversationId) -> digest::Digest {
     digest::Hasher::new("conversation").with_bytes(conversation.to_string().as_bytes()).finish()
@@ -149,6 +165,8 @@
         let mut chained = digest::Digest::default();
         for record in &self.tail {
             chained = record.chain(&chained);
+            // The chain has what engines see; the rest of a turn could be changed without it.
+            hasher.add(&record.accounts());
         }
         hasher.add(&chained.0);
         hasher.finish()
--- a/crates/flamingotrail-wire/tests/codecs.rs
+++ b/crates/flamingotrail-wire/tests/codecs.rs
@@ -44,6 +44,19 @@
     .with_code(&key)
 }
 
+#[test]
+fn a_continuation_with_another_usage_or_finish_is_refused() {
+    let key = digest::of_token("key");
+    let mut usage = continuation("a booking");
+    usage.tail[0].usage.completion_tokens += 1;
+    let mut finish = continuation("a booking");
+    finish.tail[0].finish = work::Finish::Budget;
+
+    assert!(continuation("a booking").is_authentic(&key));
+    assert!(!usage.is_authentic(&key));
+    assert!(!finish.is_authentic(&key));
+}
+
 proptest! {
     #[test]
     fn a_continuation_survives_its_text(text in ".{0,200}") {
