--- a/crates/flamingotrail-standins/src/fleet/gateways.rs
+++ b/crates/flamingotrail-standins/src/fleet/gateways.rs
@@ -53,12 +53,13 @@
              call_bytes: 2097152\n"
         ),
     )?;
-    let child = process::Command::new(program)
+    let mut command = process::Command::new(program);
+    command
         .args(["--role", "gateway"])
         .env("FLAMINGOTRAIL_SETTINGS", &settings)
         .env("FLAMINGOTRAIL_METRICS_PORT", metrics.port().to_string())
-        .stdout(process::Stdio::null())
-        .spawn()?;
+        .stdout(process::Stdio::null());
+    let child = processes::spawn(&mut command)?;
     let gateway = Gateway { callers, metrics, readiness, child };
     Ok(gateway)
 }
--- a/crates/flamingotrail-standins/src/local/processes.rs
+++ b/crates/flamingotrail-standins/src/local/processes.rs
@@ -60,6 +60,10 @@
 /// Ports handed out by this process so far.
 static HANDED_OUT: atomic::AtomicU16 = atomic::AtomicU16::new(0);
 
+/// Held while a port is probed and while a process is started: a child has copies of all sockets until
+/// it runs its own program, and would keep a probed port taken for that long.
+static PROBE_OR_START: sync::Mutex<()> = sync::Mutex::new(());
+
 /// An address of loopback whose port is free for TCP and UDP, and is not handed out again.
 ///
 /// # Errors
@@ -73,6 +77,7 @@
         let number = HANDED_OUT.fetch_add(1, atomic::Ordering::Relaxed);
         let port = PORTS.start + (start + number % count) % count;
         let address = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, port));
+        let _probing = http::locked(&PROBE_OR_START);
         let free = net::TcpListener::bind(address).is_ok() && net::UdpSocket::bind(address).is_ok();
         if free {
             return Ok(address);
@@ -81,6 +86,30 @@
     Err(io::Error::new(io::ErrorKind::AddrInUse, "no port is free between 20000 and 32000"))
 }
 
+/// Starts a process.
+///
+/// # Errors
+///
+/// A program that can't be run.
+pub fn spawn(command: &mut process::Command) -> io::Result<process::Child> {
+    // Returns once the child runs its own program.
+    let _starting = http::locked(&PROBE_OR_START);
+    command.spawn()
+}
+
+/// Runs a process to its end: what it said.
+///
+/// # Errors
+///
+/// A program that can't be run.
+pub fn run(command: &mut process::Command) -> io::Result<process::Output> {
+    command
+        .stdin(process::Stdio::null())
+        .stdout(process::Stdio::piped())
+        .stderr(process::Stdio::piped());
+    spawn(command)?.wait_with_output()
+}
+
 impl Daemons {
     /// Daemons of `deployment` with `entries` entries, not started yet. `programs` is the folder of
     /// the two programs; `folder` takes keys and logs.
@@ -150,7 +179,7 @@
             .env("FLAMINGOTRAIL_LOG_URL", format!("http://{}/log", self.outside_address))
             .env("FLAMINGOTRAIL_LIST_URL", format!("http://{}/list", self.outside_address));
         // The stand-ins answer on this thread, which therefore may not wait for the client.
-        let output = actix_rt::task::spawn_blocking(move || command.output()).await;
+        let output = actix_rt::task::spawn_blocking(move || run(&mut command)).await;
         let output = output.map_err(io::Error::other)??;
         let mut text = String::from_utf8_lossy(&output.stdout).into_owned();
         text.push_str(&String::from_utf8_lossy(&output.stderr));
@@ -208,7 +237,7 @@
                 command.args(["--endpoint-kind", kind, "--endpoint-url", &url]);
             }
         }
-        let child = command.spawn()?;
+        let child = spawn(&mut command)?;
         self.list(index, "live");
         self.rows[index].child = Some(child);
         Ok(())
--- a/crates/flamingotrail-standins/tests/processes.rs
+++ b/crates/flamingotrail-standins/tests/processes.rs
@@ -7,6 +7,7 @@
 use flamingotrail_standins::deployment;
 use flamingotrail_standins::local::caller;
 use flamingotrail_standins::local::faults;
+use flamingotrail_standins::local::processes;
 use flamingotrail_standins::local::session;
 use flamingotrail_standins::workload;
 
@@ -229,11 +230,9 @@
 fn wrong_settings_are_reported_all_at_once() {
     let daemon = session::programs().expect("scripts/test builds the programs");
 
-    let output = std::process::Command::new(daemon.join("flamingotraild"))
-        .args(["--role", "guest", "--listen", "nowhere", "--drain-timeout", "soon"])
-        .env_clear()
-        .output()
-        .expect("the daemon can be run");
+    let mut command = std::process::Command::new(daemon.join("flamingotraild"));
+    command.args(["--role", "guest", "--listen", "nowhere", "--drain-timeout", "soon"]).env_clear();
+    let output = processes::run(&mut command).expect("the daemon can be run");
 
     let text = String::from_utf8_lossy(&output.stderr);
     assert_eq!(output.status.code(), Some(2));
@@ -251,11 +250,9 @@
     let text = "[region.a]\ndomains = []\n[workspace.w]\nkey_digests = [\"x\"]\npriority = \"p\"\nbudget = \"b\"\n";
     std::fs::write(&file, text).expect("the file can be written");
 
-    let output = std::process::Command::new(programs.join("flamingotrail"))
-        .arg("check")
-        .arg(&file)
-        .output()
-        .expect("the client can be run");
+    let mut command = std::process::Command::new(programs.join("flamingotrail"));
+    command.arg("check").arg(&file);
+    let output = processes::run(&mut command).expect("the client can be run");
 
     let said = String::from_utf8_lossy(&output.stdout);
     assert!(!output.status.success());
--- a/crates/flamingotrail-wire/tests/codecs.rs
+++ b/crates/flamingotrail-wire/tests/codecs.rs
@@ -50,7 +50,7 @@
 #[test]
 fn a_continuation_with_any_field_changed_is_refused() {
     let key = digest::of_token("key");
-    let changes: [(&str, Change); 17] = [
+    let changes: [(&str, Change); 20] = [
         ("conversation", |c| c.conversation = ids::ConversationId::new(&partition(), 7)),
         ("program", |c| c.program = ids::ProgramId::new(&partition(), 7)),
         ("root", |c| c.root = ids::ProgramId::new(&partition(), 7)),
@@ -65,6 +65,13 @@
         ("tail.kind", |c| c.tail[0].kind = history::TurnKind::Doubtful),
         ("tail.request", |c| c.tail[0].request = digest::of_token("other")),
         ("tail.input", |c| c.tail[0].input.clear()),
+        ("tail.input.role", |c| c.tail[0].input[0].role = history::Role::System),
+        ("tail.input.content", |c| c.tail[0].input[0].content.push('x')),
+        ("tail.input and tail.output", |c| {
+            // The same text, divided in another way.
+            let moved = c.tail[0].input[0].content.pop();
+            c.tail[0].output.insert(0, moved.unwrap_or('x'));
+        }),
         ("tail.output", |c| c.tail[0].output.push('x')),
         ("tail.finish", |c| c.tail[0].finish = work::Finish::Budget),
         ("tail.usage", |c| c.tail[0].usage.completion_tokens = 0),
