Place turns where their prompt is cached: weigh reading eight times, count the previous turn's engine as warm

Placement weighed reading a prompt like any other delay, although it holds up the whole batch, and knew only what its own gateway had sent, so a turn that came in through another gateway went to a cold engine. Tests: two of the three new ones failed before.

--- a/crates/flamingotrail-gateway/src/policy.rs
+++ b/crates/flamingotrail-gateway/src/policy.rs
@@ -12,6 +12,8 @@
     pub prompt: &'a [input::PromptPart],
     /// Tokens of the prompt.
     pub prompt_tokens: u64,
+    /// Endpoint that ran the turn which this one continues.
+    pub previous: Option<&'a ids::EndpointId>,
     /// Whether the endpoints are model engines.
     pub engine: bool,
     /// This process's region and failure domain.
@@ -49,6 +51,9 @@
 const OTHER_DOMAIN_MS: f64 = 2.0;
 /// Tokens of a prompt that an engine reads in a millisecond, from the users' sheets.
 const PROMPT_TOKENS_PER_MS: f64 = 64.8;
+/// Weight of the time that an engine reads a prompt, which holds up the other requests of its batch: half
+/// of the 16 that the users' engines run at once.
+const READING_WEIGHT: f64 = 8.0;
 /// Delay that a request running at an engine adds to the next one, in milliseconds: its share of a
 /// step, and of reading its prompt between the steps.
 const ENGINE_BUSY_MS: f64 = 4.0;
@@ -70,9 +75,9 @@
         let slots = f64::from(row.listed.slots.max(1));
         let waiting = (busy + 1.0 - slots).max(0.0);
         let mut cost = if request.engine {
-            let cached = row.cached_tokens(request.prompt);
+            let cached = cached_tokens(request, candidate);
             let uncached = request.prompt_tokens.saturating_sub(cached) as f64;
-            uncached / PROMPT_TOKENS_PER_MS
+            uncached / PROMPT_TOKENS_PER_MS * READING_WEIGHT
                 + busy * ENGINE_BUSY_MS
                 + waiting * ENGINE_HOLD_MS / slots
         } else {
@@ -90,6 +95,17 @@
     }
 }
 
+/// Tokens at the start of the prompt that `candidate` likely has cached.
+fn cached_tokens(request: &Request<'_>, candidate: &Candidate<'_>) -> u64 {
+    let seen = candidate.row.cached_tokens(request.prompt);
+    if request.previous != Some(candidate.id) {
+        return seen;
+    }
+    // It has read all but the new input, perhaps for another gateway.
+    let earlier = request.prompt.split_last().map_or(&[][..], |(_, earlier)| earlier);
+    seen.max(earlier.iter().map(|part| part.tokens).sum())
+}
+
 /// Requests that likely run or wait at an endpoint: what it told, fading, and what was sent since.
 fn expected_busy(row: &endpoints::Endpoint, now: core_time::Timestamp) -> f64 {
     let own = f64::from(row.own);
--- a/crates/flamingotrail-gateway/src/systems/placement.rs
+++ b/crates/flamingotrail-gateway/src/systems/placement.rs
@@ -71,9 +71,13 @@
 
 fn choose(world: &world::World, tick: &world::Tick, call: &calls::Call) -> Option<ids::EndpointId> {
     let service = world.tables.routes.service(&call.service);
+    let previous = call.turn.as_ref().and_then(|turn| turn.previous.as_ref());
     let request = policy::Request {
         prompt: &call.arrival.prompt,
         prompt_tokens: call.arrival.usage.map_or(0, |usage| usage.prompt),
+        previous: previous
+            .and_then(|turn| world.tables.turns.rows.get(turn))
+            .map(|row| &row.endpoint),
         engine: service.is_some_and(|service| service.engine.is_some()),
         region: &world.identity.region,
         domain: &world.identity.domain,
--- a/crates/flamingotrail-gateway/tests/decisions/main.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/main.rs
@@ -3,4 +3,5 @@
 mod budgets;
 mod calls;
 mod fixture;
+mod placement;
 mod turns;
--- /dev/null
+++ b/crates/flamingotrail-gateway/tests/decisions/placement.rs
@@ -0,0 +1,80 @@
+//! Placement: which engine gets a turn.
+
+use crate::fixture;
+
+use flamingotrail_gateway::ids;
+use flamingotrail_gateway::input;
+
+/// Requests that an engine of these tests runs at once.
+const SLOTS: u32 = 16;
+
+fn engines(names: &[&str]) -> input::Input {
+    let mut engine = fixture::endpoint("engine", "north-a");
+    engine.slots = SLOTS;
+    let rows: Vec<_> = names.iter().map(|name| (*name, engine.clone())).collect();
+    input::Input::Endpoints(fixture::membership(&rows))
+}
+
+/// A turn whose prompt has `earlier` tokens of earlier turns.
+fn turn_after(call: u64, id: &str, previous: Option<&str>, earlier: u64) -> input::Arrival {
+    const OWN: input::PromptPart = input::PromptPart { id: 9, tokens: 100 };
+    let mut arrival = fixture::turn(call, id, "p", previous, 10_000);
+    arrival.usage = Some(input::Usage { prompt: earlier + OWN.tokens, max_output: 80 });
+    arrival.prompt = vec![input::PromptPart { id: 1, tokens: earlier }, OWN];
+    arrival
+}
+
+fn streamed_under(running: u32) -> input::Outcome {
+    let load = Some(input::Load { running, waiting: 0, slots: SLOTS });
+    let output = bytes::Bytes::from_static(b"word\n");
+    input::Outcome::Streamed { complete: true, events: 1, output, load }
+}
+
+#[test]
+fn turn_goes_on_at_the_engine_that_ran_its_previous_turn_for_another_gateway() {
+    let mut log = fixture::Log::default();
+    let mut one = fixture::Gateway::new("one");
+    let mut two = fixture::Gateway::new("two");
+    one.tick(vec![engines(&["engine-2"])]);
+    two.tick(vec![engines(&["engine-1", "engine-2"])]);
+    one.serve_turn(turn_after(1, "t1", None, 2_000), 1, &mut log);
+
+    two.arrive(turn_after(1, "t2", Some("t1"), 2_000));
+    two.serve(&mut log);
+
+    assert_eq!(two.sent[0].endpoint, ids::EndpointId::new("engine-2"));
+}
+
+#[test]
+fn turn_stays_with_its_cached_prompt_although_the_engine_is_busier() {
+    let mut log = fixture::Log::default();
+    let mut gateway = fixture::Gateway::new("one");
+    gateway.tick(vec![engines(&["engine-1", "engine-2"])]);
+    gateway.arrive(turn_after(1, "t1", None, 2_000));
+    gateway.serve(&mut log);
+    gateway.end(1, streamed_under(10));
+    gateway.serve(&mut log);
+
+    gateway.arrive(turn_after(2, "t2", Some("t1"), 2_000));
+    gateway.serve(&mut log);
+
+    assert_eq!(gateway.sent[1].endpoint, gateway.sent[0].endpoint);
+}
+
+#[test]
+fn first_turn_goes_to_the_engine_that_is_less_busy() {
+    let mut log = fixture::Log::default();
+    let mut gateway = fixture::Gateway::new("one");
+    gateway.tick(vec![engines(&["engine-1", "engine-2"])]);
+    gateway.arrive(turn_after(1, "t1", None, 2_000));
+    gateway.serve(&mut log);
+    gateway.end(1, streamed_under(10));
+    gateway.serve(&mut log);
+
+    let mut other = turn_after(2, "t2", None, 2_000);
+    other.prompt[0].id = 2;
+    gateway.arrive(other);
+    gateway.serve(&mut log);
+
+    assert_ne!(gateway.sent[1].endpoint, gateway.sent[0].endpoint);
+}
