Pace the events of turns while their end can't be logged

While the log is away, events of turns go out 1.6 s apart, so that a caller stays for all of its time and an answer that is whole is delivered when the log is back. A turn that waits unsent is answered within 40 % of its caller's patience.

--- a/crates/flamingotrail-gateway/src/output.rs
+++ b/crates/flamingotrail-gateway/src/output.rs
@@ -18,6 +18,9 @@
     Cancel(ids::CallId),
     /// Events of a call's stream may go to its caller from now on.
     Open(ids::CallId),
+    /// Let an event of a paced stream go out only this long after the one before; none lets all that are
+    /// held go out.
+    Pace(Option<time::Duration>),
     /// Hand the kept answer, or the end of the stream, to the caller.
     Finish(ids::CallId),
     /// Answer a call without an endpoint's answer.
@@ -91,6 +94,8 @@
     pub repeatable: bool,
     /// Whether the answer's events wait for `Open`.
     pub gated: bool,
+    /// Whether the answer's events keep to the pace, where one is set.
+    pub paced: bool,
 }
 
 /// Why a call is not served.
--- a/crates/flamingotrail-gateway/src/systems/journal.rs
+++ b/crates/flamingotrail-gateway/src/systems/journal.rs
@@ -23,6 +23,9 @@
 const AWAY_AFTER: time::Duration = time::Duration::from_millis(300);
 /// Failures in a row after which the log may count as away.
 const AWAY_FAILURES: u32 = 2;
+/// Time between two events of a turn while its end can't be logged: callers leave a stream that is silent
+/// for 2 s.
+const OUTAGE_PACE: time::Duration = time::Duration::from_millis(1_600);
 /// Time that turns are kept beyond their route's retention, for clocks and reads that lag.
 pub const RETENTION_SLACK: time::Duration = time::Duration::from_secs(5);
 /// Retention of a turn whose route is not known: the longest of the users' sheets.
@@ -146,6 +149,7 @@
         partitions.is_away = true;
         let detail = format_args!("partition={partition} error={error:?} queued={queued}");
         world.event("log_lost", detail);
+        world.emit(output::Output::Pace(Some(OUTAGE_PACE)));
         relay::log_lost(world);
     }
 }
@@ -179,6 +183,7 @@
             world.tables.dirty.partitions.insert(*partition);
         }
         world.event("log_regained", format_args!("away_ms={away_ms}"));
+        world.emit(output::Output::Pace(None));
     }
 }
 
--- a/crates/flamingotrail-gateway/src/systems/placement.rs
+++ b/crates/flamingotrail-gateway/src/systems/placement.rs
@@ -140,6 +140,7 @@
             .turn
             .as_ref()
             .is_some_and(|turn| turn.reservation != calls::Reservation::Granted),
+        paced: call.turn.is_some(),
         endpoint,
     };
     let detail = format_args!(
--- a/crates/flamingotrail-gateway/src/systems/turns.rs
+++ b/crates/flamingotrail-gateway/src/systems/turns.rs
@@ -21,6 +21,9 @@
 /// Time that a turn waits for a log that no gateway reaches before its caller is told to come back: a
 /// program's three tries have to outlast an outage of seconds, and callers leave after 2 s.
 const OUTAGE_WAIT: time::Duration = time::Duration::from_millis(1_200);
+/// Part of its caller's patience for which such a turn waits at most, in hundredths: a caller that comes
+/// back late in its time is told while it can still make use of it.
+const OUTAGE_SHARE: u32 = 40;
 
 /// Looks at the dirty calls.
 pub fn run(world: &mut world::World, tick: &world::Tick) {
@@ -80,7 +83,9 @@
 /// Lets a turn that can't be sent wait for the log for a while; then its caller had better come back.
 fn wait_for_log(world: &mut world::World, tick: &world::Tick, id: ids::CallId) {
     let Some(call) = world.tables.calls.rows.get(&id) else { return };
-    let end = call.arrival.received.after(OUTAGE_WAIT);
+    let received = call.arrival.received;
+    let patience = call.deadline.since(received);
+    let end = received.after(OUTAGE_WAIT.min(patience * OUTAGE_SHARE / 100));
     if tick.now < end {
         world.tables.timers.set(timers::Timer::CallRetry(id), end);
     } else {
--- a/crates/flamingotrail-gateway/tests/decisions/fixture.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/fixture.rs
@@ -42,6 +42,7 @@
     pub entrusted: Vec<(String, journal::Record)>,
     pub ready: Option<bool>,
     pub stopped: bool,
+    pub paces: Vec<Option<time::Duration>>,
     pending: Vec<output::Output>,
 }
 
@@ -198,6 +199,7 @@
             entrusted: Vec::new(),
             ready: None,
             stopped: false,
+            paces: Vec::new(),
             pending: Vec::new(),
         }
     }
@@ -215,6 +217,7 @@
                     self.entrusted.push((address, *record));
                 }
                 output::Output::Ready(ready) => self.ready = Some(ready),
+                output::Output::Pace(pace) => self.paces.push(pace),
                 output::Output::Stopped => self.stopped = true,
                 output::Output::Append { .. } | output::Output::Read { .. } => {
                     self.pending.push(output);
--- a/crates/flamingotrail-gateway/tests/decisions/turns.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/turns.rs
@@ -121,6 +121,40 @@
     assert!(gateway.has_finished(1));
 }
 
+#[test]
+fn events_of_turns_are_paced_while_the_log_is_away() {
+    let mut away =
+        fixture::Log { error: Some(input::LogError::Refused), ..fixture::Log::default() };
+    let mut log = fixture::Log::default();
+    let mut gateway = fixture::Gateway::new("one");
+    gateway.arrive(fixture::turn(1, "a", "p", None, BUDGET));
+    gateway.arrive(fixture::arrival(2, "b", "/look/1"));
+
+    gateway.wait(time::Duration::from_secs(1), &mut away);
+    gateway.wait(time::Duration::from_secs(1), &mut log);
+
+    let pace = gateway.paces.first().copied().flatten().expect("a pace while the log is away");
+    assert!(pace < time::Duration::from_secs(2), "callers leave a stream that is silent for 2 s");
+    assert_eq!(gateway.paces[1..], [None]);
+    assert!(gateway.sent.iter().all(|sent| sent.paced == (sent.call == ids::CallId(1))));
+}
+
+#[test]
+fn turn_that_waits_for_the_log_is_answered_while_its_caller_has_time_left() {
+    let mut away =
+        fixture::Log { error: Some(input::LogError::Refused), ..fixture::Log::default() };
+    let mut gateway = fixture::Gateway::new("one");
+    gateway.arrive(fixture::turn(1, "a", "p", None, BUDGET));
+    gateway.wait(time::Duration::from_secs(1), &mut away);
+    let mut hasty = fixture::turn(2, "b", "q", Some("unknown"), BUDGET);
+    hasty.patience = Some(time::Duration::from_millis(1_000));
+    gateway.arrive(hasty);
+
+    gateway.wait(time::Duration::from_millis(500), &mut away);
+
+    assert_eq!(gateway.reason(2), Some(output::Reason::Unavailable));
+}
+
 #[test]
 fn log_that_is_away_is_probed_by_one_partition() {
     let mut log = fixture::Log { error: Some(input::LogError::Refused), ..fixture::Log::default() };
--- a/crates/flamingotrail-runtime/src/gateway/executor.rs
+++ b/crates/flamingotrail-runtime/src/gateway/executor.rs
@@ -18,6 +18,9 @@
 use crate::gateway::peers;
 use crate::gateway::slots;
 
+/// Time between two looks for events of paced streams that are due: small beside the pace.
+const PACE_TICK: time::Duration = time::Duration::from_millis(100);
+
 /// What carries out outputs.
 pub struct Executor {
     /// Attempts.
@@ -59,6 +62,7 @@
             output::Output::Send(dispatch) => self.send(*dispatch),
             output::Output::Cancel(call) => self.slots().cancel(call),
             output::Output::Open(call) => self.slots().open(call),
+            output::Output::Pace(pace) => self.pace(pace),
             output::Output::Finish(call) => self.slots().finish(call),
             output::Output::Refuse(call, refusal) => self.slots().refuse(call, refusal),
             output::Output::Abort(call) => self.slots().abort(call),
@@ -90,7 +94,7 @@
     fn send(&self, dispatch: output::Dispatch) {
         let (call, attempt) = (dispatch.call, dispatch.attempt);
         let inlet = self.inlet.clone();
-        let Some((request, cancel)) = self.slots().begin(call, dispatch.gated) else {
+        let Some((request, cancel)) = self.slots().begin(&dispatch) else {
             let outcome = input::Outcome::NotSent(input::Failure::Closed);
             inlet.deliver(input::Input::Outcome { call, attempt, outcome });
             return;
@@ -102,6 +106,21 @@
         });
     }
 
+    fn pace(&self, pace: Option<time::Duration>) {
+        let slots = self.slots().clone();
+        let was_pacing = slots.is_pacing();
+        slots.set_pace(pace);
+        if was_pacing || pace.is_none() {
+            return;
+        }
+        actix_rt::spawn(async move {
+            while slots.is_pacing() {
+                actix_rt::time::sleep(PACE_TICK).await;
+                slots.pass_due();
+            }
+        });
+    }
+
     fn append(&self, partition: ids::Partition, records: Vec<journal::Record>) {
         let (store, inlet) = (self.store.clone(), self.inlet.clone());
         let metrics = self.metrics.clone();
--- a/crates/flamingotrail-runtime/src/gateway/slots.rs
+++ b/crates/flamingotrail-runtime/src/gateway/slots.rs
@@ -4,6 +4,7 @@
 use std::cell;
 use std::collections;
 use std::rc;
+use std::time;
 
 use actix_http::Request;
 use bytes::Bytes;
@@ -37,19 +38,24 @@
     answer: Option<(channel::Head, Bytes)>,
     stream: Option<Stream>,
     is_open: bool,
+    is_paced: bool,
     cancel: Option<oneshot::Sender<()>>,
 }
 
 /// A stream that has begun.
 #[derive(Default)]
 struct Stream {
-    held: Vec<Reply>,
+    held: collections::VecDeque<Reply>,
+    /// When its last event went out.
+    passed: Option<time::Instant>,
 }
 
 /// All calls of the traffic thread.
 #[derive(Clone, Default)]
 pub struct Slots {
     rows: rc::Rc<cell::RefCell<collections::BTreeMap<ids::CallId, Slot>>>,
+    /// Time between two events of a paced stream; none where events go out as they come.
+    pace: rc::Rc<cell::Cell<Option<time::Duration>>>,
 }
 
 impl Slots {
@@ -60,7 +66,15 @@
         request: rc::Rc<Request>,
     ) -> mpsc::UnboundedReceiver<Reply> {
         let (tx, rx) = mpsc::unbounded_channel();
-        let slot = Slot { request, tx, answer: None, stream: None, is_open: false, cancel: None };
+        let slot = Slot {
+            request,
+            tx,
+            answer: None,
+            stream: None,
+            is_open: false,
+            is_paced: false,
+            cancel: None,
+        };
         self.rows.borrow_mut().insert(call, slot);
         rx
     }
@@ -84,15 +98,15 @@
     /// caller is gone.
     pub fn begin(
         &self,
-        call: ids::CallId,
-        gated: bool,
+        dispatch: &output::Dispatch,
     ) -> Option<(rc::Rc<Request>, oneshot::Receiver<()>)> {
         let mut rows = self.rows.borrow_mut();
-        let slot = rows.get_mut(&call)?;
+        let slot = rows.get_mut(&dispatch.call)?;
         let (tx, rx) = oneshot::channel();
         slot.cancel = Some(tx);
         slot.answer = None;
-        slot.is_open |= !gated;
+        slot.is_open |= !dispatch.gated;
+        slot.is_paced = dispatch.paced;
         Some((slot.request.clone(), rx))
     }
 
@@ -114,22 +128,37 @@
         }
     }
 
-    /// Takes a part of a stream: it goes out at once where the stream is open.
+    /// Takes a part of a stream: it goes out at once where the stream is open and not paced.
     pub fn stream(&self, call: ids::CallId, reply: Reply) {
         let mut rows = self.rows.borrow_mut();
         let Some(slot) = rows.get_mut(&call) else { return };
-        let stream = slot.stream.get_or_insert_with(Stream::default);
-        if slot.is_open {
-            send(&slot.tx, reply);
-        } else {
-            stream.held.push(reply);
-        }
+        slot.stream.get_or_insert_with(Stream::default).held.push_back(reply);
+        pass(slot, self.pace.get());
     }
 
     /// Lets the parts of a stream go out from now on.
     pub fn open(&self, call: ids::CallId) {
         if let Some(slot) = self.rows.borrow_mut().get_mut(&call) {
-            open(slot);
+            slot.is_open = true;
+            pass(slot, self.pace.get());
+        }
+    }
+
+    /// Sets the time between two events of a paced stream; without one, what is held goes out.
+    pub fn set_pace(&self, pace: Option<time::Duration>) {
+        self.pace.set(pace);
+        self.pass_due();
+    }
+
+    /// Whether streams are paced.
+    pub fn is_pacing(&self) -> bool {
+        self.pace.get().is_some()
+    }
+
+    /// Lets the events go out that are due.
+    pub fn pass_due(&self) {
+        for slot in self.rows.borrow_mut().values_mut() {
+            pass(slot, self.pace.get());
         }
     }
 
@@ -140,7 +169,8 @@
         match slot.answer.take() {
             Some((head, body)) => send(&slot.tx, Reply::Whole(head, body)),
             None => {
-                open(slot);
+                slot.is_open = true;
+                pass(slot, None);
                 send(&slot.tx, Reply::End);
             }
         }
@@ -162,11 +192,20 @@
     }
 }
 
-fn open(slot: &mut Slot) {
-    slot.is_open = true;
-    if let Some(stream) = slot.stream.as_mut() {
-        for reply in stream.held.drain(..) {
-            send(&slot.tx, reply);
+/// Lets parts of an open stream go out: all of them, or under a pace one event where one is due.
+fn pass(slot: &mut Slot, pace: Option<time::Duration>) {
+    let Some(stream) = slot.stream.as_mut().filter(|_| slot.is_open) else { return };
+    let pace = pace.filter(|_| slot.is_paced);
+    while let Some(part) = stream.held.front() {
+        if matches!(part, Reply::Data(_)) {
+            let is_early = |pace| stream.passed.is_some_and(|passed| passed.elapsed() < pace);
+            if pace.is_some_and(is_early) {
+                return;
+            }
+            stream.passed = Some(time::Instant::now());
+        }
+        if let Some(part) = stream.held.pop_front() {
+            send(&slot.tx, part);
         }
     }
 }
