Pass over endpoints that take longer than others on the same route

Each endpoint now has a mean of its times to answer as parts of its route's mean, which is forgotten by half in 2 s, and costs what it takes beyond one and a half times the usual. The new test failed before.

--- a/crates/flamingotrail-gateway/src/policy.rs
+++ b/crates/flamingotrail-gateway/src/policy.rs
@@ -63,6 +63,8 @@
 const SERVICE_HOLD_MS: f64 = 60.0;
 /// Delay that a request running at a plain service adds to the next one, in milliseconds.
 const SERVICE_BUSY_MS: f64 = 2.0;
+/// Slowness up to which an endpoint counts as one of ordinary speed.
+const SLOW: f64 = 1.5;
 /// Extra cost of an endpoint that is slow after its start, in milliseconds.
 const COLD_MS: f64 = 100.0;
 /// Age at which a load that an endpoint told counts half.
@@ -88,6 +90,8 @@
         } else if &row.listed.domain != request.domain {
             cost += OTHER_DOMAIN_MS;
         }
+        let hold = if request.engine { ENGINE_HOLD_MS } else { SERVICE_HOLD_MS };
+        cost += hold * (row.slowness(request.now) - SLOW).max(0.0);
         if !row.listed.cold.is_zero() {
             cost += COLD_MS;
         }
--- a/crates/flamingotrail-gateway/src/systems/completion.rs
+++ b/crates/flamingotrail-gateway/src/systems/completion.rs
@@ -57,6 +57,7 @@
         call.ran += 1;
     }
     judge(world, tick, &running, &outcome);
+    compare(world, tick, id, &running, &outcome);
     log(world, tick, id, &running, &outcome);
     let Some(call) = world.tables.calls.rows.get(&id) else { return };
     if call.phase == calls::Phase::Closed {
@@ -117,6 +118,27 @@
     }
 }
 
+/// Compares the time of an answer with that of others on the same route.
+fn compare(
+    world: &mut world::World,
+    tick: &world::Tick,
+    id: ids::CallId,
+    running: &calls::Running,
+    outcome: &input::Outcome,
+) {
+    let tables = &mut world.tables;
+    let has_answered = match outcome {
+        input::Outcome::Answered { status, .. } => *status < SERVER_ERRORS,
+        input::Outcome::Streamed { complete, .. } => *complete,
+        _ => false,
+    };
+    let Some(call) = tables.calls.rows.get(&id).filter(|_| has_answered) else { return };
+    let ratio = tables.routes.took(&call.route, tick.now.since(running.since));
+    if let Some(row) = tables.endpoints.rows.get_mut(&running.endpoint) {
+        row.took(ratio, tick.now);
+    }
+}
+
 fn log(
     world: &mut world::World,
     tick: &world::Tick,
--- a/crates/flamingotrail-gateway/src/tables/endpoints.rs
+++ b/crates/flamingotrail-gateway/src/tables/endpoints.rs
@@ -25,6 +25,8 @@
     pub failures: u32,
     /// Not to be chosen before this time unless there is no other.
     pub avoid_until: core_time::Timestamp,
+    /// Mean of its times to answer, each as a part of its route's mean, and when it was taken.
+    slowness: (f64, core_time::Timestamp),
     /// Prompt parts that it has likely cached, with the time of their last use.
     pub cached: collections::BTreeMap<u64, core_time::Timestamp>,
 }
@@ -33,6 +35,13 @@
 const MAX_AVOID: time::Duration = time::Duration::from_secs(4);
 /// Time for which an endpoint is avoided after its first failure; doubles with each further one.
 const FIRST_AVOID: time::Duration = time::Duration::from_millis(250);
+/// Weight of the newest answer in an endpoint's slowness: the work of calls differs widely, and a slow
+/// endpoint has to be told after some four answers.
+const NEWEST: f64 = 0.2;
+/// Largest slowness that one answer counts for.
+const MAX_RATIO: f64 = 8.0;
+/// Time in which half of an endpoint's slowness is forgotten, so that it is tried again.
+const SLOWNESS_HALF_LIFE: time::Duration = time::Duration::from_secs(2);
 /// Prompt parts remembered for an endpoint at most.
 const MAX_CACHED: usize = 4096;
 
@@ -47,6 +56,7 @@
             sent_since: 0,
             failures: 0,
             avoid_until: core_time::Timestamp::ZERO,
+            slowness: (1.0, core_time::Timestamp::ZERO),
             cached: collections::BTreeMap::new(),
         }
     }
@@ -73,6 +83,19 @@
         }
     }
 
+    /// Takes the time that an answer took, as a part of its route's mean.
+    pub fn took(&mut self, ratio: f64, now: core_time::Timestamp) {
+        let mean = self.slowness(now) * (1.0 - NEWEST) + ratio.min(MAX_RATIO) * NEWEST;
+        self.slowness = (mean, now);
+    }
+
+    /// How many times as long as others it takes to answer.
+    pub fn slowness(&self, now: core_time::Timestamp) -> f64 {
+        let (mean, taken) = self.slowness;
+        let age = now.since(taken).as_secs_f64() / SLOWNESS_HALF_LIFE.as_secs_f64();
+        1.0 + (mean - 1.0) * 0.5_f64.powf(age)
+    }
+
     /// Remembers that the parts of `prompt` were read at `now`.
     pub fn remember(&mut self, prompt: &[input::PromptPart], now: core_time::Timestamp) {
         for part in prompt {
--- a/crates/flamingotrail-gateway/src/tables/routes.rs
+++ b/crates/flamingotrail-gateway/src/tables/routes.rs
@@ -1,5 +1,8 @@
 //! Routes and services in force.
 
+use std::collections;
+use std::time;
+
 use crate::ids;
 use crate::input;
 
@@ -8,8 +11,13 @@
 pub struct Routes {
     /// The configuration.
     pub current: Option<input::Configuration>,
+    /// Mean time to an answer by route name, in seconds.
+    answer_s: collections::BTreeMap<String, f64>,
 }
 
+/// Weight of the newest answer in a route's mean: it follows the load of all endpoints within seconds.
+const NEWEST: f64 = 0.02;
+
 /// What a host and path select.
 #[derive(Debug, PartialEq)]
 pub enum Selection<'a> {
@@ -32,6 +40,9 @@
         if self.version().is_some_and(|version| version >= configuration.version) {
             return false;
         }
+        let names: collections::BTreeSet<_> =
+            configuration.routes.iter().map(|route| route.name.as_str()).collect();
+        self.answer_s.retain(|name, _| names.contains(name.as_str()));
         self.current = Some(configuration);
         true
     }
@@ -49,6 +60,18 @@
         route.map_or(Selection::None, Selection::Route)
     }
 
+    /// Takes the time to an answer on `route`: as a part of the mean of those before.
+    pub fn took(&mut self, route: &str, took: time::Duration) -> f64 {
+        let took_s = took.as_secs_f64();
+        let Some(mean) = self.answer_s.get_mut(route) else {
+            self.answer_s.insert(route.to_owned(), took_s);
+            return 1.0;
+        };
+        let ratio = took_s / mean.max(f64::MIN_POSITIVE);
+        *mean += (took_s - *mean) * NEWEST;
+        ratio
+    }
+
     /// A service.
     pub fn service(&self, name: &ids::ServiceName) -> Option<&input::Service> {
         self.current.as_ref()?.services.get(name)
--- a/crates/flamingotrail-gateway/tests/decisions/placement.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/placement.rs
@@ -1,5 +1,7 @@
 //! Placement: which engine gets a turn.
 
+use std::time;
+
 use crate::fixture;
 
 use flamingotrail_gateway::ids;
@@ -78,3 +80,28 @@
 
     assert_ne!(gateway.sent[1].endpoint, gateway.sent[0].endpoint);
 }
+
+#[test]
+fn calls_go_to_the_endpoint_that_answers_at_the_usual_speed() {
+    let slow = ids::EndpointId::new("ledger-1");
+    let mut log = fixture::Log::default();
+    let mut gateway = fixture::Gateway::new("one");
+
+    for pair in 0..10 {
+        let calls = [2 * pair, 2 * pair + 1];
+        for call in calls {
+            gateway.arrive(fixture::arrival(call, &format!("c{call}"), "/book/1"));
+        }
+        let rows = gateway.sent.iter().rev().take(2);
+        let (slow_ones, usual): (Vec<_>, Vec<_>) =
+            rows.map(|sent| (sent.call.0, sent.endpoint == slow)).partition(|(_, slow)| *slow);
+        for (span, ended) in [(20, usual), (180, slow_ones)] {
+            gateway.wait(time::Duration::from_millis(span), &mut log);
+            ended.iter().for_each(|(call, _)| gateway.end(*call, fixture::answered(200)));
+        }
+    }
+
+    let to_slow: Vec<usize> = (0..20).filter(|at| gateway.sent[*at].endpoint == slow).collect();
+    assert!(!to_slow.is_empty(), "both were tried");
+    assert!(to_slow.iter().all(|at| *at < 12), "{to_slow:?}");
+}
