Add a randomized fault soak of gateways as separate processes

Seeded plans of kills, pauses, stops, reloads, new configurations, a store that refuses or does not answer, and harmed connections; promises are checked from what callers and runners saw. Ports of processes with neighbouring ids start far from each other: four soaks at once had chosen the same ones (all four said that an address was in use).

--- a/crates/flamingotrail-standins/src/fleet/gateways.rs
+++ b/crates/flamingotrail-standins/src/fleet/gateways.rs
@@ -58,7 +58,12 @@
         .args(["--role", "gateway"])
         .env("FLAMINGOTRAIL_SETTINGS", &settings)
         .env("FLAMINGOTRAIL_METRICS_PORT", metrics.port().to_string())
-        .stdout(process::Stdio::null());
+        .stdout(
+            fs::File::options()
+                .create(true)
+                .append(true)
+                .open(folder.join(format!("{name}.log")))?,
+        );
     let child = processes::spawn(&mut command)?;
     let gateway = Gateway { callers, metrics, readiness, child };
     Ok(gateway)
--- a/crates/flamingotrail-standins/src/fleet/mod.rs
+++ b/crates/flamingotrail-standins/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod caller;
 pub mod gateways;
+pub mod platform;
 pub mod runner;
 pub mod server;
 pub mod store;
--- /dev/null
+++ b/crates/flamingotrail-standins/src/fleet/platform.rs
@@ -0,0 +1,38 @@
+//! What operators and runners write into the stand-in of the platform's store.
+
+use std::net;
+
+/// Tokens of one event of the model runners.
+pub const TOKENS_PER_EVENT: u64 = 8;
+
+/// The entry of a runner that is ready.
+pub fn entry(service: &str, address: net::SocketAddr) -> String {
+    format!(
+        "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"north-a\",\"slots\":8,\
+         \"state\":\"ready\",\"sequence\":1}}"
+    )
+}
+
+/// A configuration with routes `/chat/` for turns, `/look/` and `/book/` for calls of tools, and `extra`
+/// further routes `/extra-1/`, `/extra-2/` and so on.
+pub fn configuration(version: u64, extra: u64) -> String {
+    let mut routes = vec![
+        route("chat", "streaming", "model", ",\"retain\":true,\"retention_s\":60.0"),
+        route("look", "safe", "plain", ""),
+        route("book", "unsafe", "plain", ""),
+    ];
+    routes.extend((1..=extra).map(|number| route(&format!("extra-{number}"), "safe", "plain", "")));
+    format!(
+        "{{\"version\":{version},\"routes\":[{}],\"services\":[{{\"name\":\"model\",\
+         \"engine\":{{\"event_stride\":{TOKENS_PER_EVENT}}}}},{{\"name\":\"plain\"}}]}}",
+        routes.join(",")
+    )
+}
+
+fn route(name: &str, kind: &str, service: &str, more: &str) -> String {
+    format!(
+        "{{\"name\":\"{name}\",\"hostname\":\"desk.example\",\"path_prefix\":\"/{name}/\",\
+         \"route_type\":\"{kind}\",\"timeout_ms\":6000,\"target_latency_ms\":400,\"priority\":0,\
+         \"service\":\"{service}\",\"max_attempts\":2{more}}}"
+    )
+}
--- a/crates/flamingotrail-standins/src/fleet/runner.rs
+++ b/crates/flamingotrail-standins/src/fleet/runner.rs
@@ -3,6 +3,8 @@
 use std::io;
 use std::net;
 use std::sync;
+use std::thread;
+use std::time;
 
 use crate::fleet::server;
 
@@ -12,6 +14,7 @@
     requests: Vec<server::Request>,
     extra_answers: bool,
     lose_answers: bool,
+    pause: time::Duration,
 }
 
 /// A runner.
@@ -36,16 +39,20 @@
         server::serve(move |request| {
             runner.lock().requests.push(request.clone());
             let id = request.header("request-id").unwrap_or_default();
-            let mut bytes = format!(
+            let head = format!(
                 "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: s.{id}\r\n\
                  Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
             );
-            for number in 1..=events {
+            let events = (1..=events).map(|number| {
                 let event = format!("id: {number}\ndata: w{number}\n\n");
-                bytes.push_str(&format!("{:x}\r\n{event}\r\n", event.len()));
+                format!("{:x}\r\n{event}\r\n", event.len())
+            });
+            let parts = std::iter::once(head).chain(events).chain(["0\r\n\r\n".to_owned()]);
+            let pause = runner.lock().pause;
+            if pause.is_zero() {
+                return server::Answer::Bytes(parts.collect::<String>().into_bytes());
             }
-            bytes.push_str("0\r\n\r\n");
-            server::Answer::Bytes(bytes.into_bytes())
+            server::Answer::Parts(parts.map(String::into_bytes).collect(), pause)
         })
     }
 
@@ -60,9 +67,13 @@
     }
 
     fn answer_plain(&self, request: &server::Request) -> server::Answer {
-        let mut state = self.lock();
-        state.requests.push(request.clone());
-        if state.lose_answers {
+        let (pause, lose_answers, extra_answers) = {
+            let mut state = self.lock();
+            state.requests.push(request.clone());
+            (state.pause, state.lose_answers, state.extra_answers)
+        };
+        thread::sleep(pause);
+        if lose_answers {
             return server::Answer::Close;
         }
         let id = request.header("request-id").unwrap_or_default();
@@ -73,7 +84,7 @@
         else {
             return server::Answer::Close;
         };
-        if state.extra_answers {
+        if extra_answers {
             // It reaches the caller where its next answer is due.
             bytes.extend_from_within(..);
         }
@@ -90,6 +101,11 @@
         self.lock().lose_answers = lose;
     }
 
+    /// Sets the pause before an answer, or before each part of a model runner's.
+    pub fn set_pause(&self, pause: time::Duration) {
+        self.lock().pause = pause;
+    }
+
     /// Bodies of the requests so far.
     pub fn bodies(&self) -> Vec<String> {
         let state = self.lock();
--- a/crates/flamingotrail-standins/src/fleet/server.rs
+++ b/crates/flamingotrail-standins/src/fleet/server.rs
@@ -7,6 +7,7 @@
 use std::net;
 use std::sync;
 use std::thread;
+use std::time;
 
 /// A request.
 #[derive(Clone, Debug)]
@@ -44,6 +45,8 @@
 pub enum Answer {
     /// Write these bytes and go on.
     Bytes(Vec<u8>),
+    /// Write these parts with a pause before each, and go on.
+    Parts(Vec<Vec<u8>>, time::Duration),
     /// Close the connection without an answer.
     Close,
 }
@@ -90,6 +93,14 @@
                     return;
                 }
             }
+            Answer::Parts(parts, pause) => {
+                for part in parts {
+                    thread::sleep(pause);
+                    if out.write_all(&part).is_err() {
+                        return;
+                    }
+                }
+            }
             Answer::Close => return,
         }
     }
--- a/crates/flamingotrail-standins/src/lib.rs
+++ b/crates/flamingotrail-standins/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod prefix_cache;
 pub mod rig;
 pub mod scenario;
+pub mod soak;
 pub mod solo;
 pub mod tools;
 pub mod workload;
--- a/crates/flamingotrail-standins/src/local/processes.rs
+++ b/crates/flamingotrail-standins/src/local/processes.rs
@@ -57,6 +57,9 @@
 /// none is taken between the choice and its use.
 const PORTS: ops::Range<u16> = 20_000..32_000;
 
+/// Distance of the first ports of processes with neighbouring ids; a prime beside the number of ports.
+const SPREAD: u32 = 4_999;
+
 /// Ports handed out by this process so far.
 static HANDED_OUT: atomic::AtomicU16 = atomic::AtomicU16::new(0);
 
@@ -71,8 +74,9 @@
 /// No free port.
 pub fn free_address() -> io::Result<net::SocketAddr> {
     let count = PORTS.end - PORTS.start;
-    // Processes that run at the same time start at different places.
-    let start = u16::try_from(process::id() % u32::from(count)).unwrap_or(0);
+    // Processes that run at the same time start far from each other, also where their ids are neighbours.
+    let spread = process::id().wrapping_mul(SPREAD) % u32::from(count);
+    let start = u16::try_from(spread).unwrap_or(0);
     for _ in 0..count {
         let number = HANDED_OUT.fetch_add(1, atomic::Ordering::Relaxed);
         let port = PORTS.start + (start + number % count) % count;
--- a/crates/flamingotrail-standins/tests/gateways.rs
+++ b/crates/flamingotrail-standins/tests/gateways.rs
@@ -7,6 +7,7 @@
 
 use flamingotrail_standins::fleet::caller;
 use flamingotrail_standins::fleet::gateways;
+use flamingotrail_standins::fleet::platform;
 use flamingotrail_standins::fleet::runner;
 use flamingotrail_standins::fleet::store;
 
@@ -27,38 +28,14 @@
     let (model, plain) = (runner::Runner::new(), runner::Runner::new());
     let model_at = model.serve_model(EVENTS).expect("a free port");
     let plain_at = plain.serve_plain().expect("a free port");
-    store.set("keyed.op", "config", &configuration());
-    store.set("keyed.servers", "m-1", &entry("model", model_at));
-    store.set("keyed.servers", "p-1", &entry("plain", plain_at));
+    store.set("keyed.op", "config", &platform::configuration(3, 0));
+    store.set("keyed.servers", "m-1", &platform::entry("model", model_at));
+    store.set("keyed.servers", "p-1", &platform::entry("plain", plain_at));
     store.set("keyed.servers", "foreign", "{\"service\":7}");
     let folder = std::env::temp_dir().join(format!("flamingotrail-{name}-{}", std::process::id()));
     Fleet { store, address, model, plain, folder }
 }
 
-fn entry(service: &str, address: std::net::SocketAddr) -> String {
-    format!(
-        "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"north-a\",\"slots\":8,\
-         \"state\":\"ready\",\"sequence\":1}}"
-    )
-}
-
-fn configuration() -> String {
-    let route = |name: &str, kind: &str, service: &str, more: &str| {
-        format!(
-            "{{\"name\":\"{name}\",\"hostname\":\"desk.example\",\"path_prefix\":\"/{name}/\",\
-             \"route_type\":\"{kind}\",\"timeout_ms\":6000,\"target_latency_ms\":400,\"priority\":0,\
-             \"service\":\"{service}\",\"max_attempts\":2{more}}}"
-        )
-    };
-    let chat = route("chat", "streaming", "model", ",\"retain\":true,\"retention_s\":60.0");
-    format!(
-        "{{\"version\":3,\"routes\":[{chat},{},{}],\"services\":[{{\"name\":\"model\",\
-         \"engine\":{{\"event_stride\":8}}}},{{\"name\":\"plain\"}}]}}",
-        route("look", "safe", "plain", ""),
-        route("book", "unsafe", "plain", "")
-    )
-}
-
 impl Fleet {
     fn start(&self, name: &str) -> gateways::Gateway {
         let program =
