--- a/crates/flamingotrail-core/src/ids.rs
+++ b/crates/flamingotrail-core/src/ids.rs
@@ -5,16 +5,18 @@
 
 use crate::errors;
 
-macro_rules! name {
+/// Makes a type for names of one kind.
+#[macro_export]
+macro_rules! name_type {
     ($(#[$doc:meta])* $name:ident) => {
         $(#[$doc])*
         #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-        pub struct $name(String);
+        pub struct $name(Box<str>);
 
         impl $name {
             /// Takes the name as it is.
-            pub fn new(name: impl Into<String>) -> Self {
-                $name(name.into())
+            pub fn new(name: impl AsRef<str>) -> Self {
+                $name(name.as_ref().into())
             }
 
             /// The name as text.
@@ -23,51 +25,51 @@
             }
         }
 
-        impl fmt::Display for $name {
-            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        impl ::std::fmt::Display for $name {
+            fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
                 f.write_str(&self.0)
             }
         }
     };
 }
 
-name!(
+crate::name_type!(
     /// A region.
     RegionName
 );
-name!(
+crate::name_type!(
     /// A failure domain within a region.
     DomainName
 );
-name!(
+crate::name_type!(
     /// A workspace.
     WorkspaceName
 );
-name!(
+crate::name_type!(
     /// A plain service or a service of model engines.
     ServiceName
 );
-name!(
+crate::name_type!(
     /// A model.
     ModelName
 );
-name!(
+crate::name_type!(
     /// An endpoint: one engine or one runner of a plain service.
     EndpointName
 );
-name!(
+crate::name_type!(
     /// One process of the system.
     InstanceName
 );
-name!(
+crate::name_type!(
     /// A priority class.
     PriorityName
 );
-name!(
+crate::name_type!(
     /// A budget object.
     BudgetName
 );
-name!(
+crate::name_type!(
     /// A stream of the platform's log.
     StreamName
 );
--- a/crates/flamingotrail-gateway/src/ids.rs
+++ b/crates/flamingotrail-gateway/src/ids.rs
@@ -2,60 +2,23 @@
 
 use std::fmt;
 
-macro_rules! name {
-    ($(#[$doc:meta])* $name:ident) => {
-        $(#[$doc])*
-        #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-        pub struct $name(Box<str>);
+pub use flamingotrail_core::ids::DomainName;
+pub use flamingotrail_core::ids::InstanceName;
+pub use flamingotrail_core::ids::RegionName;
+pub use flamingotrail_core::ids::ServiceName;
 
-        impl $name {
-            /// Takes the name as it is.
-            pub fn new(name: &str) -> Self {
-                $name(name.into())
-            }
-
-            /// The name as text.
-            pub fn as_str(&self) -> &str {
-                &self.0
-            }
-        }
-
-        impl fmt::Display for $name {
-            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                f.write_str(&self.0)
-            }
-        }
-    };
-}
-
-name!(
+flamingotrail_core::name_type!(
     /// Id that a caller gave one attempt of a request; a turn that counts bears the id of its attempt.
     TurnId
 );
-name!(
+flamingotrail_core::name_type!(
     /// An agent program.
     ProgramId
 );
-name!(
+flamingotrail_core::name_type!(
     /// One start of an endpoint.
     EndpointId
 );
-name!(
-    /// A service: endpoints that can stand in for each other.
-    ServiceName
-);
-name!(
-    /// A failure domain.
-    DomainName
-);
-name!(
-    /// One process of the system.
-    InstanceName
-);
-name!(
-    /// A region.
-    RegionName
-);
 
 /// A call under way at this process.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/flamingotrail-gateway/tests/decisions/placement.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/placement.rs
@@ -32,6 +32,17 @@
     input::Outcome::Streamed { complete: true, events: 1, output, load }
 }
 
+/// A gateway before two engines, one of which has run a turn and told that ten requests run.
+fn gateway_after_a_turn(log: &mut fixture::Log) -> fixture::Gateway {
+    let mut gateway = fixture::Gateway::new("one");
+    gateway.tick(vec![engines(&["engine-1", "engine-2"])]);
+    gateway.arrive(turn_after(1, "t1", None, 2_000));
+    gateway.serve(log);
+    gateway.end(1, streamed_under(10));
+    gateway.serve(log);
+    gateway
+}
+
 #[test]
 fn turn_goes_on_at_the_engine_that_ran_its_previous_turn_for_another_gateway() {
     let mut log = fixture::Log::default();
@@ -50,12 +61,7 @@
 #[test]
 fn turn_stays_with_its_cached_prompt_although_the_engine_is_busier() {
     let mut log = fixture::Log::default();
-    let mut gateway = fixture::Gateway::new("one");
-    gateway.tick(vec![engines(&["engine-1", "engine-2"])]);
-    gateway.arrive(turn_after(1, "t1", None, 2_000));
-    gateway.serve(&mut log);
-    gateway.end(1, streamed_under(10));
-    gateway.serve(&mut log);
+    let mut gateway = gateway_after_a_turn(&mut log);
 
     gateway.arrive(turn_after(2, "t2", Some("t1"), 2_000));
     gateway.serve(&mut log);
@@ -66,12 +72,7 @@
 #[test]
 fn first_turn_goes_to_the_engine_that_is_less_busy() {
     let mut log = fixture::Log::default();
-    let mut gateway = fixture::Gateway::new("one");
-    gateway.tick(vec![engines(&["engine-1", "engine-2"])]);
-    gateway.arrive(turn_after(1, "t1", None, 2_000));
-    gateway.serve(&mut log);
-    gateway.end(1, streamed_under(10));
-    gateway.serve(&mut log);
+    let mut gateway = gateway_after_a_turn(&mut log);
 
     let mut other = turn_after(2, "t2", None, 2_000);
     other.prompt[0].id = 2;
