Have allowances that are over told to the log by another gateway where the log does not answer

A gateway that the store turns away has its starts and ends appended by another one, but not the records of allowances that are over, so what they left unused stayed set aside. Ruled out: wrong accounts at the log's side (budget_decided lines agree). The new test failed before.

--- a/crates/flamingotrail-gateway/src/journal.rs
+++ b/crates/flamingotrail-gateway/src/journal.rs
@@ -72,15 +72,19 @@
     Start(ids::TurnId),
     /// The end of a turn.
     End(ids::TurnId),
+    /// Allowances that are over, by the first of them.
+    Settle(ids::TurnId),
 }
 
 impl Record {
-    /// The record's name; none where nobody waits for such records.
+    /// The record's name; none where it says nothing.
     pub fn key(&self) -> Option<Key> {
         match self {
             Record::Start(start) => Some(Key::Start(start.turn.clone())),
             Record::End(end) => Some(Key::End(end.turn.clone())),
-            Record::Settle(_) => None,
+            Record::Settle(settle) => {
+                settle.settled.first().map(|settled| Key::Settle(settled.turn.clone()))
+            }
         }
     }
 
--- a/crates/flamingotrail-gateway/src/systems/journal.rs
+++ b/crates/flamingotrail-gateway/src/systems/journal.rs
@@ -76,8 +76,10 @@
         row.wanted = row.wanted.max(end);
     }
     for record in &records {
-        if let journal::Record::End(end) = record {
-            apply_end(world, tick, end);
+        match record {
+            journal::Record::Start(_) => {}
+            journal::Record::End(end) => apply_end(world, tick, end),
+            journal::Record::Settle(_) => settle_logged(world, tick, record),
         }
     }
 }
@@ -194,10 +196,18 @@
         journal::Record::Settle(settle) => {
             let program = world.tables.programs.touch(&settle.program, tick.now);
             settle.settled.iter().for_each(|settled| program.settle(settled));
+            settle_logged(world, tick, record);
         }
     }
 }
 
+/// Takes the log's word that a record of allowances that are over stands in it.
+fn settle_logged(world: &mut world::World, tick: &world::Tick, record: &journal::Record) {
+    if let Some(key) = record.key() {
+        relay::logged(world, tick, &key, None);
+    }
+}
+
 fn apply_start(world: &mut world::World, tick: &world::Tick, start: &journal::Start) {
     let program = world.tables.programs.touch(&start.program, tick.now);
     start.settled.iter().for_each(|settled| program.settle(settled));
--- a/crates/flamingotrail-gateway/tests/decisions/budgets.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/budgets.rs
@@ -1,8 +1,11 @@
 //! Budgets: what callers get of a program never exceeds its budget, whatever the order of records.
 
+use std::time;
+
 use crate::fixture;
 use flamingotrail_gateway::ids;
 use flamingotrail_gateway::input;
+use flamingotrail_gateway::journal;
 use flamingotrail_gateway::output;
 use flamingotrail_gateway::tables::programs;
 use proptest::prelude::*;
@@ -120,6 +123,24 @@
     assert!(!first.sent.iter().any(|sent| sent.call == ids::CallId(2)));
 }
 
+#[test]
+fn unused_budget_is_given_back_by_another_gateway_while_the_log_answers_only_that_one() {
+    let mut log = fixture::Log::default();
+    let mut away =
+        fixture::Log { error: Some(input::LogError::Refused), ..fixture::Log::default() };
+    let mut gateway = fixture::Gateway::new("one");
+    gateway.tick(vec![input::Input::Peers([fixture::peer("two", "north")].into())]);
+    gateway.serve_turn(fixture::turn(1, "a", "p", None, 160), 2, &mut log);
+
+    gateway.wait(time::Duration::from_secs(2), &mut away);
+
+    let settled = gateway.entrusted.iter().find_map(|(_, record)| match record {
+        journal::Record::Settle(settle) => settle.settled.first(),
+        _ => None,
+    });
+    assert_eq!(settled.map(|settled| settled.tokens), Some(2 * fixture::TOKENS_PER_EVENT));
+}
+
 fn turn_id(number: u8) -> ids::TurnId {
     ids::TurnId::new(&format!("t{number}"))
 }
@@ -136,7 +157,7 @@
             let id = turn_id(number);
             if let (true, Some(size)) = (settles, program.open.get(&id).copied()) {
                 let tokens = size.min(more);
-                let settled = flamingotrail_gateway::journal::Settled { turn: id, tokens };
+                let settled = journal::Settled { turn: id, tokens };
                 program.settle(&settled);
                 program.settle(&settled);
             } else {
