--- a/crates/flamingotrail-gateway/tests/decisions/budgets.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/budgets.rs
@@ -142,7 +142,7 @@
 }
 
 fn turn_id(number: u8) -> ids::TurnId {
-    ids::TurnId::new(&format!("t{number}"))
+    ids::TurnId::new(format!("t{number}"))
 }
 
 proptest! {
--- a/crates/flamingotrail-gateway/tests/decisions/fixture.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/fixture.rs
@@ -121,7 +121,7 @@
 pub fn peer(name: &str, region: &str) -> (ids::InstanceName, peers::Peer) {
     let row = peers::Peer {
         address: format!("{name}:7"),
-        domain: ids::DomainName::new(&format!("{region}-a")),
+        domain: ids::DomainName::new(format!("{region}-a")),
         region: ids::RegionName::new(region),
     };
     (ids::InstanceName::new(name), row)
