Gateway: log the limits that endpoints name

Cause: endpoints name a limit of requests per second in their responses; nothing decoded it, so no log or metric could tell a limit that was not read from one that was read and ignored.

Change: the adapter decodes the header, the traffic thread passes it to the control thread when a response begins, and a table keeps the limit in force. An overtaken response can only make it stricter. The event endpoint_limit says when it is named, changed or withdrawn. No decision depends on it.

Conclusion: the limit arrives and is kept; no decision uses it.

--- a/crates/flamingotrail-gateway/src/input.rs
+++ b/crates/flamingotrail-gateway/src/input.rs
@@ -15,6 +15,15 @@
 pub enum Input {
     /// A caller's request was received completely.
     Arrived(Box<Arrival>),
+    /// The head of an endpoint's response was received.
+    ResponseBegan {
+        /// The call that the response belongs to.
+        call: ids::CallId,
+        /// Sequence number of the attempt within the call.
+        attempt: u32,
+        /// What the endpoint announces of itself.
+        notice: Notice,
+    },
     /// The caller has disconnected before the end of its response.
     Disconnected(ids::CallId),
     /// An attempt on an endpoint has ended. Each attempt has exactly one outcome.
@@ -210,6 +219,15 @@
     Timeout,
 }
 
+/// What an endpoint announces of itself in the head of a response. It holds until a later response
+/// says otherwise.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Notice {
+    /// Maximum number of requests per second that the endpoint accepts from all gateways together;
+    /// `None` if it names no limit.
+    pub max_requests_per_s: Option<f64>,
+}
+
 /// Load that an endpoint reports.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Load {
--- a/crates/flamingotrail-gateway/src/schedule.rs
+++ b/crates/flamingotrail-gateway/src/schedule.rs
@@ -19,6 +19,7 @@
     System { name: "membership", run: systems::membership::run },
     System { name: "journal", run: systems::journal::run },
     System { name: "relay", run: systems::relay::run },
+    System { name: "notices", run: systems::notices::run },
     System { name: "completion", run: systems::completion::run },
     System { name: "admission", run: systems::admission::run },
     System { name: "deadlines", run: systems::deadlines::run },
--- a/crates/flamingotrail-gateway/src/systems/ingest.rs
+++ b/crates/flamingotrail-gateway/src/systems/ingest.rs
@@ -14,6 +14,9 @@
         let inbox = &mut world.tables.inbox;
         match next {
             input::Input::Arrived(arrival) => inbox.arrivals.push(*arrival),
+            input::Input::ResponseBegan { call, attempt, notice } => {
+                inbox.notices.push((call, attempt, notice));
+            }
             input::Input::Disconnected(call) => inbox.disconnected.push(call),
             input::Input::Outcome { call, attempt, outcome } => {
                 inbox.outcomes.push((call, attempt, outcome));
--- a/crates/flamingotrail-gateway/src/systems/mod.rs
+++ b/crates/flamingotrail-gateway/src/systems/mod.rs
@@ -10,6 +10,7 @@
 pub mod journal;
 pub mod log_io;
 pub mod membership;
+pub mod notices;
 pub mod placement;
 pub mod readiness;
 pub mod relay;
--- /dev/null
+++ b/crates/flamingotrail-gateway/src/systems/notices.rs
@@ -0,0 +1,44 @@
+//! Records what endpoints announce of themselves when their responses begin: a stream may end much
+//! later.
+
+use crate::ids;
+use crate::input;
+use crate::output;
+use crate::world;
+
+/// Applies the notices in the inbox.
+pub fn run(world: &mut world::World, tick: &world::Tick) {
+    for (call, attempt, notice) in std::mem::take(&mut world.tables.inbox.notices) {
+        apply_notice(world, tick, call, attempt, notice);
+    }
+}
+
+fn apply_notice(
+    world: &mut world::World,
+    tick: &world::Tick,
+    id: ids::CallId,
+    attempt: u32,
+    notice: input::Notice,
+) {
+    let tables = &mut world.tables;
+    let Some(call) = tables.calls.rows.get(&id).filter(|call| call.attempts == attempt) else {
+        return;
+    };
+    let Some(running) = call.running.as_ref() else { return };
+    let endpoint = &running.endpoint;
+    let before = tables.notices.limits.get(endpoint).map(|limit| limit.max_requests_per_s);
+    if tables.notices.update_limit(endpoint, notice, running.sent_at, tick.now) {
+        let detail = format_args!(
+            "endpoint={endpoint} per_s={} before={} request={} sent_ms_ago={}",
+            limit_text(notice.max_requests_per_s),
+            limit_text(before),
+            call.arrival.id,
+            tick.now.since(running.sent_at).as_millis(),
+        );
+        world.outputs.push(output::Output::Event(output::Event::new("endpoint_limit", detail)));
+    }
+}
+
+fn limit_text(max_requests_per_s: Option<f64>) -> String {
+    max_requests_per_s.map_or_else(|| "none".to_owned(), |limit| limit.to_string())
+}
--- a/crates/flamingotrail-gateway/src/tables/inbox.rs
+++ b/crates/flamingotrail-gateway/src/tables/inbox.rs
@@ -9,6 +9,8 @@
 pub struct Inbox {
     /// Requests of callers.
     pub arrivals: Vec<input::Arrival>,
+    /// Notices of endpoints, with the call and the attempt's sequence number within the call.
+    pub notices: Vec<(ids::CallId, u32, input::Notice)>,
     /// Calls whose caller has disconnected.
     pub disconnected: Vec<ids::CallId>,
     /// Outcomes of attempts, with the attempt's sequence number within the call.
@@ -37,6 +39,7 @@
     /// Whether no input waits.
     pub fn is_empty(&self) -> bool {
         self.arrivals.is_empty()
+            && self.notices.is_empty()
             && self.disconnected.is_empty()
             && self.outcomes.is_empty()
             && self.delivered.is_empty()
--- a/crates/flamingotrail-gateway/src/tables/mod.rs
+++ b/crates/flamingotrail-gateway/src/tables/mod.rs
@@ -7,6 +7,7 @@
 pub mod dirty;
 pub mod endpoints;
 pub mod inbox;
+pub mod notices;
 pub mod partitions;
 pub mod peers;
 pub mod programs;
@@ -22,6 +23,8 @@
     pub routes: routes::Routes,
     /// Endpoints of all services.
     pub endpoints: endpoints::Endpoints,
+    /// What endpoints announce of themselves.
+    pub notices: notices::Notices,
     /// Active calls.
     pub calls: calls::Calls,
     /// Budgets of programs.
--- a/crates/flamingotrail-gateway/tests/decisions/fixture.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/fixture.rs
@@ -233,10 +233,22 @@
         self.tick(vec![input::Input::Arrived(Box::new(request))]);
     }
 
+    /// Begins the response to the newest attempt of `call`, whose endpoint names `limit`.
+    pub fn begin_response(&mut self, call: u64, limit: Option<f64>) {
+        let call = ids::CallId(call);
+        let attempt = self.newest_attempt(call);
+        let notice = input::Notice { max_requests_per_s: limit };
+        self.tick(vec![input::Input::ResponseBegan { call, attempt, notice }]);
+    }
+
+    fn newest_attempt(&self, call: ids::CallId) -> u32 {
+        self.sent.iter().rfind(|sent| sent.call == call).expect("sent").attempt
+    }
+
     /// Ends the newest attempt of `call` with `outcome`.
     pub fn end_attempt(&mut self, call: u64, outcome: input::Outcome) {
         let call = ids::CallId(call);
-        let attempt = self.sent.iter().rfind(|sent| sent.call == call).expect("sent").attempt;
+        let attempt = self.newest_attempt(call);
         self.tick(vec![input::Input::Outcome { call, attempt, outcome }]);
     }
 
--- a/crates/flamingotrail-gateway/tests/decisions/main.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/main.rs
@@ -3,5 +3,6 @@
 mod budgets;
 mod calls;
 mod fixture;
+mod notices;
 mod placement;
 mod turns;
--- /dev/null
+++ b/crates/flamingotrail-gateway/tests/decisions/notices.rs
@@ -0,0 +1,65 @@
+//! Notices: which of an endpoint's announcements is in force.
+
+use std::time;
+
+use crate::fixture;
+
+use flamingotrail_core::time as core_time;
+use flamingotrail_gateway::ids;
+use flamingotrail_gateway::input;
+use flamingotrail_gateway::tables::notices;
+
+fn at_ms(ms: u64) -> core_time::Timestamp {
+    core_time::Timestamp::ZERO.after(time::Duration::from_millis(ms))
+}
+
+/// Applies a response to a request that was sent at `sent_ms` and began to be answered at `now_ms`.
+fn apply(table: &mut notices::Notices, sent_ms: u64, now_ms: u64, limit: Option<f64>) {
+    let notice = input::Notice { max_requests_per_s: limit };
+    table.update_limit(&ids::EndpointId::new("e"), notice, at_ms(sent_ms), at_ms(now_ms));
+}
+
+fn limit(table: &notices::Notices) -> Option<f64> {
+    table.limits.get(&ids::EndpointId::new("e")).map(|limit| limit.max_requests_per_s)
+}
+
+#[test]
+fn limit_changes_and_ends_with_the_responses_to_later_requests() {
+    let mut table = notices::Notices::default();
+
+    apply(&mut table, 0, 10, Some(5.0));
+    apply(&mut table, 20, 30, Some(8.0));
+    let raised = limit(&table);
+    apply(&mut table, 40, 50, None);
+
+    assert_eq!(raised, Some(8.0));
+    assert_eq!(limit(&table), None);
+}
+
+// Guards against a response that was overtaken ending or raising a limit that was named after it.
+#[test]
+fn overtaken_response_only_lowers_a_limit() {
+    let mut table = notices::Notices::default();
+    apply(&mut table, 5, 10, Some(5.0));
+
+    apply(&mut table, 0, 20, None);
+    let after_none = limit(&table);
+    apply(&mut table, 0, 30, Some(9.0));
+    let after_higher = limit(&table);
+    apply(&mut table, 0, 40, Some(2.0));
+
+    assert_eq!((after_none, after_higher), (Some(5.0), Some(5.0)));
+    assert_eq!(limit(&table), Some(2.0));
+}
+
+// Guards against a limit that is learned only at the end of a stream.
+#[test]
+fn limit_is_learned_when_the_response_begins() {
+    let mut gateway = fixture::Gateway::new("one");
+    gateway.receive(fixture::request(1, "a", "/book/1"));
+    let endpoint = gateway.sent[0].endpoint.clone();
+
+    gateway.begin_response(1, Some(5.0));
+
+    assert_eq!(gateway.world.tables.notices.limits[&endpoint].max_requests_per_s, 5.0);
+}
--- a/crates/flamingotrail-runtime/src/gateway/attempts.rs
+++ b/crates/flamingotrail-runtime/src/gateway/attempts.rs
@@ -13,6 +13,7 @@
 use flamingotrail_gateway::output;
 use tokio::sync::oneshot;
 
+use crate::gateway::control;
 use crate::gateway::pending_calls;
 use crate::gateway::pool;
 
@@ -32,6 +33,8 @@
     pub pool: pool::Pool,
     /// Calls whose callers wait for a response.
     pub calls: pending_calls::PendingCalls,
+    /// Sends inputs to the control thread.
+    pub inputs: control::InputSender,
 }
 
 /// What an attempt has received of a streamed response.
@@ -114,6 +117,11 @@
             response = connection.read_head().await?;
         }
         let metadata = responses::metadata(&response);
+        self.inputs.send(input::Input::ResponseBegan {
+            call: dispatch.call,
+            attempt: dispatch.attempt,
+            notice: metadata.notice,
+        });
         let status = response.status;
         if metadata.not_executed {
             connection.read_full_body(MAX_RESPONSE_BYTES).await?;
--- a/crates/flamingotrail-runtime/src/gateway/process.rs
+++ b/crates/flamingotrail-runtime/src/gateway/process.rs
@@ -115,7 +115,7 @@
         store.address()
     );
     let executor = executor::Executor {
-        attempts: attempts::AttemptRunner { pool, calls },
+        attempts: attempts::AttemptRunner { pool, calls, inputs: inputs.clone() },
         peers,
         store,
         metrics,
