--- a/crates/flamingotrail-gateway/tests/decisions/fixture.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/fixture.rs
@@ -233,11 +233,10 @@
         self.tick(vec![input::Input::Arrived(Box::new(request))]);
     }
 
-    /// Begins the response to the newest attempt of `call`, whose endpoint names `limit`.
-    pub fn begin_response(&mut self, call: u64, limit: Option<f64>) {
+    /// Begins the response to the newest attempt of `call`, whose endpoint announces `notice`.
+    pub fn begin_response(&mut self, call: u64, notice: input::Notice) {
         let call = ids::CallId(call);
         let attempt = self.newest_attempt(call);
-        let notice = input::Notice { max_requests_per_s: limit };
         self.tick(vec![input::Input::ResponseBegan { call, attempt, notice }]);
     }
 
--- a/crates/flamingotrail-gateway/tests/decisions/main.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/main.rs
@@ -3,6 +3,8 @@
 mod budgets;
 mod calls;
 mod fixture;
+mod fleet;
+mod limits;
 mod notices;
 mod placement;
 mod turns;
--- a/crates/flamingotrail-gateway/tests/decisions/notices.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/notices.rs
@@ -59,7 +59,7 @@
     gateway.receive(fixture::request(1, "a", "/book/1"));
     let endpoint = gateway.sent[0].endpoint.clone();
 
-    gateway.begin_response(1, Some(5.0));
+    gateway.begin_response(1, input::Notice { max_requests_per_s: Some(5.0) });
 
     assert_eq!(gateway.world.tables.notices.limits[&endpoint].max_requests_per_s, 5.0);
 }
