Gateway: keep the limits that endpoints name

Callers saw: nothing. Endpoints in need got the requests that they had asked to be spared: 60 in 4 s at a limit of 5.7 a second, 111 at 5.3.

Cause: the limit is in the response's head, which no decision saw. Besides, it holds for all gateways together, while each of them decides by itself.

Change: a gateway uses an equal share of the limit, by the number of listed gateways, itself included. The share is paced: a request is due every N/limit seconds, in a phase of its own, and lost if it is not used within a second, so that gateways cannot save up requests and send them together; the sum holds where the limit is below the number of gateways, too. A gateway that is not listed has no share, since the others do not count it. Limits are kept apart from the endpoints' rows and outlive their entries. A call for which no request comes due within a quarter of its target latency is refused at once, and the refused callers return one after the other at the pace of the shares; programs under way go first.

Evidence: limits::limited_endpoint_gets_its_limit_from_all_gateways_together failed before (360 requests in 4 s, 41 allowed) and passes; seven more tests, each red with a part of the fix removed (no expiry of unused requests, no phase, whole limit for each gateway, never withdrawn), but for the one on refusals, which was not tried so.

Conclusion: the sum of the shares is the limit whenever the gateways agree on their number, and near it while they do not.

--- a/crates/flamingotrail-gateway/src/systems/ingest.rs
+++ b/crates/flamingotrail-gateway/src/systems/ingest.rs
@@ -33,7 +33,7 @@
             }
             input::Input::Endpoints(membership) => inbox.memberships.push(Some(membership)),
             input::Input::ListUnreachable => inbox.memberships.push(None),
-            input::Input::Peers(rows) => update_peers(world, rows),
+            input::Input::Peers(rows) => update_peers(world, tick, rows),
             input::Input::RelayRequested { ticket, record } => {
                 inbox.relay_requests.push((ticket, *record))
             }
@@ -53,13 +53,17 @@
 
 fn update_peers(
     world: &mut world::World,
+    tick: &world::Tick,
     mut rows: collections::BTreeMap<ids::InstanceName, peers::Peer>,
 ) {
-    rows.remove(&world.identity.instance);
+    let is_listed = rows.remove(&world.identity.instance).is_some();
     let count = rows.len();
-    if world.tables.peers.rows != rows {
-        world.emit_event("peers_changed", format_args!("count={count}"));
-        world.tables.peers.rows = rows;
+    let tables = &mut world.tables;
+    if tables.peers.rows != rows || tables.peers.is_listed != is_listed {
+        tables.peers.rows = rows;
+        tables.peers.is_listed = is_listed;
+        tables.notices.set_gateway_count(is_listed.then_some(count + 1), tick.now);
+        world.emit_event("peers_changed", format_args!("count={count} listed={is_listed}"));
     }
 }
 
--- a/crates/flamingotrail-gateway/src/systems/membership.rs
+++ b/crates/flamingotrail-gateway/src/systems/membership.rs
@@ -50,6 +50,8 @@
         world.emit_event("list_regained", format_args!("away_ms={away_ms}"));
     }
     remove_missing(world, tick, &membership);
+    let listed = &membership.endpoints;
+    world.tables.notices.remove_unlisted(|id| listed.contains_key(id), tick.now);
     for (id, listed) in membership.endpoints {
         update_endpoint(world, id, listed);
     }
--- a/crates/flamingotrail-gateway/src/systems/notices.rs
+++ b/crates/flamingotrail-gateway/src/systems/notices.rs
@@ -4,6 +4,7 @@
 use crate::ids;
 use crate::input;
 use crate::output;
+use crate::tables::peers;
 use crate::world;
 
 /// Applies the notices in the inbox.
@@ -26,12 +27,14 @@
     };
     let Some(running) = call.running.as_ref() else { return };
     let endpoint = &running.endpoint;
-    let before = tables.notices.limits.get(endpoint).map(|limit| limit.max_requests_per_s);
-    if tables.notices.update_limit(endpoint, notice, running.sent_at, tick.now) {
+    let before = tables.notices.limit(endpoint).map(|limit| limit.max_requests_per_s);
+    let phase = phase(&world.identity.instance, endpoint);
+    if tables.notices.update_limit(endpoint, notice, running.sent_at, phase, tick.now) {
         let detail = format_args!(
-            "endpoint={endpoint} per_s={} before={} request={} sent_ms_ago={}",
+            "endpoint={endpoint} per_s={} before={} share_per_s={} request={} sent_ms_ago={}",
             limit_text(notice.max_requests_per_s),
             limit_text(before),
+            limit_text(tables.notices.share_per_s(endpoint)),
             call.arrival.id,
             tick.now.since(running.sent_at).as_millis(),
         );
@@ -39,6 +42,11 @@
     }
 }
 
-fn limit_text(max_requests_per_s: Option<f64>) -> String {
-    max_requests_per_s.map_or_else(|| "none".to_owned(), |limit| limit.to_string())
+/// Returns a number from 0 to 1 that differs between gateways and between endpoints.
+fn phase(instance: &ids::InstanceName, endpoint: &ids::EndpointId) -> f64 {
+    peers::rank(instance.as_str(), endpoint.as_str()) as f64 / u64::MAX as f64
+}
+
+fn limit_text(per_s: Option<f64>) -> String {
+    per_s.map_or_else(|| "none".to_owned(), |limit| format!("{limit:.3}"))
 }
--- a/crates/flamingotrail-gateway/src/systems/placement.rs
+++ b/crates/flamingotrail-gateway/src/systems/placement.rs
@@ -2,6 +2,8 @@
 
 use std::time;
 
+use flamingotrail_core::time as core_time;
+
 use crate::ids;
 use crate::input;
 use crate::output;
@@ -21,24 +23,46 @@
 const MAX_REFUSALS: u32 = 4;
 /// A repeatable attempt counts as slow after the remaining time divided by this number.
 const SLOW_ATTEMPT_DIVISOR: u32 = 3;
+/// Callers follow a request to return later only if the delay is at most their remaining time
+/// divided by this number.
+const PATIENCE_DIVISOR: u32 = 3;
+/// Lowest rate at which refused callers are asked to return, in callers per second.
+const MIN_RETURN_RATE_PER_S: f64 = 0.1;
 /// Urgency of the highest priority class. Engines accept 0 to 9; 5 is the default.
 const HIGHEST_CLASS_URGENCY: u8 = 3;
 /// Lowest urgency that engines accept.
 const LOWEST_URGENCY: u8 = 9;
 
-/// Places the waiting calls in the order of their priority.
+/// The result of selecting an endpoint for a call.
+enum Selection {
+    /// An endpoint that the call can be sent to now.
+    Endpoint(ids::EndpointId),
+    /// All endpoints have reached their limits. Contains the time at which this gateway may send
+    /// the next request to one of them; `None` if it has no share of the limits.
+    Limited(Option<core_time::Timestamp>),
+    /// There is no endpoint.
+    None,
+}
+
+/// Places the waiting calls in the order of their priority; among equals, programs that have begun
+/// go first, since the work done for them is lost if they fail.
 pub fn run(world: &mut world::World, tick: &world::Tick) {
-    let mut waiting: Vec<(u8, ids::CallId)> =
-        std::mem::take(&mut world.tables.dirty.unplaced_calls)
-            .into_iter()
-            .filter_map(|id| world.tables.calls.rows.get(&id).map(|call| (call.priority, id)))
-            .collect();
+    let unplaced = std::mem::take(&mut world.tables.dirty.unplaced_calls);
+    let calls = &world.tables.calls.rows;
+    let mut waiting: Vec<(u8, bool, ids::CallId)> = unplaced
+        .into_iter()
+        .filter_map(|id| calls.get(&id).map(|call| (call.priority, begins_program(call), id)))
+        .collect();
     waiting.sort_unstable();
-    for (_, id) in waiting {
+    for (_, _, id) in waiting {
         place(world, tick, id);
     }
 }
 
+fn begins_program(call: &calls::Call) -> bool {
+    call.turn.as_ref().is_some_and(|turn| turn.previous.is_none())
+}
+
 /// Sends a call to an endpoint; refuses it if its reservation was denied or too many attempts have
 /// failed.
 fn place(world: &mut world::World, tick: &world::Tick, id: ids::CallId) {
@@ -56,11 +80,57 @@
         return;
     }
     match select_endpoint(world, tick, call) {
-        Some(endpoint) => send(world, tick, id, endpoint),
-        None => wait_for_endpoint(world, tick, id),
+        Selection::Endpoint(endpoint) => send(world, tick, id, endpoint),
+        Selection::Limited(due) => wait_for_share(world, tick, id, due),
+        Selection::None => wait_for_endpoint(world, tick, id),
     }
 }
 
+/// Schedules another try for the time `due` at which this gateway may send the next request, or
+/// refuses the call at once if that is too late.
+fn wait_for_share(
+    world: &mut world::World,
+    tick: &world::Tick,
+    id: ids::CallId,
+    due: Option<core_time::Timestamp>,
+) {
+    let Some(call) = world.tables.calls.rows.get(&id) else { return };
+    let wait_end = call.arrival.received.after(call.target_latency / MAX_WAIT_DIVISOR);
+    match due {
+        Some(due) if due <= wait_end.min(call.deadline) => {
+            world.tables.timers.set(timers::Timer::CallRetry(id), due);
+        }
+        _ if call.possible_runs > 0 => completion::fail_call(world, tick, id),
+        _ => {
+            let retry_after = Some(schedule_return(world, tick, id, due));
+            let reason = output::Reason::Unavailable;
+            completion::refuse(world, tick, id, output::Refusal { reason, retry_after });
+        }
+    }
+}
+
+/// Returns how long the caller of a call should wait before it tries again: refused callers return
+/// at the pace of this gateway's share of the limits, or soon if it has none, since others have.
+fn schedule_return(
+    world: &mut world::World,
+    tick: &world::Tick,
+    id: ids::CallId,
+    due: Option<core_time::Timestamp>,
+) -> time::Duration {
+    let tables = &mut world.tables;
+    let Some(call) = tables.calls.rows.get(&id) else { return admission::DEFAULT_RETRY_AFTER };
+    let Some(due) = due else { return admission::DEFAULT_RETRY_AFTER };
+    let endpoints = tables.endpoints.rows.iter();
+    let shares = endpoints
+        .filter(|(_, row)| row.listed.service == call.service && !row.listed.draining)
+        .filter_map(|(id, _)| tables.notices.share_per_s(id));
+    let rate = shares.sum::<f64>().max(MIN_RETURN_RATE_PER_S);
+    let interval = time::Duration::from_secs_f64(1.0 / rate);
+    let patience = call.remaining_time(tick.now) / PATIENCE_DIVISOR;
+    let wait = tables.returns.schedule(&call.service, due, interval, patience, tick.now);
+    wait.max(admission::DEFAULT_RETRY_AFTER)
+}
+
 /// Schedules another try, or fails the call while the caller still has time to try elsewhere.
 fn wait_for_endpoint(world: &mut world::World, tick: &world::Tick, id: ids::CallId) {
     let Some(call) = world.tables.calls.rows.get(&id) else { return };
@@ -72,12 +142,9 @@
     world.tables.timers.set(timers::Timer::CallRetry(id), tick.now.after(PLACEMENT_RETRY_DELAY));
 }
 
-/// Selects the endpoint with the lowest cost; a suspect one only if there is no other.
-fn select_endpoint(
-    world: &world::World,
-    tick: &world::Tick,
-    call: &calls::Call,
-) -> Option<ids::EndpointId> {
+/// Selects the endpoint with the lowest cost among those that accept a request now; a suspect one
+/// only if there is no other.
+fn select_endpoint(world: &world::World, tick: &world::Tick, call: &calls::Call) -> Selection {
     let service = world.tables.routes.service(&call.service);
     let previous = call.turn.as_ref().and_then(|turn| turn.previous.as_ref());
     let request = policy::Request {
@@ -92,18 +159,28 @@
         now: tick.now,
     };
     let rows = &world.tables.endpoints.rows;
-    let candidates = rows.iter().filter(|(id, row)| {
-        row.listed.service == call.service
-            && !row.listed.draining
-            && !call.tried_endpoints.contains(*id)
-    });
-    let ranked = candidates.map(|(id, row)| {
+    let candidates: Vec<_> = rows
+        .iter()
+        .filter(|(id, row)| {
+            row.listed.service == call.service
+                && !row.listed.draining
+                && !call.tried_endpoints.contains(*id)
+        })
+        .map(|(id, row)| (id, row, world.tables.notices.next_due(id, tick.now)))
+        .collect();
+    let accepting = candidates.iter().filter(|(_, _, due)| due.is_some_and(|due| due <= tick.now));
+    let ranked = accepting.map(|(id, row, _)| {
         let region = world.identity.regions.get(&row.listed.domain);
         let cost = world.placement.cost(&request, &policy::Candidate { id, row, region });
         let is_suspect = row.lapsed || row.avoid_until > tick.now;
-        (is_suspect, cost, id)
+        (is_suspect, cost, *id)
     });
-    ranked.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))).map(|(_, _, id)| id.clone())
+    let best = ranked.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+    match best {
+        Some((_, _, id)) => Selection::Endpoint(id.clone()),
+        None if candidates.is_empty() => Selection::None,
+        None => Selection::Limited(candidates.iter().filter_map(|(_, _, due)| *due).min()),
+    }
 }
 
 /// Sends a call to `endpoint`, with the texts of the turns that it continues.
@@ -131,6 +208,7 @@
     row.in_flight += 1;
     row.sent_since_load += 1;
     row.record_prompt(&call.arrival.prompt, tick.now);
+    tables.notices.record_request(&endpoint, tick.now);
     let repeatable = call.kind == input::RouteKind::Idempotent;
     let timeout = call.remaining_time(tick.now);
     let dispatch = output::Dispatch {
--- a/crates/flamingotrail-gateway/src/tables/mod.rs
+++ b/crates/flamingotrail-gateway/src/tables/mod.rs
@@ -12,6 +12,7 @@
 pub mod peers;
 pub mod programs;
 pub mod relay;
+pub mod returns;
 pub mod routes;
 pub mod timers;
 pub mod turns;
@@ -25,6 +26,8 @@
     pub endpoints: endpoints::Endpoints,
     /// What endpoints announce of themselves.
     pub notices: notices::Notices,
+    /// When callers are asked to return.
+    pub returns: returns::Returns,
     /// Active calls.
     pub calls: calls::Calls,
     /// Budgets of programs.
--- a/crates/flamingotrail-gateway/src/tables/notices.rs
+++ b/crates/flamingotrail-gateway/src/tables/notices.rs
@@ -1,32 +1,102 @@
 //! What endpoints announce of themselves in their responses, apart from the platform's list: an
 //! announcement outlives the endpoint's entry, which comes and goes with the platform's store.
+//!
+//! A limit applies to all gateways together. Each gateway uses an equal share of it without asking
+//! the others: its requests are due at regular times, and one that is not used in time is lost.
+//! Otherwise many gateways could save up one request each and send them all at once.
 
 use std::collections;
+use std::time;
 
-use flamingotrail_core::time;
+use flamingotrail_core::time as core_time;
 
 use crate::ids;
 use crate::input;
 
-/// The limit that an endpoint has named.
-#[derive(Clone, Copy, Debug, PartialEq)]
+/// Time for which a request that has become due may be sent. Bounds what all gateways together can
+/// send at once to the limit's requests in this time.
+const MAX_UNUSED_TIME: time::Duration = time::Duration::from_millis(1_000);
+/// Lowest limit that is applied, in requests per second: an endpoint that accepts nothing has to be
+/// asked now and then whether that has changed.
+const MIN_REQUESTS_PER_S: f64 = 0.1;
+/// Highest limit that is applied, in requests per second: more than any gateway sends.
+const MAX_REQUESTS_PER_S: f64 = 1e6;
+/// Time for which a limit is kept after its endpoint has vanished from the list.
+const UNLISTED_RETENTION: time::Duration = time::Duration::from_secs(300);
+
+/// The limit that an endpoint has named, and this gateway's share of it.
+#[derive(Clone, Copy, Debug)]
 pub struct Limit {
     /// Maximum number of requests per second from all gateways together.
     pub max_requests_per_s: f64,
     /// When this value was learned.
-    pub learned_at: time::Timestamp,
+    pub learned_at: core_time::Timestamp,
+    /// Time between two requests of this gateway; `None` while it has no share.
+    interval: Option<time::Duration>,
+    /// When the next request of this gateway is due.
+    next_at: core_time::Timestamp,
+    /// Part of the interval after which the first request is due. It differs between gateways, so
+    /// that their requests do not coincide.
+    phase: f64,
 }
 
 /// Table of announcements.
 #[derive(Debug, Default)]
 pub struct Notices {
     /// Limits by endpoint.
-    pub limits: collections::BTreeMap<ids::EndpointId, Limit>,
+    limits: collections::BTreeMap<ids::EndpointId, Limit>,
+    /// Number of gateways that share the limits; `None` while this one is not known to the others.
+    gateway_count: Option<usize>,
+}
+
+impl Limit {
+    fn new(max_requests_per_s: f64, phase: f64, now: core_time::Timestamp) -> Self {
+        Limit { max_requests_per_s, learned_at: now, interval: None, next_at: now, phase }
+    }
+
+    /// Adapts the share to the limit and to the number of gateways. The progress towards the next
+    /// request is kept.
+    fn update_share(&mut self, gateway_count: Option<usize>, now: core_time::Timestamp) {
+        let limit = self.max_requests_per_s.clamp(MIN_REQUESTS_PER_S, MAX_REQUESTS_PER_S);
+        let interval =
+            gateway_count.map(|count| time::Duration::from_secs_f64(count as f64 / limit));
+        if let Some(interval) = interval {
+            let remaining = match self.interval {
+                Some(before) => {
+                    let left = self.next_at.since(now).as_secs_f64() / before.as_secs_f64();
+                    interval.mul_f64(left)
+                }
+                None => interval.mul_f64(self.phase),
+            };
+            if self.interval.is_none() || self.next_at > now {
+                self.next_at = now.after(remaining);
+            }
+        }
+        self.interval = interval;
+    }
+
+    /// Returns when this gateway may send its next request, which is in the past if one is due;
+    /// `None` while it has no share.
+    fn next_due(&self, now: core_time::Timestamp) -> Option<core_time::Timestamp> {
+        let interval = self.interval?;
+        let overdue = now.since(self.next_at);
+        if overdue <= MAX_UNUSED_TIME {
+            return Some(self.next_at);
+        }
+        let lost = (overdue - MAX_UNUSED_TIME).as_secs_f64() / interval.as_secs_f64();
+        Some(self.next_at.after(interval.mul_f64(lost.ceil())))
+    }
 }
 
 impl Notices {
+    /// Returns the limit that `endpoint` has named.
+    pub fn limit(&self, endpoint: &ids::EndpointId) -> Option<&Limit> {
+        self.limits.get(endpoint)
+    }
+
     /// Applies what the response to a request sent at `sent_at` says of the limit of `endpoint`.
-    /// Returns whether the limit has changed.
+    /// `phase`, from 0 to 1, distributes the requests of the gateways over time. Returns whether the
+    /// limit has changed.
     ///
     /// Responses may overtake each other. One to a request sent before the current limit was learned
     /// may be older than the limit, so it can only make the limit stricter.
@@ -34,25 +104,69 @@
         &mut self,
         endpoint: &ids::EndpointId,
         notice: input::Notice,
-        sent_at: time::Timestamp,
-        now: time::Timestamp,
+        sent_at: core_time::Timestamp,
+        phase: f64,
+        now: core_time::Timestamp,
     ) -> bool {
-        let Some(current) = self.limits.get(endpoint) else {
-            let Some(max_requests_per_s) = notice.max_requests_per_s else { return false };
-            let limit = Limit { max_requests_per_s, learned_at: now };
-            self.limits.insert(endpoint.clone(), limit);
-            return true;
+        let current = self.limits.get(endpoint);
+        let is_newer = current.is_none_or(|current| sent_at >= current.learned_at);
+        let Some(named) = notice.max_requests_per_s else {
+            return is_newer && self.limits.remove(endpoint).is_some();
         };
-        let is_newer = sent_at >= current.learned_at;
-        match notice.max_requests_per_s {
-            Some(named) if named == current.max_requests_per_s => false,
-            Some(named) if is_newer || named < current.max_requests_per_s => {
-                let limit = Limit { max_requests_per_s: named, learned_at: now };
-                self.limits.insert(endpoint.clone(), limit);
-                true
-            }
-            None if is_newer => self.limits.remove(endpoint).is_some(),
-            _ => false,
+        let is_stricter = current.is_some_and(|current| named < current.max_requests_per_s);
+        let is_same = current.is_some_and(|current| named == current.max_requests_per_s);
+        if is_same || !(is_newer || is_stricter) {
+            return false;
         }
+        let limit =
+            self.limits.entry(endpoint.clone()).or_insert_with(|| Limit::new(named, phase, now));
+        limit.max_requests_per_s = named;
+        limit.learned_at = now;
+        limit.update_share(self.gateway_count, now);
+        true
+    }
+
+    /// Sets the number of gateways that share the limits; `None` while this gateway is not known to
+    /// the others, so that it can't have a share.
+    pub fn set_gateway_count(&mut self, count: Option<usize>, now: core_time::Timestamp) {
+        self.gateway_count = count;
+        for limit in self.limits.values_mut() {
+            limit.update_share(count, now);
+        }
+    }
+
+    /// Returns from when on this gateway may send a request to `endpoint`; `None` while it has no
+    /// share of the endpoint's limit.
+    pub fn next_due(
+        &self,
+        endpoint: &ids::EndpointId,
+        now: core_time::Timestamp,
+    ) -> Option<core_time::Timestamp> {
+        self.limits.get(endpoint).map_or(Some(now), |limit| limit.next_due(now))
+    }
+
+    /// Records that a request was sent to `endpoint`.
+    pub fn record_request(&mut self, endpoint: &ids::EndpointId, now: core_time::Timestamp) {
+        let Some(limit) = self.limits.get_mut(endpoint) else { return };
+        if let (Some(due), Some(interval)) = (limit.next_due(now), limit.interval) {
+            limit.next_at = due.after(interval);
+        }
+    }
+
+    /// Returns the number of requests per second that this gateway may send to `endpoint`; `None`
+    /// if the endpoint names no limit.
+    pub fn share_per_s(&self, endpoint: &ids::EndpointId) -> Option<f64> {
+        let limit = self.limits.get(endpoint)?;
+        Some(limit.interval.map_or(0.0, |interval| 1.0 / interval.as_secs_f64()))
+    }
+
+    /// Forgets the limits of endpoints that have not been listed for a long time.
+    pub fn remove_unlisted(
+        &mut self,
+        is_listed: impl Fn(&ids::EndpointId) -> bool,
+        now: core_time::Timestamp,
+    ) {
+        self.limits
+            .retain(|id, limit| is_listed(id) || now.since(limit.learned_at) < UNLISTED_RETENTION);
     }
 }
--- a/crates/flamingotrail-gateway/src/tables/peers.rs
+++ b/crates/flamingotrail-gateway/src/tables/peers.rs
@@ -26,6 +26,8 @@
 pub struct Peers {
     /// Gateways by instance name.
     pub rows: collections::BTreeMap<ids::InstanceName, Peer>,
+    /// Whether this gateway is listed, so that the others know of it.
+    pub is_listed: bool,
     /// Gateways that did not respond, with the time until which they are avoided.
     avoid_until: collections::BTreeMap<ids::InstanceName, core_time::Timestamp>,
 }
--- a/crates/flamingotrail-gateway/tests/decisions/fleet.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/fleet.rs
@@ -6,6 +6,7 @@
 
 use flamingotrail_gateway::ids;
 use flamingotrail_gateway::input;
+use flamingotrail_gateway::output;
 
 use crate::fixture;
 
@@ -31,6 +32,8 @@
 
 struct Member {
     gateway: fixture::Gateway,
+    /// Number of refusals that were counted.
+    refused: usize,
     /// Number of dispatches that have reached their endpoints.
     delivered: usize,
 }
@@ -61,6 +64,10 @@
     due: collections::BTreeMap<u64, Vec<Due>>,
     log: fixture::MemoryLog,
     next_call: u64,
+    /// Steps in which calls were received.
+    received: collections::BTreeMap<u64, u64>,
+    /// Longest time from the receipt of a call to its refusal, in steps.
+    longest_wait: u64,
     starts: u32,
 }
 
@@ -80,6 +87,8 @@
             due: collections::BTreeMap::new(),
             log: fixture::MemoryLog::default(),
             next_call: 0,
+            received: collections::BTreeMap::new(),
+            longest_wait: 0,
             starts: 0,
         };
         for number in 0..gateways {
@@ -97,7 +106,7 @@
         let passed = STEP * u32::try_from(self.now).expect("a short test");
         gateway.advance(passed, &mut self.log);
         gateway.tick(vec![self.membership()]);
-        let member = Member { gateway, delivered: 0 };
+        let member = Member { gateway, refused: 0, delivered: 0 };
         self.members.insert((name.to_owned(), self.starts), member);
     }
 
@@ -116,6 +125,25 @@
         }
     }
 
+    /// Tells one gateway that it is the only one, and not listed itself.
+    pub fn unlist_peers(&mut self, name: &str) {
+        for (_, member) in self.members.iter_mut().filter(|((member, _), _)| member == name) {
+            member.gateway.tick(vec![input::Input::Peers(collections::BTreeMap::new())]);
+        }
+    }
+
+    /// Sets the endpoints that are listed, and tells each gateway.
+    pub fn list(&mut self, endpoints: &[&str]) {
+        let listed = endpoints
+            .iter()
+            .map(|id| (ids::EndpointId::new(id), fixture::endpoint("ledger", "north-a")));
+        self.listed = listed.collect();
+        let membership = self.membership();
+        for member in self.members.values_mut() {
+            member.gateway.tick(vec![membership.clone()]);
+        }
+    }
+
     fn membership(&self) -> input::Input {
         input::Input::Endpoints(input::Membership { endpoints: self.listed.clone() })
     }
@@ -128,7 +156,8 @@
 
     /// Runs for `seconds`, with `per_s` requests per second at each gateway.
     pub fn run(&mut self, seconds: u64, per_s: u64) {
-        let interval = (STEPS_PER_S / per_s).max(1);
+        // Without requests, the interval exceeds any test.
+        let interval = STEPS_PER_S.checked_div(per_s).unwrap_or(u64::MAX).max(1);
         for _ in 0..seconds * STEPS_PER_S {
             self.now += 1;
             for due in self.due.remove(&self.now).unwrap_or_default() {
@@ -141,6 +170,7 @@
                 if (self.now + index as u64).is_multiple_of(interval) {
                     self.next_call += 1;
                     let id = format!("r{}", self.next_call);
+                    self.received.insert(self.next_call, self.now);
                     member.gateway.receive(fixture::request(self.next_call, &id, "/book/1"));
                 }
                 self.deliver(key);
@@ -151,6 +181,10 @@
     /// Lets the newly sent requests of a gateway reach their endpoints.
     fn deliver(&mut self, key: &(String, u32)) {
         let Some(member) = self.members.get_mut(key) else { return };
+        for (call, _) in &member.gateway.refused[member.refused..] {
+            self.longest_wait = self.longest_wait.max(self.now - self.received[&call.0]);
+        }
+        member.refused = member.gateway.refused.len();
         let sent = &member.gateway.sent[member.delivered..];
         member.delivered = member.gateway.sent.len();
         for dispatch in sent {
@@ -191,4 +225,15 @@
         let endpoint = ids::EndpointId::new(endpoint);
         self.reached.iter().filter(|r| r.endpoint == endpoint && r.step > from).count()
     }
+
+    /// Longest time from the receipt of a call to its refusal so far.
+    pub fn longest_wait_of_refused(&self) -> time::Duration {
+        STEP * u32::try_from(self.longest_wait).expect("a short test")
+    }
+
+    /// The refusals of all running gateways, each gateway's in order.
+    pub fn refusals(&self) -> Vec<output::Refusal> {
+        let gateways = self.members.values().map(|member| &member.gateway);
+        gateways.flat_map(|gateway| gateway.refused.iter().map(|(_, refusal)| *refusal)).collect()
+    }
 }
--- a/crates/flamingotrail-gateway/tests/decisions/limits.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/limits.rs
@@ -1,8 +1,11 @@
 //! Limits: endpoints get no more requests from all gateways together than they name.
 
+use std::time;
+
 use crate::fleet;
 
 use flamingotrail_gateway::ids;
+use flamingotrail_gateway::output;
 
 /// Window in which requests are counted, in seconds.
 const WINDOW_S: u64 = 4;
@@ -45,3 +48,133 @@
     assert!(most <= allowed(6.0), "{most} requests in {WINDOW_S} s");
     assert!(fleet.reached_within("e1", 10) > 0);
 }
+
+// Guards against shares that add up to more than a small limit when there are many gateways.
+#[test]
+fn limits_below_the_number_of_gateways_hold_at_several_endpoints_at_once() {
+    let mut fleet = fleet::Fleet::new(40, &["e1", "e2", "e3", "free"]);
+    let limits = [("e1", 3.0), ("e2", 8.0), ("e3", 0.5)];
+    for (endpoint, limit) in limits {
+        fleet.limit(endpoint, Some(limit));
+    }
+
+    fleet.run(30, 5);
+
+    for (endpoint, limit) in limits {
+        let most = max_in_window(&fleet, endpoint, 4 * fleet::STEPS_PER_S);
+        assert!(most <= allowed(limit), "{endpoint}: {most} requests in {WINDOW_S} s");
+    }
+    assert!(fleet.reached_within("e1", 20) >= 40, "{}", fleet.reached_within("e1", 20));
+}
+
+// Guards against gateways that save up requests while there is no load, and send them all at once.
+#[test]
+fn limit_holds_when_load_returns_after_a_pause() {
+    let mut fleet = fleet::Fleet::new(40, &["e1", "free"]);
+    fleet.limit("e1", Some(3.0));
+    fleet.run(30, 5);
+    fleet.run(20, 0);
+
+    let from = fleet.now;
+    fleet.run(10, 20);
+
+    let most = max_in_window(&fleet, "e1", from);
+    assert!(most <= allowed(3.0), "{most} requests in {WINDOW_S} s");
+}
+
+// Guards against restarted gateways that forget the limit, and against shares that are counted from
+// a list of gateways which is out of date.
+#[test]
+fn limit_holds_while_gateways_restart_come_and_go() {
+    let mut fleet = fleet::Fleet::new(9, &["e1", "free"]);
+    fleet.limit("e1", Some(6.0));
+    fleet.run(5, 10);
+
+    for round in 0..6 {
+        fleet.start(&format!("g{round}"));
+        if round % 2 == 0 {
+            fleet.start(&format!("new{round}"));
+        } else {
+            fleet.stop(&format!("g{}", 8 - round));
+        }
+        fleet.run(1, 10);
+        fleet.publish_peers();
+        fleet.run(2, 10);
+    }
+
+    let most = max_in_window(&fleet, "e1", 4 * fleet::STEPS_PER_S);
+    assert!(most <= allowed(6.0), "{most} requests in {WINDOW_S} s");
+}
+
+// Guards against a limit that is forgotten when the list loses the endpoint's entry for a while.
+#[test]
+fn limit_outlives_the_entry_of_its_endpoint() {
+    let mut fleet = fleet::Fleet::new(9, &["e1", "free"]);
+    fleet.limit("e1", Some(6.0));
+    fleet.run(5, 10);
+
+    for _ in 0..10 {
+        fleet.list(&["free"]);
+        fleet.run(1, 10);
+        fleet.list(&["e1", "free"]);
+        fleet.run(1, 10);
+    }
+
+    let most = max_in_window(&fleet, "e1", 4 * fleet::STEPS_PER_S);
+    assert!(most <= allowed(6.0), "{most} requests in {WINDOW_S} s");
+}
+
+// Guards against a limit that stays in force after its endpoint has raised or withdrawn it.
+#[test]
+fn raised_and_withdrawn_limits_let_the_load_return() {
+    let mut fleet = fleet::Fleet::new(9, &["e1", "free"]);
+    fleet.limit("e1", Some(2.0));
+    fleet.run(10, 10);
+    let limited = fleet.reached_within("e1", 5);
+
+    fleet.limit("e1", Some(20.0));
+    fleet.run(10, 10);
+    let raised = fleet.reached_within("e1", 5);
+    fleet.limit("e1", None);
+    fleet.run(10, 10);
+
+    assert!((5..=15).contains(&limited), "{limited} requests in 5 s at 2 per second");
+    assert!((60..=110).contains(&raised), "{raised} requests in 5 s at 20 per second");
+    assert!(fleet.reached_within("e1", 5) > 200);
+}
+
+// Guards against a gateway that takes a whole limit because it does not know of the others, nor
+// they of it.
+#[test]
+fn gateway_that_is_not_listed_has_no_share() {
+    let mut fleet = fleet::Fleet::new(1, &["e1", "free"]);
+    fleet.unlist_peers("g0");
+    fleet.limit("e1", Some(6.0));
+    fleet.run(5, 10);
+
+    fleet.run(5, 10);
+
+    assert_eq!(fleet.reached_within("e1", 4), 0);
+    assert!(fleet.reached_within("free", 4) >= 39);
+}
+
+// Guards against calls that wait although no endpoint can take them in time, and against refused
+// callers that are all asked to return at once.
+#[test]
+fn calls_beyond_all_limits_are_refused_soon_and_return_one_after_the_other() {
+    let mut fleet = fleet::Fleet::new(2, &["e1", "e2"]);
+    fleet.limit("e1", Some(4.0));
+    fleet.limit("e2", Some(4.0));
+    fleet.run(5, 20);
+
+    fleet.run(1, 20);
+
+    let refusals = fleet.refusals();
+    let waits: Vec<time::Duration> = refusals.iter().filter_map(|r| r.retry_after).collect();
+    assert!(refusals.iter().all(|refusal| refusal.reason == output::Reason::Unavailable));
+    assert_eq!(waits.len(), refusals.len());
+    assert!(waits.iter().any(|wait| *wait > time::Duration::from_millis(800)), "{waits:?}");
+    let (served, expected) = (fleet.reached_within("e1", 5) + fleet.reached_within("e2", 5), 40);
+    assert!(served >= expected * 8 / 10, "{served} of {expected} served");
+    assert!(fleet.longest_wait_of_refused() <= time::Duration::from_millis(100));
+}
--- a/crates/flamingotrail-gateway/tests/decisions/notices.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/notices.rs
@@ -16,11 +16,12 @@
 /// Applies a response to a request that was sent at `sent_ms` and began to be answered at `now_ms`.
 fn apply(table: &mut notices::Notices, sent_ms: u64, now_ms: u64, limit: Option<f64>) {
     let notice = input::Notice { max_requests_per_s: limit };
-    table.update_limit(&ids::EndpointId::new("e"), notice, at_ms(sent_ms), at_ms(now_ms));
+    let phase = 0.5;
+    table.update_limit(&ids::EndpointId::new("e"), notice, at_ms(sent_ms), phase, at_ms(now_ms));
 }
 
 fn limit(table: &notices::Notices) -> Option<f64> {
-    table.limits.get(&ids::EndpointId::new("e")).map(|limit| limit.max_requests_per_s)
+    table.limit(&ids::EndpointId::new("e")).map(|limit| limit.max_requests_per_s)
 }
 
 #[test]
@@ -61,5 +62,6 @@
 
     gateway.begin_response(1, input::Notice { max_requests_per_s: Some(5.0) });
 
-    assert_eq!(gateway.world.tables.notices.limits[&endpoint].max_requests_per_s, 5.0);
+    let limit = gateway.world.tables.notices.limit(&endpoint);
+    assert_eq!(limit.map(|limit| limit.max_requests_per_s), Some(5.0));
 }
