Gateway: gateways that have ended leave the list

Nobody removed the entry of a gateway that had ended, and a reader ignored a removal. Shares of limits and the fair rate of appends fell with every gateway that had ever run.

Change: a gateway that stops removes its entry. A gateway that runs and does not find its entry lists itself again. Readers apply removals.

Conclusion: shares follow the number of gateways that run. Probes cross the gateways' own links; the store is called only when the list changes.

--- a/crates/flamingotrail-gateway/src/input.rs
+++ b/crates/flamingotrail-gateway/src/input.rs
@@ -59,6 +59,13 @@
     ListUnreachable,
     /// The set of other gateways was read.
     Peers(collections::BTreeMap<ids::InstanceName, peers::Peer>),
+    /// A probe of another gateway has ended.
+    PeerProbed {
+        /// Gateway that was probed.
+        peer: ids::InstanceName,
+        /// Whether it responded.
+        has_responded: bool,
+    },
     /// Another gateway asks this one to append a record.
     RelayRequested {
         /// Correlates the request with its response.
--- a/crates/flamingotrail-gateway/src/output.rs
+++ b/crates/flamingotrail-gateway/src/output.rs
@@ -49,6 +49,15 @@
         /// Record to append.
         record: Box<journal::Record>,
     },
+    /// Probes another gateway; results in one `Input::PeerProbed`.
+    ProbePeer {
+        /// Gateway to probe.
+        peer: ids::InstanceName,
+        /// Address of that gateway.
+        address: String,
+    },
+    /// Removes a gateway that has ended from the list of gateways.
+    RemovePeer(ids::InstanceName),
     /// Responds to the `Input::RelayRequested` that has this ticket.
     RespondToRelay(u64, input::RelayResponse),
     /// Asks another gateway for a turn; results in one `Input::LookupFinished`.
--- a/crates/flamingotrail-gateway/src/systems/ingest.rs
+++ b/crates/flamingotrail-gateway/src/systems/ingest.rs
@@ -34,6 +34,9 @@
             input::Input::Endpoints(membership) => inbox.memberships.push(Some(membership)),
             input::Input::ListUnreachable => inbox.memberships.push(None),
             input::Input::Peers(rows) => update_peers(world, tick, rows),
+            input::Input::PeerProbed { peer, has_responded } => {
+                inbox.probe_results.push((peer, has_responded));
+            }
             input::Input::RelayRequested { ticket, record } => {
                 inbox.relay_requests.push((ticket, *record))
             }
@@ -62,6 +65,7 @@
     if tables.peers.rows != rows || tables.peers.is_listed != is_listed {
         tables.peers.rows = rows;
         tables.peers.is_listed = is_listed;
+        tables.dirty.peer_probes = true;
         tables.notices.set_gateway_count(is_listed.then_some(count + 1), tick.now);
         world.emit_event("peers_changed", format_args!("count={count} listed={is_listed}"));
     }
--- a/crates/flamingotrail-gateway/src/systems/mod.rs
+++ b/crates/flamingotrail-gateway/src/systems/mod.rs
@@ -11,6 +11,7 @@
 pub mod log_io;
 pub mod membership;
 pub mod notices;
+pub mod peer_probes;
 pub mod placement;
 pub mod readiness;
 pub mod relay;
--- a/crates/flamingotrail-gateway/src/tables/dirty.rs
+++ b/crates/flamingotrail-gateway/src/tables/dirty.rs
@@ -32,6 +32,8 @@
     pub expiry: bool,
     /// Whether lapsed endpoints may have to be removed.
     pub lapsed_endpoints: bool,
+    /// Whether other gateways are to be probed.
+    pub peer_probes: bool,
     /// Whether the graceful shutdown may advance.
     pub drain: bool,
 }
@@ -51,6 +53,7 @@
             && !self.append_rate
             && !self.expiry
             && !self.lapsed_endpoints
+            && !self.peer_probes
             && !self.drain
     }
 }
--- a/crates/flamingotrail-gateway/src/tables/inbox.rs
+++ b/crates/flamingotrail-gateway/src/tables/inbox.rs
@@ -21,6 +21,8 @@
     pub append_results: Vec<(ids::Partition, Result<ids::Offset, input::LogError>)>,
     /// Results of reads.
     pub read_results: Vec<(ids::Partition, Result<input::Page, input::LogError>)>,
+    /// Results of probes of other gateways: whether they responded.
+    pub probe_results: Vec<(ids::InstanceName, bool)>,
     /// Other gateways' requests to append records, by ticket.
     pub relay_requests: Vec<(u64, journal::Record)>,
     /// Results of this gateway's requests to append records; `None` if there was no response.
@@ -45,6 +47,7 @@
             && self.delivered.is_empty()
             && self.append_results.is_empty()
             && self.read_results.is_empty()
+            && self.probe_results.is_empty()
             && self.relay_requests.is_empty()
             && self.relay_results.is_empty()
             && self.lookup_requests.is_empty()
--- a/crates/flamingotrail-gateway/src/tables/peers.rs
+++ b/crates/flamingotrail-gateway/src/tables/peers.rs
@@ -1,6 +1,7 @@
 //! Other gateways.
 
 use std::collections;
+use std::ops;
 use std::time;
 
 use flamingotrail_core::time as core_time;
@@ -30,6 +31,8 @@
     pub is_listed: bool,
     /// Gateways that did not respond, with the time until which they are avoided.
     avoid_until: collections::BTreeMap<ids::InstanceName, core_time::Timestamp>,
+    /// Gateways that do not respond to probes, with the time of the first probe without a response.
+    pub silent_since: collections::BTreeMap<ids::InstanceName, core_time::Timestamp>,
 }
 
 impl Peers {
@@ -43,6 +46,23 @@
         self.avoid_until.remove(peer);
     }
 
+    /// Returns the gateways that `own` has to watch: those that follow it in the order of names, up
+    /// to the first one that responds. So each gateway is watched by one that responds.
+    pub fn watched(&self, own: &ids::InstanceName) -> Vec<(&ids::InstanceName, &Peer)> {
+        let after = self
+            .rows
+            .range::<ids::InstanceName, _>((ops::Bound::Excluded(own), ops::Bound::Unbounded));
+        let before = self.rows.range::<ids::InstanceName, _>(..own);
+        let mut watched = Vec::new();
+        for (name, peer) in after.chain(before) {
+            watched.push((name, peer));
+            if !self.silent_since.contains_key(name) {
+                break;
+            }
+        }
+        watched
+    }
+
     /// Returns the gateways that are not avoided, in an order that depends on `key` and is the same
     /// in every process (rendezvous hashing).
     pub fn ranked(
--- a/crates/flamingotrail-gateway/tests/decisions/fixture.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/fixture.rs
@@ -41,6 +41,8 @@
     pub aborted: Vec<ids::CallId>,
     pub cancelled: Vec<ids::CallId>,
     pub relayed_records: Vec<(String, journal::Record)>,
+    pub probed: Vec<ids::InstanceName>,
+    pub removed: Vec<ids::InstanceName>,
     pub ready: Option<bool>,
     pub stopped: bool,
     pub event_intervals: Vec<Option<time::Duration>>,
@@ -198,6 +200,8 @@
             aborted: Vec::new(),
             cancelled: Vec::new(),
             relayed_records: Vec::new(),
+            probed: Vec::new(),
+            removed: Vec::new(),
             ready: None,
             stopped: false,
             event_intervals: Vec::new(),
@@ -217,6 +221,8 @@
                 output::Output::RelayRecord { address, record, .. } => {
                     self.relayed_records.push((address, *record));
                 }
+                output::Output::ProbePeer { peer, .. } => self.probed.push(peer),
+                output::Output::RemovePeer(peer) => self.removed.push(peer),
                 output::Output::Ready(ready) => self.ready = Some(ready),
                 output::Output::SetEventInterval(interval) => self.event_intervals.push(interval),
                 output::Output::Stopped => self.stopped = true,
--- a/crates/flamingotrail-gateway/tests/decisions/main.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/main.rs
@@ -6,5 +6,6 @@
 mod fleet;
 mod limits;
 mod notices;
+mod peers;
 mod placement;
 mod turns;
--- a/crates/flamingotrail-runtime/src/gateway/executor.rs
+++ b/crates/flamingotrail-runtime/src/gateway/executor.rs
@@ -72,6 +72,8 @@
             output::Output::RelayRecord { peer, address, record } => {
                 self.peers.relay_record(peer, address, *record);
             }
+            output::Output::ProbePeer { peer, address } => self.peers.probe(peer, address),
+            output::Output::RemovePeer(peer) => self.remove_peer(peer),
             output::Output::RespondToRelay(ticket, response) => {
                 self.peers.respond_to_relay(ticket, response);
             }
@@ -92,6 +94,11 @@
         }
     }
 
+    fn remove_peer(&self, peer: ids::InstanceName) {
+        let store = self.store.clone();
+        actix_rt::spawn(async move { peers::unregister(&store, &peer).await });
+    }
+
     fn start_attempt(&self, dispatch: output::Dispatch) {
         let (call, attempt) = (dispatch.call, dispatch.attempt);
         let inputs = self.inputs.clone();
--- a/crates/flamingotrail-runtime/src/gateway/peers.rs
+++ b/crates/flamingotrail-runtime/src/gateway/peers.rs
@@ -34,6 +34,8 @@
 const RECORDS_PATH: &str = "/v1/records";
 /// Path prefix of turn lookups; the turn's id follows.
 const TURNS_PATH_PREFIX: &str = "/v1/turns/";
+/// Path of probes.
+const PROBE_PATH: &str = "/v1/alive";
 /// Timeout for a response of another gateway: a round trip between regions, and the time that the
 /// other gateway waits for the log.
 const RESPONSE_TIMEOUT: time::Duration = time::Duration::from_millis(450);
@@ -41,6 +43,8 @@
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(250);
 /// Maximum size of a response, which may contain a long chain of turns.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
+/// Timeout for the removal of an entry, which a process that ends waits for.
+const UNREGISTER_TIMEOUT: time::Duration = time::Duration::from_millis(200);
 /// Long-poll wait of a read of the gateways' entries.
 const CHANGE_WAIT: time::Duration = time::Duration::from_secs(10);
 /// Delay after a failed accept, and after a failed read or write of entries.
@@ -108,6 +112,9 @@
         let ticket = self.next_ticket.get();
         self.next_ticket.set(ticket + 1);
         let path = incoming.request.path();
+        if path == PROBE_PATH {
+            return (StatusCode::OK, Bytes::new());
+        }
         let input = if incoming.request.method() == Method::POST && path == RECORDS_PATH {
             match wire::decode_record(&incoming.body) {
                 Ok(record) => input::Input::RelayRequested { ticket, record: Box::new(record) },
@@ -176,6 +183,26 @@
         });
     }
 
+    /// Probes another gateway. Any response counts, so that versions without the path respond, too.
+    pub fn probe(&self, peer: ids::InstanceName, address: String) {
+        let peers = self.clone();
+        actix_rt::spawn(async move {
+            let response = peers.send_request(&peer, &address, "GET", PROBE_PATH, Bytes::new());
+            let has_responded = match tokio::time::timeout(RESPONSE_TIMEOUT, response).await {
+                Ok(Ok(_)) => true,
+                Ok(Err(error)) => {
+                    log::debug!("event=probe_failed peer={peer} error={:?}", error.to_string());
+                    false
+                }
+                Err(_) => {
+                    log::debug!("event=probe_timed_out peer={peer}");
+                    false
+                }
+            };
+            peers.inputs.send(input::Input::PeerProbed { peer, has_responded });
+        });
+    }
+
     /// Looks up a turn at another gateway.
     pub fn look_up_turn(
         &self,
@@ -249,8 +276,8 @@
     }
 }
 
-/// Registers this process as a gateway and watches the entries of all gateways until the process
-/// exits.
+/// Lists this process as a gateway, again if its entry is removed, and watches the entries of all
+/// gateways until the process exits.
 pub async fn register_and_watch(
     store: rc::Rc<store::StoreClient>,
     inputs: control::InputSender,
@@ -263,12 +290,18 @@
     loop {
         match reader.read(&store, CHANGE_WAIT).await {
             Ok(update) => {
+                if update.is_snapshot {
+                    rows.clear();
+                }
                 for (key, value) in update.records {
-                    if let Some(peer) = ok_or_log(wire::decode_peer(&value)) {
-                        rows.insert(ids::InstanceName::new(&key), peer);
-                    }
+                    apply_entry(&mut rows, &key, &value);
                 }
+                let is_listed = rows.contains_key(&name);
                 inputs.send(input::Input::Peers(rows.clone()));
+                if !is_listed {
+                    log::info!("event=own_entry_missing");
+                    register(&store, &name, &own_entry).await;
+                }
             }
             Err(error) => {
                 log::debug!("event=peer_list_read_failed error={:?}", error.to_string());
@@ -278,6 +311,19 @@
     }
 }
 
+fn apply_entry(
+    rows: &mut collections::BTreeMap<ids::InstanceName, peers::Peer>,
+    key: &str,
+    value: &Bytes,
+) {
+    let name = ids::InstanceName::new(key);
+    if value.is_empty() {
+        rows.remove(&name);
+    } else if let Some(peer) = ok_or_log(wire::decode_peer(value)) {
+        rows.insert(name, peer);
+    }
+}
+
 async fn register(store: &store::StoreClient, name: &ids::InstanceName, own_entry: &peers::Peer) {
     let value = match wire::encode_peer(own_entry) {
         Ok(value) => value,
@@ -291,3 +337,15 @@
         actix_rt::time::sleep(RETRY_DELAY).await;
     }
 }
+
+/// Removes a gateway from the list. Tries once: a gateway that is still listed is found by others.
+pub async fn unregister(store: &store::StoreClient, name: &ids::InstanceName) {
+    let removed = store.put(store::GATEWAY_TOPIC, name.as_str(), b"");
+    match tokio::time::timeout(UNREGISTER_TIMEOUT, removed).await {
+        Ok(Ok(_)) => log::info!("event=peer_entry_removed peer={name}"),
+        Ok(Err(error)) => {
+            log::warn!("event=peer_entry_removal_failed peer={name} error={:?}", error.to_string());
+        }
+        Err(_) => log::warn!("event=peer_entry_removal_timed_out peer={name}"),
+    }
+}
--- a/crates/flamingotrail-runtime/src/gateway/process.rs
+++ b/crates/flamingotrail-runtime/src/gateway/process.rs
@@ -103,7 +103,8 @@
         region: deployment.identity.region.clone(),
     };
     let name = deployment.identity.instance.clone();
-    actix_rt::spawn(peers::register_and_watch(store.clone(), inputs.clone(), name, own_entry));
+    let peer_watch =
+        actix_rt::spawn(peers::register_and_watch(store.clone(), inputs.clone(), name, own_entry));
     actix_rt::spawn(remove_expired(pool.clone()));
     actix_rt::spawn(drain_on_signal(inputs.clone(), stage_tx.clone()));
     actix_rt::spawn(reload_on_signal());
@@ -117,13 +118,16 @@
     let executor = executor::Executor {
         attempts: attempts::AttemptRunner { pool, calls, inputs: inputs.clone() },
         peers,
-        store,
+        store: store.clone(),
         metrics,
         inputs,
         ready: ready_tx,
         stage: stage_tx,
     };
     executor.run(outputs).await;
+    // It would restore the entry.
+    peer_watch.abort();
+    peers::unregister(&store, &deployment.identity.instance).await;
     log::info!("event=stopped");
     Ok(())
 }
--- a/crates/flamingotrail-standins/src/fleet/store.rs
+++ b/crates/flamingotrail-standins/src/fleet/store.rs
@@ -66,6 +66,17 @@
         self.lock().partitions.entry((topic.to_owned(), 0)).or_default().push(record);
     }
 
+    /// Whether a key of a keyed topic has a value.
+    pub fn contains(&self, topic: &str, key: &str) -> bool {
+        let state = self.lock();
+        let records = state.partitions.get(&(topic.to_owned(), 0)).map_or(&[][..], Vec::as_slice);
+        let newest = records.iter().rfind(|record| {
+            let length = usize::from(record[0]);
+            &record[1..=length] == key.as_bytes()
+        });
+        newest.is_some_and(|record| record.len() > 1 + key.len())
+    }
+
     /// Number of appends to topics without keys so far.
     pub fn append_count(&self) -> usize {
         self.lock().append_count
--- a/crates/flamingotrail-standins/tests/gateways.rs
+++ b/crates/flamingotrail-standins/tests/gateways.rs
@@ -14,6 +14,9 @@
 /// Events in each response of the model runner; each counts for 8 tokens.
 const EVENTS_PER_RESPONSE: usize = 3;
 
+/// Topic in which gateways list themselves.
+const GATEWAY_TOPIC: &str = "keyed.gateways";
+
 /// The store and the runners that the gateways of a test use.
 struct Fleet {
     store: store::Store,
@@ -46,6 +49,17 @@
         assert!(gateway.wait_until_ready(), "the gateway did not become ready");
         gateway
     }
+
+    /// Waits until the store meets `condition`; returns false after 5 s.
+    fn wait_until(&self, condition: impl Fn(&store::Store) -> bool) -> bool {
+        for _ in 0..250 {
+            if condition(&self.store) {
+                return true;
+            }
+            thread::sleep(time::Duration::from_millis(20));
+        }
+        false
+    }
 }
 
 fn send_turn(
@@ -223,6 +237,23 @@
     assert!(response.text.contains("kind=\"append\",outcome=\"done\"} 2"), "{}", response.text);
 }
 
+// Guards against gateways that have stopped and keep their share of what all gateways divide, and
+// against running ones that lose theirs with their entry.
+#[test]
+fn entry_of_a_gateway_is_restored_while_it_runs_and_removed_when_it_stops() {
+    let fleet = start_fleet("entry");
+    let mut gateway = fleet.start_gateway("one");
+
+    fleet.store.set(GATEWAY_TOPIC, "one", "");
+    let is_restored = fleet.wait_until(|store| store.contains(GATEWAY_TOPIC, "one"));
+    gateway.signal(rustix::process::Signal::TERM);
+    let code = gateway.wait_for_exit();
+
+    assert!(is_restored);
+    assert_eq!(code, Some(0));
+    assert!(!fleet.store.contains(GATEWAY_TOPIC, "one"));
+}
+
 #[test]
 fn signals_reload_and_drain() {
     let fleet = start_fleet("signals");
