Gateway: tell the other gateways of named limits

Cause: a gateway learned of a limit, its change and its end only from its own next request, which is due every N/limit seconds: 40 gateways at 8 a second that falls to 1 sent 35 requests in the next 4 s, and a withdrawn limit of 1 would have lasted for 40 s.

Change: a gateway that learns of a change from a response tells all listed gateways, at most once a second. A message counts as 0.5 s older than it says, so it never ends or raises a limit that is newer; the next response corrects what a lost or late message leaves wrong.

--- a/crates/flamingotrail-core/src/time.rs
+++ b/crates/flamingotrail-core/src/time.rs
@@ -32,4 +32,10 @@
         let micros = u64::try_from(duration.as_micros()).unwrap_or(u64::MAX);
         Timestamp(self.0.saturating_add(micros))
     }
+
+    /// Returns the timestamp `duration` before this one, saturating at the origin.
+    pub fn before(self, duration: time::Duration) -> Timestamp {
+        let micros = u64::try_from(duration.as_micros()).unwrap_or(u64::MAX);
+        Timestamp(self.0.saturating_sub(micros))
+    }
 }
--- a/crates/flamingotrail-gateway/src/input.rs
+++ b/crates/flamingotrail-gateway/src/input.rs
@@ -59,6 +59,8 @@
     ListUnreachable,
     /// The set of other gateways was read.
     Peers(collections::BTreeMap<ids::InstanceName, peers::Peer>),
+    /// Another gateway has learned of announcements of endpoints.
+    PeerNotices(Vec<PeerNotice>),
     /// A probe of another gateway has ended.
     PeerProbed {
         /// Gateway that was probed.
@@ -235,6 +237,17 @@
     pub max_requests_per_s: Option<f64>,
 }
 
+/// What a gateway tells the others of an endpoint's announcement.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PeerNotice {
+    /// The endpoint.
+    pub endpoint: ids::EndpointId,
+    /// What the endpoint announces.
+    pub notice: Notice,
+    /// Time since the request was sent whose response contained the announcement.
+    pub age: time::Duration,
+}
+
 /// Load that an endpoint reports.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Load {
--- a/crates/flamingotrail-gateway/src/output.rs
+++ b/crates/flamingotrail-gateway/src/output.rs
@@ -49,6 +49,15 @@
         /// Record to append.
         record: Box<journal::Record>,
     },
+    /// Tells another gateway of announcements of endpoints, without confirmation.
+    TellNotices {
+        /// Gateway to tell.
+        peer: ids::InstanceName,
+        /// Address of that gateway.
+        address: String,
+        /// The announcements.
+        notices: Vec<input::PeerNotice>,
+    },
     /// Probes another gateway; results in one `Input::PeerProbed`.
     ProbePeer {
         /// Gateway to probe.
--- a/crates/flamingotrail-gateway/src/systems/notices.rs
+++ b/crates/flamingotrail-gateway/src/systems/notices.rs
@@ -1,45 +1,130 @@
-//! Records what endpoints announce of themselves when their responses begin: a stream may end much
-//! later.
+//! Records what endpoints announce of themselves when their responses begin, since a stream may end
+//! much later, and tells the other gateways.
+
+use std::time;
+
+use flamingotrail_core::time as core_time;
 
 use crate::ids;
 use crate::input;
 use crate::output;
 use crate::tables::peers;
+use crate::tables::timers;
 use crate::world;
 
-/// Applies the notices in the inbox.
+/// Time that a message between gateways may take. What it says counts as older by this time, so that
+/// it never overrides what is really newer.
+const MAX_MESSAGE_DELAY: time::Duration = time::Duration::from_millis(500);
+/// Minimum time between two messages to a gateway; announcements may change with each response.
+const TELL_INTERVAL: time::Duration = time::Duration::from_millis(1_000);
+
+/// Applies the notices in the inbox, and tells the other gateways of what has changed.
 pub fn run(world: &mut world::World, tick: &world::Tick) {
     for (call, attempt, notice) in std::mem::take(&mut world.tables.inbox.notices) {
-        apply_notice(world, tick, call, attempt, notice);
+        apply_response(world, tick, call, attempt, notice);
+    }
+    for peer_notice in std::mem::take(&mut world.tables.inbox.peer_notices) {
+        apply_peer_notice(world, tick, &peer_notice);
+    }
+    if std::mem::take(&mut world.tables.dirty.untold_notices) {
+        tell_peers(world, tick);
     }
 }
 
-fn apply_notice(
+/// Applies the notice of a response to one of this gateway's requests.
+fn apply_response(
     world: &mut world::World,
     tick: &world::Tick,
     id: ids::CallId,
     attempt: u32,
     notice: input::Notice,
 ) {
-    let tables = &mut world.tables;
-    let Some(call) = tables.calls.rows.get(&id).filter(|call| call.attempts == attempt) else {
+    let calls = &world.tables.calls.rows;
+    let Some(call) = calls.get(&id).filter(|call| call.attempts == attempt) else { return };
+    let Some(running) = call.running.clone() else { return };
+    let request = call.arrival.id.clone();
+    let sent_ms_ago = tick.now.since(running.sent_at).as_millis();
+    let source = format_args!("request={request} sent_ms_ago={sent_ms_ago}");
+    if apply_notice(world, tick, &running.endpoint, notice, running.sent_at, source) {
+        let told = (notice, running.sent_at);
+        world.tables.notices.untold.insert(running.endpoint, told);
+        world.tables.dirty.untold_notices = true;
+    }
+}
+
+/// Applies a notice that another gateway has told.
+fn apply_peer_notice(
+    world: &mut world::World,
+    tick: &world::Tick,
+    peer_notice: &input::PeerNotice,
+) {
+    let endpoint = &peer_notice.endpoint;
+    let is_known = world.tables.endpoints.rows.contains_key(endpoint);
+    if !is_known && world.tables.notices.limit(endpoint).is_none() {
         return;
-    };
-    let Some(running) = call.running.as_ref() else { return };
-    let endpoint = &running.endpoint;
-    let before = tables.notices.limit(endpoint).map(|limit| limit.max_requests_per_s);
+    }
+    let age = peer_notice.age + MAX_MESSAGE_DELAY;
+    let sent_at = tick.now.before(age);
+    let source = format_args!("request=peer sent_ms_ago={}", peer_notice.age.as_millis());
+    apply_notice(world, tick, endpoint, peer_notice.notice, sent_at, source);
+}
+
+/// Applies a notice from the response to a request sent at `sent_at`. Returns whether it has changed
+/// anything.
+fn apply_notice(
+    world: &mut world::World,
+    tick: &world::Tick,
+    endpoint: &ids::EndpointId,
+    notice: input::Notice,
+    sent_at: core_time::Timestamp,
+    source: std::fmt::Arguments<'_>,
+) -> bool {
     let phase = phase(&world.identity.instance, endpoint);
-    if tables.notices.update_limit(endpoint, notice, running.sent_at, phase, tick.now) {
-        let detail = format_args!(
-            "endpoint={endpoint} per_s={} before={} share_per_s={} request={} sent_ms_ago={}",
+    let notices = &mut world.tables.notices;
+    let before = notices.limit(endpoint).map(|limit| limit.max_requests_per_s);
+    if !notices.update_limit(endpoint, notice, sent_at, phase, tick.now) {
+        return false;
+    }
+    let share = limit_text(notices.share_per_s(endpoint));
+    world.emit_event(
+        "endpoint_limit",
+        format_args!(
+            "endpoint={endpoint} per_s={} before={} share_per_s={share} {source}",
             limit_text(notice.max_requests_per_s),
             limit_text(before),
-            limit_text(tables.notices.share_per_s(endpoint)),
-            call.arrival.id,
-            tick.now.since(running.sent_at).as_millis(),
-        );
-        world.outputs.push(output::Output::Event(output::Event::new("endpoint_limit", detail)));
+        ),
+    );
+    true
+}
+
+/// Tells all other gateways of the announcements that they have not been told of.
+fn tell_peers(world: &mut world::World, tick: &world::Tick) {
+    let tables = &mut world.tables;
+    if let Some(next_at) = tables.notices.told_at.map(|told_at| told_at.after(TELL_INTERVAL)) {
+        if next_at > tick.now {
+            tables.timers.set(timers::Timer::TellNotices, next_at);
+            return;
+        }
+    }
+    let untold = std::mem::take(&mut tables.notices.untold);
+    if untold.is_empty() {
+        return;
     }
+    tables.notices.told_at = Some(tick.now);
+    let told: Vec<input::PeerNotice> = untold
+        .into_iter()
+        .map(|(endpoint, (notice, sent_at))| input::PeerNotice {
+            endpoint,
+            notice,
+            age: tick.now.since(sent_at),
+        })
+        .collect();
+    let messages = tables.peers.rows.iter().map(|(name, peer)| output::Output::TellNotices {
+        peer: name.clone(),
+        address: peer.address.clone(),
+        notices: told.clone(),
+    });
+    world.outputs.extend(messages);
 }
 
 /// Returns a number from 0 to 1 that differs between gateways and between endpoints.
--- a/crates/flamingotrail-gateway/src/tables/dirty.rs
+++ b/crates/flamingotrail-gateway/src/tables/dirty.rs
@@ -32,6 +32,8 @@
     pub expiry: bool,
     /// Whether lapsed endpoints may have to be removed.
     pub lapsed_endpoints: bool,
+    /// Whether other gateways are to be told of announcements.
+    pub untold_notices: bool,
     /// Whether other gateways are to be probed.
     pub peer_probes: bool,
     /// Whether the graceful shutdown may advance.
@@ -53,6 +55,7 @@
             && !self.append_rate
             && !self.expiry
             && !self.lapsed_endpoints
+            && !self.untold_notices
             && !self.peer_probes
             && !self.drain
     }
--- a/crates/flamingotrail-gateway/src/tables/inbox.rs
+++ b/crates/flamingotrail-gateway/src/tables/inbox.rs
@@ -11,6 +11,8 @@
     pub arrivals: Vec<input::Arrival>,
     /// Notices of endpoints, with the call and the attempt's sequence number within the call.
     pub notices: Vec<(ids::CallId, u32, input::Notice)>,
+    /// Notices that other gateways have told.
+    pub peer_notices: Vec<input::PeerNotice>,
     /// Calls whose caller has disconnected.
     pub disconnected: Vec<ids::CallId>,
     /// Outcomes of attempts, with the attempt's sequence number within the call.
@@ -42,6 +44,7 @@
     pub fn is_empty(&self) -> bool {
         self.arrivals.is_empty()
             && self.notices.is_empty()
+            && self.peer_notices.is_empty()
             && self.disconnected.is_empty()
             && self.outcomes.is_empty()
             && self.delivered.is_empty()
--- a/crates/flamingotrail-gateway/src/tables/notices.rs
+++ b/crates/flamingotrail-gateway/src/tables/notices.rs
@@ -47,6 +47,11 @@
     limits: collections::BTreeMap<ids::EndpointId, Limit>,
     /// Number of gateways that share the limits; `None` while this one is not known to the others.
     gateway_count: Option<usize>,
+    /// Announcements that the other gateways have not been told of, with the time at which the
+    /// request was sent whose response contained them.
+    pub untold: collections::BTreeMap<ids::EndpointId, (input::Notice, core_time::Timestamp)>,
+    /// When the other gateways were told last.
+    pub told_at: Option<core_time::Timestamp>,
 }
 
 impl Limit {
--- a/crates/flamingotrail-gateway/src/tables/timers.rs
+++ b/crates/flamingotrail-gateway/src/tables/timers.rs
@@ -26,6 +26,8 @@
     Expiry,
     /// Endpoints that are still missing from the list after an outage are removed.
     LapsedEndpoints,
+    /// Other gateways are told of announcements of endpoints.
+    TellNotices,
     /// Other gateways are probed.
     PeerProbes,
     /// A graceful shutdown takes its next step.
--- a/crates/flamingotrail-gateway/tests/decisions/fixture.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/fixture.rs
@@ -41,6 +41,7 @@
     pub aborted: Vec<ids::CallId>,
     pub cancelled: Vec<ids::CallId>,
     pub relayed_records: Vec<(String, journal::Record)>,
+    pub told: Vec<(ids::InstanceName, Vec<input::PeerNotice>)>,
     pub probed: Vec<ids::InstanceName>,
     pub removed: Vec<ids::InstanceName>,
     pub ready: Option<bool>,
@@ -200,6 +201,7 @@
             aborted: Vec::new(),
             cancelled: Vec::new(),
             relayed_records: Vec::new(),
+            told: Vec::new(),
             probed: Vec::new(),
             removed: Vec::new(),
             ready: None,
@@ -221,6 +223,9 @@
                 output::Output::RelayRecord { address, record, .. } => {
                     self.relayed_records.push((address, *record));
                 }
+                output::Output::TellNotices { peer, notices, .. } => {
+                    self.told.push((peer, notices));
+                }
                 output::Output::ProbePeer { peer, .. } => self.probed.push(peer),
                 output::Output::RemovePeer(peer) => self.removed.push(peer),
                 output::Output::Ready(ready) => self.ready = Some(ready),
--- a/crates/flamingotrail-gateway/tests/decisions/fleet.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/fleet.rs
@@ -163,6 +163,7 @@
             for due in self.due.remove(&self.now).unwrap_or_default() {
                 self.advance_attempt(due);
             }
+            self.deliver_messages();
             let keys: Vec<(String, u32)> = self.members.keys().cloned().collect();
             for (index, key) in keys.iter().enumerate() {
                 let Some(member) = self.members.get_mut(key) else { continue };
@@ -198,6 +199,19 @@
         }
     }
 
+    /// Lets gateways receive what the others have told them.
+    fn deliver_messages(&mut self) {
+        let members = self.members.values_mut();
+        let messages: Vec<_> =
+            members.flat_map(|member| std::mem::take(&mut member.gateway.told)).collect();
+        for (peer, notices) in messages {
+            let receivers = self.members.iter_mut().filter(|((name, _), _)| name == peer.as_str());
+            for (_, receiver) in receivers {
+                receiver.gateway.tick(vec![input::Input::PeerNotices(notices.clone())]);
+            }
+        }
+    }
+
     fn advance_attempt(&mut self, due: Due) {
         let Some(member) = self.members.get_mut(&due.sender) else { return };
         match due.step {
--- a/crates/flamingotrail-gateway/tests/decisions/limits.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/limits.rs
@@ -178,3 +178,22 @@
     assert!(served >= expected * 8 / 10, "{served} of {expected} served");
     assert!(fleet.longest_wait_of_refused() <= time::Duration::from_millis(100));
 }
+
+// Guards against gateways that follow a limit of earlier, since each learns of a change only from
+// its own next request.
+#[test]
+fn change_of_a_limit_reaches_all_gateways_at_once() {
+    let mut fleet = fleet::Fleet::new(40, &["e1", "free"]);
+    fleet.limit("e1", Some(8.0));
+    fleet.run(20, 5);
+
+    fleet.limit("e1", Some(1.0));
+    fleet.run(4, 5);
+    let lowered = fleet.reached_within("e1", 4);
+    fleet.run(20, 5);
+    fleet.limit("e1", None);
+    fleet.run(5, 5);
+
+    assert!(lowered <= allowed(1.0), "{lowered} requests in 4 s");
+    assert!(fleet.reached_within("e1", 2) > 100, "{}", fleet.reached_within("e1", 2));
+}
--- a/crates/flamingotrail-gateway/tests/decisions/notices.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/notices.rs
@@ -65,3 +65,20 @@
     let limit = gateway.world.tables.notices.limit(&endpoint);
     assert_eq!(limit.map(|limit| limit.max_requests_per_s), Some(5.0));
 }
+
+// Guards against an old message between gateways that ends a limit which was named after it.
+#[test]
+fn message_of_another_gateway_does_not_end_a_newer_limit() {
+    let mut gateway = fixture::Gateway::new("one");
+    gateway.advance(time::Duration::from_secs(5), &mut fixture::MemoryLog::default());
+    gateway.receive(fixture::request(1, "a", "/book/1"));
+    let endpoint = gateway.sent[0].endpoint.clone();
+    gateway.begin_response(1, input::Notice { max_requests_per_s: Some(5.0) });
+
+    let notice = input::Notice { max_requests_per_s: None };
+    let age = time::Duration::from_millis(50);
+    let message = input::PeerNotice { endpoint: endpoint.clone(), notice, age };
+    gateway.tick(vec![input::Input::PeerNotices(vec![message])]);
+
+    assert!(gateway.world.tables.notices.limit(&endpoint).is_some());
+}
--- a/crates/flamingotrail-runtime/src/gateway/executor.rs
+++ b/crates/flamingotrail-runtime/src/gateway/executor.rs
@@ -72,6 +72,9 @@
             output::Output::RelayRecord { peer, address, record } => {
                 self.peers.relay_record(peer, address, *record);
             }
+            output::Output::TellNotices { peer, address, notices } => {
+                self.peers.tell_notices(peer, address, &notices);
+            }
             output::Output::ProbePeer { peer, address } => self.peers.probe(peer, address),
             output::Output::RemovePeer(peer) => self.remove_peer(peer),
             output::Output::RespondToRelay(ticket, response) => {
--- a/crates/flamingotrail-runtime/src/gateway/peers.rs
+++ b/crates/flamingotrail-runtime/src/gateway/peers.rs
@@ -34,6 +34,8 @@
 const RECORDS_PATH: &str = "/v1/records";
 /// Path prefix of turn lookups; the turn's id follows.
 const TURNS_PATH_PREFIX: &str = "/v1/turns/";
+/// Path for announcements of endpoints.
+const NOTICES_PATH: &str = "/v1/notices";
 /// Path of probes.
 const PROBE_PATH: &str = "/v1/alive";
 /// Timeout for a response of another gateway: a round trip between regions, and the time that the
@@ -115,6 +117,9 @@
         if path == PROBE_PATH {
             return (StatusCode::OK, Bytes::new());
         }
+        if path == NOTICES_PATH {
+            return (self.receive_notices(&incoming.body), Bytes::new());
+        }
         let input = if incoming.request.method() == Method::POST && path == RECORDS_PATH {
             match wire::decode_record(&incoming.body) {
                 Ok(record) => input::Input::RelayRequested { ticket, record: Box::new(record) },
@@ -139,6 +144,40 @@
         }
     }
 
+    fn receive_notices(&self, body: &[u8]) -> StatusCode {
+        match wire::decode_notices(body) {
+            Ok(notices) => {
+                self.inputs.send(input::Input::PeerNotices(notices));
+                StatusCode::OK
+            }
+            Err(error) => {
+                log::warn!("event=peer_notices_invalid error={:?}", error.to_string());
+                StatusCode::BAD_REQUEST
+            }
+        }
+    }
+
+    /// Tells another gateway of announcements of endpoints.
+    pub fn tell_notices(
+        &self,
+        peer: ids::InstanceName,
+        address: String,
+        notices: &[input::PeerNotice],
+    ) {
+        let body = match wire::encode_notices(notices) {
+            Ok(body) => body,
+            Err(error) => {
+                log::error!("event=notices_encoding_failed error={:?}", error.to_string());
+                return;
+            }
+        };
+        let peers = self.clone();
+        actix_rt::spawn(async move {
+            // Without a response, the other gateway learns from its own requests.
+            peers.request(&peer, &address, "POST", NOTICES_PATH, body.into()).await;
+        });
+    }
+
     /// Responds to another gateway's request to append a record.
     pub fn respond_to_relay(&self, ticket: u64, response: input::RelayResponse) {
         self.respond(ticket, wire::encode_relay_response(response));
--- a/crates/flamingotrail-standins/src/fleet/runner.rs
+++ b/crates/flamingotrail-standins/src/fleet/runner.rs
@@ -16,6 +16,8 @@
     duplicate_responses: bool,
     drop_responses: bool,
     delay: time::Duration,
+    /// Requests per second that the runner accepts from all gateways together, if it names a limit.
+    limit_per_s: Option<f64>,
 }
 
 /// A runner; clones share their state.
@@ -42,7 +44,12 @@
             let id = request.header("request-id").unwrap_or_default();
             let head = format!(
                 "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: s.{id}\r\n\
-                 Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+                 {}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+                runner
+                    .announcements()
+                    .iter()
+                    .map(|(name, value)| format!("{name}: {value}\r\n"))
+                    .collect::<String>()
             );
             let events = (1..=events).map(|number| {
                 let event = format!("id: {number}\ndata: w{number}\n\n");
@@ -79,7 +86,9 @@
         }
         let id = request.header("request-id").unwrap_or_default();
         let signature = format!("s.{id}");
-        let headers = [("Request-Id", id), ("Response-Signature", &signature)];
+        let announcements = self.announcements();
+        let mut headers = vec![("Request-Id", id), ("Response-Signature", &signature)];
+        headers.extend(announcements.iter().map(|(name, value)| (*name, value.as_str())));
         let body = format!("done {id}");
         let server::Response::Bytes(mut bytes) = server::response(200, &headers, body.as_bytes())
         else {
@@ -103,6 +112,18 @@
         self.lock().drop_responses = enabled;
     }
 
+    /// Sets the limit that the runner names in its responses, in requests per second.
+    pub fn set_limit(&self, per_s: Option<f64>) {
+        self.lock().limit_per_s = per_s;
+    }
+
+    /// Response headers in which the runner announces its state.
+    fn announcements(&self) -> Vec<(&'static str, String)> {
+        let state = self.lock();
+        let limit = state.limit_per_s.map(|limit| ("Server-Limit", limit.to_string()));
+        limit.into_iter().collect()
+    }
+
     /// Sets the delay before the response of a plain runner, or before each chunk of a model
     /// runner.
     pub fn set_delay(&self, delay: time::Duration) {
--- a/crates/flamingotrail-standins/tests/gateways.rs
+++ b/crates/flamingotrail-standins/tests/gateways.rs
@@ -50,6 +50,11 @@
         gateway
     }
 
+    /// What the gateway `name` has logged so far.
+    fn log(&self, name: &str) -> String {
+        std::fs::read_to_string(self.folder.join(format!("{name}.log"))).unwrap_or_default()
+    }
+
     /// Waits until the store meets `condition`; returns false after 5 s.
     fn wait_until(&self, condition: impl Fn(&store::Store) -> bool) -> bool {
         for _ in 0..250 {
@@ -237,6 +242,24 @@
     assert!(response.text.contains("kind=\"append\",outcome=\"done\"} 2"), "{}", response.text);
 }
 
+// Guards against gateways that learn of a limit only from their own requests.
+#[test]
+fn limit_named_to_one_gateway_is_told_to_the_others() {
+    let fleet = start_fleet("limit");
+    let first = fleet.start_gateway("one");
+    let _second = fleet.start_gateway("two");
+    let knows_peer = |name: &str| fleet.log(name).contains("event=peers_changed count=1");
+    assert!(fleet.wait_until(|_| knows_peer("one") && knows_peer("two")));
+    fleet.plain.set_limit(Some(5.0));
+
+    let response = call_tool(&first, "GET", "/look/1", "r1");
+    let is_told =
+        fleet.wait_until(|_| fleet.log("two").contains("endpoint=p-1 per_s=5.000 before=none"));
+
+    assert!(response.text.contains("server-limit: 5"), "{}", response.text);
+    assert!(is_told, "{}", fleet.log("two"));
+}
+
 // Guards against gateways that have stopped and keep their share of what all gateways divide, and
 // against running ones that lose theirs with their entry.
 #[test]
--- a/crates/flamingotrail-wire/src/gateway.rs
+++ b/crates/flamingotrail-wire/src/gateway.rs
@@ -3,6 +3,8 @@
 //! Values are encoded as MessagePack with named fields, so that a decoder can skip fields that it
 //! does not know.
 
+use std::time;
+
 use flamingotrail_gateway::ids;
 use flamingotrail_gateway::input;
 use flamingotrail_gateway::journal;
@@ -233,3 +235,51 @@
         region: ids::RegionName::new(&region),
     })
 }
+
+/// An announcement of an endpoint that a gateway tells the others.
+#[derive(Debug, Deserialize, Serialize)]
+struct WireNotice {
+    endpoint: String,
+    max_requests_per_s: Option<f64>,
+    age_ms: u64,
+}
+
+impl From<&input::PeerNotice> for WireNotice {
+    fn from(told: &input::PeerNotice) -> Self {
+        WireNotice {
+            endpoint: told.endpoint.to_string(),
+            max_requests_per_s: told.notice.max_requests_per_s,
+            age_ms: u64::try_from(told.age.as_millis()).unwrap_or(u64::MAX),
+        }
+    }
+}
+
+impl From<WireNotice> for input::PeerNotice {
+    fn from(wire: WireNotice) -> Self {
+        let is_valid = |limit: &f64| limit.is_finite() && *limit >= 0.0;
+        input::PeerNotice {
+            endpoint: ids::EndpointId::new(&wire.endpoint),
+            notice: input::Notice { max_requests_per_s: wire.max_requests_per_s.filter(is_valid) },
+            age: time::Duration::from_millis(wire.age_ms),
+        }
+    }
+}
+
+/// Encodes the announcements that a gateway tells another.
+///
+/// # Errors
+///
+/// Returns an error if serialization fails.
+pub fn encode_notices(notices: &[input::PeerNotice]) -> Result<Vec<u8>, rmp_serde::encode::Error> {
+    rmp_serde::to_vec_named(&notices.iter().map(WireNotice::from).collect::<Vec<_>>())
+}
+
+/// Decodes the announcements that a gateway was told.
+///
+/// # Errors
+///
+/// Returns an error if the bytes are not encoded announcements.
+pub fn decode_notices(bytes: &[u8]) -> Result<Vec<input::PeerNotice>, rmp_serde::decode::Error> {
+    let notices: Vec<WireNotice> = rmp_serde::from_slice(bytes)?;
+    Ok(notices.into_iter().map(input::PeerNotice::from).collect())
+}
