Gateway: distribute the requests to a limited endpoint evenly

Cause: the phase of a gateway's requests came from a hash whose high bits hardly differ between names, so that the requests of many gateways fell into the same seconds.

Change: gateways take places in the order of their names, one interval apart in all, beginning with another gateway at each endpoint. They learn of a limit at about the same time, since the first to know tells the others.

Conclusion: the sum is regular for any number of gateways.

--- a/crates/flamingotrail-gateway/src/systems/notices.rs
+++ b/crates/flamingotrail-gateway/src/systems/notices.rs
@@ -8,7 +8,6 @@
 use crate::ids;
 use crate::input;
 use crate::output;
-use crate::tables::peers;
 use crate::tables::timers;
 use crate::world;
 
@@ -79,7 +78,7 @@
     sent_at: core_time::Timestamp,
     source: std::fmt::Arguments<'_>,
 ) -> bool {
-    let phase = phase(&world.identity.instance, endpoint);
+    let phase = phase(world, endpoint);
     let notices = &mut world.tables.notices;
     let before = notices.limit(endpoint).map(|limit| limit.max_requests_per_s);
     if !notices.update_limit(endpoint, notice, sent_at, phase, tick.now) {
@@ -127,9 +126,16 @@
     world.outputs.extend(messages);
 }
 
-/// Returns a number from 0 to 1 that differs between gateways and between endpoints.
-fn phase(instance: &ids::InstanceName, endpoint: &ids::EndpointId) -> f64 {
-    peers::rank(instance.as_str(), endpoint.as_str()) as f64 / u64::MAX as f64
+/// Returns the part of the interval between two requests to `endpoint` after which this gateway sends
+/// its first one. Gateways learn of a limit at about the same time, and each takes its own place in
+/// the order of names, so that their requests are evenly distributed. The order begins with another
+/// gateway at each endpoint.
+fn phase(world: &world::World, endpoint: &ids::EndpointId) -> f64 {
+    let peers = &world.tables.peers.rows;
+    let count = peers.len() as u64 + 1;
+    let rank = peers.range(..&world.identity.instance).count() as u64;
+    let place = (rank + ids::stable_hash(endpoint.as_str()) % count) % count;
+    (place + 1) as f64 / count as f64
 }
 
 fn limit_text(per_s: Option<f64>) -> String {
--- a/crates/flamingotrail-gateway/tests/decisions/limits.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/limits.rs
@@ -16,14 +16,25 @@
 /// Returns the largest number of requests that reached `endpoint` within a window after step
 /// `from`, from gateways that had been told of its limit.
 fn max_in_window(fleet: &fleet::Fleet, endpoint: &str, from: u64) -> usize {
+    let is_told = |r: &fleet::Reached| r.told_at.is_some_and(|at| at + TOLD_STEPS <= r.step);
+    max_matching(fleet, endpoint, from, is_told)
+}
+
+/// Returns the largest number of requests that reached `endpoint` within a window after step
+/// `from`, from any gateway.
+fn max_in_window_from_all(fleet: &fleet::Fleet, endpoint: &str, from: u64) -> usize {
+    max_matching(fleet, endpoint, from, |_| true)
+}
+
+fn max_matching(
+    fleet: &fleet::Fleet,
+    endpoint: &str,
+    from: u64,
+    matches: impl Fn(&fleet::Reached) -> bool,
+) -> usize {
     let endpoint = ids::EndpointId::new(endpoint);
-    let steps: Vec<u64> = fleet
-        .reached
-        .iter()
-        .filter(|r| r.endpoint == endpoint && r.step >= from)
-        .filter(|r| r.told_at.is_some_and(|told_at| told_at + TOLD_STEPS <= r.step))
-        .map(|r| r.step)
-        .collect();
+    let reached = fleet.reached.iter().filter(|r| r.endpoint == endpoint && r.step >= from);
+    let steps: Vec<u64> = reached.filter(|r| matches(r)).map(|r| r.step).collect();
     let window = WINDOW_S * fleet::STEPS_PER_S;
     let counts = steps.iter().enumerate().map(|(index, start)| {
         steps[index..].iter().take_while(|step| **step < start + window).count()
@@ -197,3 +208,20 @@
     assert!(lowered <= allowed(1.0), "{lowered} requests in 4 s");
     assert!(fleet.reached_within("e1", 2) > 100, "{}", fleet.reached_within("e1", 2));
 }
+
+// Guards against shares whose requests coincide by chance, of which many gateways have many.
+#[test]
+fn small_limit_holds_with_hundreds_of_gateways() {
+    const LIMITED: [&str; 10] = ["e0", "e1", "e2", "e3", "e4", "e5", "e6", "e7", "e8", "e9"];
+    let mut fleet = fleet::Fleet::new(300, &[&LIMITED[..], &["free"]].concat());
+    for endpoint in LIMITED {
+        fleet.limit(endpoint, Some(3.0));
+    }
+
+    fleet.run(20, 2);
+
+    let from = 4 * fleet::STEPS_PER_S;
+    let most = LIMITED.map(|endpoint| max_in_window_from_all(&fleet, endpoint, from));
+    assert!(most.iter().all(|most| *most <= allowed(3.0)), "{most:?} requests in {WINDOW_S} s");
+    assert!(fleet.reached_within("e1", 10) >= 20, "{}", fleet.reached_within("e1", 10));
+}
