Gateway: log the endpoints that announce their leaving

Cause: endpoints that leave say so in their responses; nothing decoded it, so the logs could not tell a notice that was not read from one that was ignored.

Change: the notice takes the way of the limits: decoded by the adapter, passed on when a response begins, kept in the table of notices, told to the other gateways. A response that was overtaken does not withdraw it. The event endpoint_leaving says when it is learned or withdrawn. No decision depends on it.

--- a/crates/flamingotrail-gateway/src/input.rs
+++ b/crates/flamingotrail-gateway/src/input.rs
@@ -235,6 +235,8 @@
     /// Maximum number of requests per second that the endpoint accepts from all gateways together;
     /// `None` if it names no limit.
     pub max_requests_per_s: Option<f64>,
+    /// Whether the endpoint is about to end.
+    pub is_leaving: bool,
 }
 
 /// What a gateway tells the others of an endpoint's announcement.
--- a/crates/flamingotrail-gateway/src/systems/notices.rs
+++ b/crates/flamingotrail-gateway/src/systems/notices.rs
@@ -77,6 +77,25 @@
     notice: input::Notice,
     sent_at: core_time::Timestamp,
     source: std::fmt::Arguments<'_>,
+) -> bool {
+    let has_limit_changed = apply_limit(world, tick, endpoint, notice, sent_at, source);
+    let has_leaving_changed =
+        world.tables.notices.update_leaving(endpoint, notice, sent_at, tick.now);
+    if has_leaving_changed {
+        let detail = format_args!("endpoint={endpoint} leaving={} {source}", notice.is_leaving);
+        world.emit_event("endpoint_leaving", detail);
+    }
+    has_limit_changed || has_leaving_changed
+}
+
+/// Applies what a notice says of the endpoint's limit. Returns whether that has changed.
+fn apply_limit(
+    world: &mut world::World,
+    tick: &world::Tick,
+    endpoint: &ids::EndpointId,
+    notice: input::Notice,
+    sent_at: core_time::Timestamp,
+    source: std::fmt::Arguments<'_>,
 ) -> bool {
     let phase = phase(world, endpoint);
     let notices = &mut world.tables.notices;
--- a/crates/flamingotrail-gateway/src/tables/notices.rs
+++ b/crates/flamingotrail-gateway/src/tables/notices.rs
@@ -21,7 +21,7 @@
 const MIN_REQUESTS_PER_S: f64 = 0.1;
 /// Highest limit that is applied, in requests per second: more than any gateway sends.
 const MAX_REQUESTS_PER_S: f64 = 1e6;
-/// Time for which a limit is kept after its endpoint has vanished from the list.
+/// Time for which an announcement is kept after its endpoint has vanished from the list.
 const UNLISTED_RETENTION: time::Duration = time::Duration::from_secs(300);
 
 /// The limit that an endpoint has named, and this gateway's share of it.
@@ -45,6 +45,8 @@
 pub struct Notices {
     /// Limits by endpoint.
     limits: collections::BTreeMap<ids::EndpointId, Limit>,
+    /// Endpoints that have announced that they leave, with the time at which this was learned.
+    leaving: collections::BTreeMap<ids::EndpointId, core_time::Timestamp>,
     /// Number of gateways that share the limits; `None` while this one is not known to the others.
     gateway_count: Option<usize>,
     /// Announcements that the other gateways have not been told of, with the time at which the
@@ -131,6 +133,34 @@
         true
     }
 
+    /// Whether `endpoint` has announced that it leaves.
+    pub fn is_leaving(&self, endpoint: &ids::EndpointId) -> bool {
+        self.leaving.contains_key(endpoint)
+    }
+
+    /// Applies what the response to a request sent at `sent_at` says of whether `endpoint` leaves.
+    /// Returns whether that has changed. A response to a request sent before the announcement was
+    /// learned may be older than it and does not withdraw it.
+    pub fn update_leaving(
+        &mut self,
+        endpoint: &ids::EndpointId,
+        notice: input::Notice,
+        sent_at: core_time::Timestamp,
+        now: core_time::Timestamp,
+    ) -> bool {
+        match self.leaving.get(endpoint) {
+            None if notice.is_leaving => {
+                self.leaving.insert(endpoint.clone(), now);
+                true
+            }
+            Some(learned_at) if !notice.is_leaving && sent_at >= *learned_at => {
+                self.leaving.remove(endpoint);
+                true
+            }
+            _ => false,
+        }
+    }
+
     /// Sets the number of gateways that share the limits; `None` while this gateway is not known to
     /// the others, so that it can't have a share.
     pub fn set_gateway_count(&mut self, count: Option<usize>, now: core_time::Timestamp) {
@@ -165,13 +195,16 @@
         Some(limit.interval.map_or(0.0, |interval| 1.0 / interval.as_secs_f64()))
     }
 
-    /// Forgets the limits of endpoints that have not been listed for a long time.
+    /// Forgets the announcements of endpoints that have not been listed for a long time.
     pub fn remove_unlisted(
         &mut self,
         is_listed: impl Fn(&ids::EndpointId) -> bool,
         now: core_time::Timestamp,
     ) {
-        self.limits
-            .retain(|id, limit| is_listed(id) || now.since(limit.learned_at) < UNLISTED_RETENTION);
+        let is_kept = |id: &ids::EndpointId, learned_at: core_time::Timestamp| {
+            is_listed(id) || now.since(learned_at) < UNLISTED_RETENTION
+        };
+        self.limits.retain(|id, limit| is_kept(id, limit.learned_at));
+        self.leaving.retain(|id, learned_at| is_kept(id, *learned_at));
     }
 }
--- a/crates/flamingotrail-gateway/tests/decisions/fixture.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/fixture.rs
@@ -167,6 +167,10 @@
     input::Outcome::Streamed { complete: true, events, output, load: None }
 }
 
+pub fn limit_notice(max_requests_per_s: Option<f64>) -> input::Notice {
+    input::Notice { max_requests_per_s, ..input::Notice::default() }
+}
+
 pub fn response_outcome(status: u16) -> input::Outcome {
     input::Outcome::Answered { status, signed: true, load: None }
 }
--- a/crates/flamingotrail-gateway/tests/decisions/fleet.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/fleet.rs
@@ -150,8 +150,8 @@
 
     /// Sets the limit that `endpoint` names.
     pub fn limit(&mut self, endpoint: &str, max_requests_per_s: Option<f64>) {
-        let notice = input::Notice { max_requests_per_s };
-        self.notices.insert(ids::EndpointId::new(endpoint), notice);
+        let notice = self.notices.entry(ids::EndpointId::new(endpoint)).or_default();
+        notice.max_requests_per_s = max_requests_per_s;
     }
 
     /// Runs for `seconds`, with `per_s` requests per second at each gateway.
--- a/crates/flamingotrail-gateway/tests/decisions/notices.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/notices.rs
@@ -15,7 +15,7 @@
 
 /// Applies a response to a request that was sent at `sent_ms` and began to be answered at `now_ms`.
 fn apply(table: &mut notices::Notices, sent_ms: u64, now_ms: u64, limit: Option<f64>) {
-    let notice = input::Notice { max_requests_per_s: limit };
+    let notice = fixture::limit_notice(limit);
     let phase = 0.5;
     table.update_limit(&ids::EndpointId::new("e"), notice, at_ms(sent_ms), phase, at_ms(now_ms));
 }
@@ -60,7 +60,7 @@
     gateway.receive(fixture::request(1, "a", "/book/1"));
     let endpoint = gateway.sent[0].endpoint.clone();
 
-    gateway.begin_response(1, input::Notice { max_requests_per_s: Some(5.0) });
+    gateway.begin_response(1, fixture::limit_notice(Some(5.0)));
 
     let limit = gateway.world.tables.notices.limit(&endpoint);
     assert_eq!(limit.map(|limit| limit.max_requests_per_s), Some(5.0));
@@ -73,9 +73,9 @@
     gateway.advance(time::Duration::from_secs(5), &mut fixture::MemoryLog::default());
     gateway.receive(fixture::request(1, "a", "/book/1"));
     let endpoint = gateway.sent[0].endpoint.clone();
-    gateway.begin_response(1, input::Notice { max_requests_per_s: Some(5.0) });
+    gateway.begin_response(1, fixture::limit_notice(Some(5.0)));
 
-    let notice = input::Notice { max_requests_per_s: None };
+    let notice = fixture::limit_notice(None);
     let age = time::Duration::from_millis(50);
     let message = input::PeerNotice { endpoint: endpoint.clone(), notice, age };
     gateway.tick(vec![input::Input::PeerNotices(vec![message])]);
--- a/crates/flamingotrail-wire/src/gateway.rs
+++ b/crates/flamingotrail-wire/src/gateway.rs
@@ -241,6 +241,8 @@
 struct WireNotice {
     endpoint: String,
     max_requests_per_s: Option<f64>,
+    #[serde(default)]
+    is_leaving: bool,
     age_ms: u64,
 }
 
@@ -249,6 +251,7 @@
         WireNotice {
             endpoint: told.endpoint.to_string(),
             max_requests_per_s: told.notice.max_requests_per_s,
+            is_leaving: told.notice.is_leaving,
             age_ms: u64::try_from(told.age.as_millis()).unwrap_or(u64::MAX),
         }
     }
@@ -259,7 +262,10 @@
         let is_valid = |limit: &f64| limit.is_finite() && *limit >= 0.0;
         input::PeerNotice {
             endpoint: ids::EndpointId::new(&wire.endpoint),
-            notice: input::Notice { max_requests_per_s: wire.max_requests_per_s.filter(is_valid) },
+            notice: input::Notice {
+                max_requests_per_s: wire.max_requests_per_s.filter(is_valid),
+                is_leaving: wire.is_leaving,
+            },
             age: time::Duration::from_millis(wire.age_ms),
         }
     }
--- a/crates/flamingotrail-wire/tests/gateway_messages.rs
+++ b/crates/flamingotrail-wire/tests/gateway_messages.rs
@@ -9,7 +9,7 @@
 fn notice(endpoint: &str, limit: Option<f64>) -> input::PeerNotice {
     input::PeerNotice {
         endpoint: ids::EndpointId::new(endpoint),
-        notice: input::Notice { max_requests_per_s: limit },
+        notice: input::Notice { max_requests_per_s: limit, is_leaving: limit.is_none() },
         age: time::Duration::from_millis(40),
     }
 }
