Test: endpoints that announce their leaving get requests (known red)

Cause: no decision uses the announcement.

Result: 1,800 requests in 20 s reach the endpoint from 3 s after it was first heard on, where none may come.

--- a/crates/flamingotrail-gateway/tests/decisions/fleet.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/fleet.rs
@@ -154,6 +154,18 @@
         notice.max_requests_per_s = max_requests_per_s;
     }
 
+    /// Sets whether `endpoint` announces that it leaves.
+    pub fn set_leaving(&mut self, endpoint: &str, is_leaving: bool) {
+        self.notices.entry(ids::EndpointId::new(endpoint)).or_default().is_leaving = is_leaving;
+    }
+
+    /// Tells each gateway that the list can't be read.
+    pub fn lose_list(&mut self) {
+        for member in self.members.values_mut() {
+            member.gateway.tick(vec![input::Input::ListUnreachable]);
+        }
+    }
+
     /// Runs for `seconds`, with `per_s` requests per second at each gateway.
     pub fn run(&mut self, seconds: u64, per_s: u64) {
         // Without requests, the interval exceeds any test.
--- a/crates/flamingotrail-gateway/tests/decisions/main.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/main.rs
@@ -4,6 +4,7 @@
 mod calls;
 mod fixture;
 mod fleet;
+mod leaving;
 mod limits;
 mod notices;
 mod peers;
