Gateway: do not send to endpoints that have announced their leaving

Callers saw: requests were still sent to an endpoint for up to ten seconds after it had said that it leaves; those under way when it ends are lost.

Cause: the announcement is in the response's head, which no decision saw; only the list counted, and it cannot be read while the platform's store is away.

Change: an endpoint that has announced its leaving is no candidate, whatever the list says. The announcement is kept apart from the endpoint's row, so that an entry that lapses or is still ready does not end it; it ends when the list shows another start of the endpoint (its time of start is decoded now). All gateways are told by the first that learns it.

Conclusion: what an endpoint says of itself counts from the moment at which one gateway hears it.

--- a/crates/flamingotrail-gateway/src/input.rs
+++ b/crates/flamingotrail-gateway/src/input.rs
@@ -368,4 +368,7 @@
     pub draining: bool,
     /// Remaining duration of the endpoint's cold start, during which it is slow.
     pub cold_start_remaining: time::Duration,
+    /// When the endpoint was started, in milliseconds since the Unix epoch, if it says so. An endpoint
+    /// may be started again under the same id.
+    pub started_at_ms: Option<u64>,
 }
--- a/crates/flamingotrail-gateway/src/systems/membership.rs
+++ b/crates/flamingotrail-gateway/src/systems/membership.rs
@@ -82,6 +82,12 @@
 
 /// Adds an endpoint, or updates what the list says of it.
 fn update_endpoint(world: &mut world::World, id: ids::EndpointId, listed: input::Endpoint) {
+    if let Some(started_at_ms) = listed.started_at_ms {
+        if world.tables.notices.record_start(&id, started_at_ms) {
+            world.tables.endpoints.rows.remove(&id);
+            world.emit_event("endpoint_restarted", format_args!("endpoint={id}"));
+        }
+    }
     let endpoints = &mut world.tables.endpoints;
     let Some(row) = endpoints.rows.get_mut(&id) else {
         let detail = format_args!(
--- a/crates/flamingotrail-gateway/src/systems/placement.rs
+++ b/crates/flamingotrail-gateway/src/systems/placement.rs
@@ -11,6 +11,8 @@
 use crate::systems::admission;
 use crate::systems::completion;
 use crate::tables::calls;
+use crate::tables::endpoints;
+use crate::tables::notices;
 use crate::tables::timers;
 use crate::world;
 
@@ -122,7 +124,7 @@
     let Some(due) = due else { return admission::DEFAULT_RETRY_AFTER };
     let endpoints = tables.endpoints.rows.iter();
     let shares = endpoints
-        .filter(|(_, row)| row.listed.service == call.service && !row.listed.draining)
+        .filter(|(id, row)| serves(&tables.notices, id, row, &call.service))
         .filter_map(|(id, _)| tables.notices.share_per_s(id));
     let rate = shares.sum::<f64>().max(MIN_RETURN_RATE_PER_S);
     let interval = time::Duration::from_secs_f64(1.0 / rate);
@@ -142,6 +144,17 @@
     world.tables.timers.set(timers::Timer::CallRetry(id), tick.now.after(PLACEMENT_RETRY_DELAY));
 }
 
+/// Whether an endpoint provides `service` and is not leaving, according to the list or to its own
+/// announcement, whichever came first.
+fn serves(
+    notices: &notices::Notices,
+    id: &ids::EndpointId,
+    row: &endpoints::Endpoint,
+    service: &ids::ServiceName,
+) -> bool {
+    &row.listed.service == service && !row.listed.draining && !notices.is_leaving(id)
+}
+
 /// Selects the endpoint with the lowest cost among those that accept a request now; a suspect one
 /// only if there is no other.
 fn select_endpoint(world: &world::World, tick: &world::Tick, call: &calls::Call) -> Selection {
@@ -162,8 +175,7 @@
     let candidates: Vec<_> = rows
         .iter()
         .filter(|(id, row)| {
-            row.listed.service == call.service
-                && !row.listed.draining
+            serves(&world.tables.notices, id, row, &call.service)
                 && !call.tried_endpoints.contains(*id)
         })
         .map(|(id, row)| (id, row, world.tables.notices.next_due(id, tick.now)))
--- a/crates/flamingotrail-gateway/src/tables/notices.rs
+++ b/crates/flamingotrail-gateway/src/tables/notices.rs
@@ -47,6 +47,8 @@
     limits: collections::BTreeMap<ids::EndpointId, Limit>,
     /// Endpoints that have announced that they leave, with the time at which this was learned.
     leaving: collections::BTreeMap<ids::EndpointId, core_time::Timestamp>,
+    /// When endpoints were started, in milliseconds since the Unix epoch, for those that say so.
+    starts: collections::BTreeMap<ids::EndpointId, u64>,
     /// Number of gateways that share the limits; `None` while this one is not known to the others.
     gateway_count: Option<usize>,
     /// Announcements that the other gateways have not been told of, with the time at which the
@@ -133,6 +135,19 @@
         true
     }
 
+    /// Records when `endpoint` was started. Returns whether it was started again, so that its
+    /// announcements no longer hold.
+    pub fn record_start(&mut self, endpoint: &ids::EndpointId, started_at_ms: u64) -> bool {
+        let before = self.starts.insert(endpoint.clone(), started_at_ms);
+        let has_restarted = before.is_some_and(|before| before != started_at_ms);
+        if has_restarted {
+            self.limits.remove(endpoint);
+            self.leaving.remove(endpoint);
+            self.untold.remove(endpoint);
+        }
+        has_restarted
+    }
+
     /// Whether `endpoint` has announced that it leaves.
     pub fn is_leaving(&self, endpoint: &ids::EndpointId) -> bool {
         self.leaving.contains_key(endpoint)
@@ -206,5 +221,8 @@
         };
         self.limits.retain(|id, limit| is_kept(id, limit.learned_at));
         self.leaving.retain(|id, learned_at| is_kept(id, *learned_at));
+        let (limits, leaving) = (&self.limits, &self.leaving);
+        self.starts
+            .retain(|id, _| is_listed(id) || limits.contains_key(id) || leaving.contains_key(id));
     }
 }
--- a/crates/flamingotrail-gateway/tests/decisions/fixture.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/fixture.rs
@@ -105,6 +105,7 @@
         slots: 4,
         draining: false,
         cold_start_remaining: time::Duration::ZERO,
+        started_at_ms: None,
     }
 }
 
--- a/crates/flamingotrail-gateway/tests/decisions/fleet.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/fleet.rs
@@ -144,6 +144,17 @@
         }
     }
 
+    /// Lists `endpoint` as started at `started_at_ms`, and tells each gateway.
+    pub fn set_start(&mut self, endpoint: &str, started_at_ms: u64) {
+        if let Some(row) = self.listed.get_mut(&ids::EndpointId::new(endpoint)) {
+            row.started_at_ms = Some(started_at_ms);
+        }
+        let membership = self.membership();
+        for member in self.members.values_mut() {
+            member.gateway.tick(vec![membership.clone()]);
+        }
+    }
+
     fn membership(&self) -> input::Input {
         input::Input::Endpoints(input::Membership { endpoints: self.listed.clone() })
     }
--- a/crates/flamingotrail-gateway/tests/decisions/leaving.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/leaving.rs
@@ -2,6 +2,8 @@
 
 use crate::fleet;
 
+use flamingotrail_gateway::output;
+
 /// Time in which gateways have to stop sending to an endpoint that leaves, in seconds.
 const DRAIN_S: u64 = 3;
 
@@ -20,3 +22,62 @@
     assert_eq!(fleet.reached_within("e1", 20), 0);
     assert!(fleet.reached_within("free", 20) > 1_700);
 }
+
+// Guards against an announcement that is forgotten when the list loses the entry of the endpoint, or
+// still has it as ready.
+#[test]
+fn announced_leaving_outlives_the_entry_of_the_endpoint() {
+    let mut fleet = fleet::Fleet::new(9, &["e1", "free"]);
+    fleet.set_leaving("e1", true);
+    fleet.run(DRAIN_S, 10);
+
+    fleet.list(&["free"]);
+    fleet.run(1, 10);
+    fleet.list(&["e1", "free"]);
+    fleet.run(5, 10);
+
+    assert_eq!(fleet.reached_within("e1", 6), 0);
+}
+
+// Guards against an announcement that holds for the next run of an endpoint with the same id.
+#[test]
+fn endpoint_that_was_started_again_gets_requests() {
+    let mut fleet = fleet::Fleet::new(9, &["e1", "free"]);
+    fleet.set_start("e1", 1_000);
+    fleet.set_leaving("e1", true);
+    fleet.run(DRAIN_S, 10);
+
+    fleet.set_leaving("e1", false);
+    fleet.set_start("e1", 2_000);
+    fleet.run(5, 10);
+
+    assert!(fleet.reached_within("e1", 4) > 300);
+}
+
+// Guards against gateways that stop using an endpoint only once it has told them itself.
+#[test]
+fn leaving_is_told_to_the_other_gateways() {
+    let mut fleet = fleet::Fleet::new(40, &["e1", "free"]);
+    fleet.run(2, 1);
+    fleet.set_leaving("e1", true);
+
+    fleet.run(2, 1);
+
+    assert!(fleet.reached_within("e1", 1) <= 1, "{}", fleet.reached_within("e1", 1));
+}
+
+// Guards against calls that wait, or go to an endpoint that leaves, when there is no other.
+#[test]
+fn calls_are_refused_when_all_endpoints_leave() {
+    let mut fleet = fleet::Fleet::new(2, &["e1", "e2"]);
+    fleet.set_leaving("e1", true);
+    fleet.set_leaving("e2", true);
+    fleet.run(DRAIN_S, 10);
+
+    fleet.run(2, 10);
+
+    assert_eq!(fleet.reached_within("e1", 2) + fleet.reached_within("e2", 2), 0);
+    let refusals = fleet.refusals();
+    assert!(refusals.iter().all(|refusal| refusal.reason == output::Reason::Unavailable));
+    assert!(refusals.iter().all(|refusal| refusal.retry_after.is_some()));
+}
