Gateway: bound responses that do not end

Callers saw: a runner that sends bytes without end held a call until its deadline (504 after 2.9 s and more), and beside 40 of them other calls failed, too. A stream of complete events without end was passed on whole.

Cause: interim responses, trailers and streams had no limit; refusals and responses to other requests were read to their end before they counted; each body had a limit of its own, whatever the number of bodies at once.

A body that nobody needs is read for 50 ms and 64 KiB at most; the connection is dropped otherwise. A refusal counts from its head.

Measured: three tests of processes with endless headers, interim responses, bodies, chunks, trailers, refusals, events and streams, alone and 40 at once beside turns.

Conclusion: a back end without end costs one attempt and the time to read 64 KiB to 8 MiB.

--- a/crates/flamingotrail-gateway/src/output.rs
+++ b/crates/flamingotrail-gateway/src/output.rs
@@ -115,6 +115,8 @@
     pub repeatable: bool,
     /// Whether the response's events are held until `Output::ReleaseEvents`.
     pub gated: bool,
+    /// Maximum number of events of the response; `None` if the request does not limit them.
+    pub max_events: Option<u64>,
     /// Whether `Output::SetEventInterval` applies to the response's events.
     pub paced: bool,
 }
--- a/crates/flamingotrail-gateway/src/systems/completion.rs
+++ b/crates/flamingotrail-gateway/src/systems/completion.rs
@@ -358,7 +358,8 @@
     budgets::charge_turn(world, tick, id);
 }
 
-fn tokens_per_event(world: &world::World, id: ids::CallId) -> u64 {
+/// Returns the number of tokens of each event of a call's stream.
+pub fn tokens_per_event(world: &world::World, id: ids::CallId) -> u64 {
     let Some(call) = world.tables.calls.rows.get(&id) else { return 1 };
     let service = world.tables.routes.service(&call.service);
     let engine = service.and_then(|service| service.engine.as_ref());
--- a/crates/flamingotrail-gateway/src/systems/placement.rs
+++ b/crates/flamingotrail-gateway/src/systems/placement.rs
@@ -197,6 +197,7 @@
 
 /// Sends a call to `endpoint`, with the texts of the turns that it continues.
 fn send(world: &mut world::World, tick: &world::Tick, id: ids::CallId, endpoint: ids::EndpointId) {
+    let tokens_per_event = completion::tokens_per_event(world, id);
     let tables = &mut world.tables;
     let Some(call) = tables.calls.rows.get_mut(&id) else { return };
     let Some(row) = tables.endpoints.rows.get_mut(&endpoint) else { return };
@@ -223,6 +224,12 @@
     tables.notices.record_request(&endpoint, tick.now);
     let repeatable = call.kind == input::RouteKind::Idempotent;
     let timeout = call.remaining_time(tick.now);
+    // Engines may begin with an event that has fewer tokens than the others.
+    let max_events = call
+        .turn
+        .as_ref()
+        .filter(|turn| turn.max_tokens > 0)
+        .map(|turn| turn.max_tokens.div_ceil(tokens_per_event) + 1);
     let dispatch = output::Dispatch {
         call: id,
         attempt: call.attempts,
@@ -241,6 +248,7 @@
             .turn
             .as_ref()
             .is_some_and(|turn| turn.reservation != calls::Reservation::Granted),
+        max_events,
         paced: call.turn.is_some(),
         endpoint,
     };
--- a/crates/flamingotrail-runtime/src/gateway/attempts.rs
+++ b/crates/flamingotrail-runtime/src/gateway/attempts.rs
@@ -4,6 +4,7 @@
 use std::time;
 
 use actix_http::Request;
+use bytes::Bytes;
 use bytes::BytesMut;
 use flamingotrail_adapter::connection;
 use flamingotrail_adapter::requests;
@@ -13,6 +14,7 @@
 use flamingotrail_gateway::output;
 use tokio::sync::oneshot;
 
+use crate::gateway::buffer_budget;
 use crate::gateway::control;
 use crate::gateway::pending_calls;
 use crate::gateway::pool;
@@ -21,8 +23,17 @@
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(300);
 /// Maximum size of a response that is not a stream.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
+/// Maximum size of a stream as it is received, in bytes.
+const MAX_STREAM_BYTES: usize = 8 << 20;
+/// Maximum size of a body that is dropped, so that its connection can be used again, in bytes.
+const MAX_DISCARDED_BYTES: usize = 64 << 10;
+/// Maximum time for reading such a body: the response is known without it.
+const DISCARD_TIMEOUT: time::Duration = time::Duration::from_millis(50);
 /// Maximum number of responses to earlier requests that are skipped on one connection.
 const MAX_STALE_RESPONSES: usize = 4;
+/// Error of a response for which there is no memory.
+const TOO_MANY_BYTES: connection::ConnectionError =
+    connection::ConnectionError::Malformed("the unfinished responses exceed the size limit");
 /// Statuses that promise that a request did not run.
 const NOT_RUN_STATUSES: &[u16] = &[408, 421, 429, 503];
 
@@ -35,6 +46,8 @@
     pub calls: pending_calls::PendingCalls,
     /// Sends inputs to the control thread.
     pub inputs: control::InputSender,
+    /// Memory for unfinished responses.
+    pub buffers: buffer_budget::BufferBudget,
 }
 
 /// What an attempt has received of a streamed response.
@@ -113,7 +126,12 @@
             if stale_responses > MAX_STALE_RESPONSES {
                 return Err(connection::ConnectionError::Malformed("responses to other requests"));
             }
-            connection.read_full_body(MAX_RESPONSE_BYTES).await?;
+            connection.discard_body(MAX_DISCARDED_BYTES, DISCARD_TIMEOUT).await;
+            if !connection.has_read_response() {
+                return Err(connection::ConnectionError::Malformed(
+                    "the response to another request does not end",
+                ));
+            }
             response = connection.read_head().await?;
         }
         let metadata = responses::metadata(&response);
@@ -124,7 +142,7 @@
         });
         let status = response.status;
         if metadata.not_executed {
-            connection.read_full_body(MAX_RESPONSE_BYTES).await?;
+            connection.discard_body(MAX_DISCARDED_BYTES, DISCARD_TIMEOUT).await;
             return Ok(input::Outcome::Refused { status, load: metadata.load });
         }
         let is_success = (200..300).contains(&status);
@@ -137,7 +155,7 @@
             progress.load = metadata.load;
             return self.receive_stream(dispatch, connection, response, progress).await;
         }
-        let body = connection.read_full_body(MAX_RESPONSE_BYTES).await?;
+        let body = self.read_body(connection).await?;
         if NOT_RUN_STATUSES.contains(&status) {
             // Without the endpoint's own statement that the request did not run, this process must
             // not pass on a status that promises it.
@@ -147,6 +165,25 @@
         Ok(input::Outcome::Answered { status, signed: metadata.signed, load: metadata.load })
     }
 
+    /// Reads a complete body within the limits of its own size and of the process's memory.
+    async fn read_body(
+        &self,
+        connection: &mut connection::Connection,
+    ) -> Result<Bytes, connection::ConnectionError> {
+        let mut buffered = self.buffers.begin();
+        let mut body = BytesMut::new();
+        while let Some(data) = connection.read_body().await? {
+            if body.len() + data.len() > MAX_RESPONSE_BYTES {
+                return Err(connection::ConnectionError::Malformed(
+                    "the body exceeds the size limit",
+                ));
+            }
+            buffered.add(data.len()).map_err(|_| TOO_MANY_BYTES)?;
+            body.extend_from_slice(&data);
+        }
+        Ok(body.freeze())
+    }
+
     async fn receive_stream(
         &self,
         dispatch: &output::Dispatch,
@@ -157,11 +194,23 @@
         progress.is_streaming = true;
         let mut parser = sse::EventParser::new();
         let mut head = Some(head);
+        let mut buffered = self.buffers.begin();
+        let mut stream_bytes = 0;
         while let Some(bytes) = connection.read_body().await? {
+            stream_bytes += bytes.len();
+            if stream_bytes > MAX_STREAM_BYTES {
+                return Err(connection::ConnectionError::Malformed("the stream is too long"));
+            }
+            buffered.add(bytes.len()).map_err(|_| TOO_MANY_BYTES)?;
             let events = parser
                 .push(&bytes)
                 .map_err(|_| connection::ConnectionError::Malformed("event is too long"))?;
             for event in events {
+                if dispatch.max_events.is_some_and(|max| progress.event_count >= max) {
+                    return Err(connection::ConnectionError::Malformed(
+                        "the stream has more events than the request allows",
+                    ));
+                }
                 if let Some(head) = head.take() {
                     self.calls.push_stream_part(
                         dispatch.call,
--- /dev/null
+++ b/crates/flamingotrail-runtime/src/gateway/buffer_budget.rs
@@ -0,0 +1,60 @@
+//! Limit of the memory that unfinished responses of endpoints take together.
+
+use std::cell;
+use std::rc;
+
+/// Maximum size of all unfinished responses together, in bytes: a fifth of the users' smallest
+/// machines.
+const MAX_BUFFERED_BYTES: usize = 16 << 20;
+/// Size up to which a response is buffered in any case, in bytes, so that large ones do not take the
+/// memory of others.
+const MIN_RESPONSE_BYTES: usize = 64 << 10;
+
+/// The unfinished responses take too much memory.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error(
+    "unfinished responses exceed {MAX_BUFFERED_BYTES} bytes; the request may have been processed"
+)]
+pub struct BufferFull;
+
+/// Bytes that are buffered for unfinished responses. Clones share the count.
+#[derive(Clone, Default)]
+pub struct BufferBudget {
+    used_bytes: rc::Rc<cell::Cell<usize>>,
+}
+
+impl BufferBudget {
+    /// Begins a response, whose bytes are released when the returned value is dropped.
+    pub fn begin(&self) -> BufferedBytes {
+        BufferedBytes { budget: self.clone(), bytes: 0 }
+    }
+}
+
+/// Bytes that are buffered for one response.
+pub struct BufferedBytes {
+    budget: BufferBudget,
+    bytes: usize,
+}
+
+impl BufferedBytes {
+    /// Adds `count` bytes.
+    ///
+    /// # Errors
+    ///
+    /// Fails if all responses together exceed their limit, unless this one is small.
+    pub fn add(&mut self, count: usize) -> Result<(), BufferFull> {
+        let used = self.budget.used_bytes.get() + count;
+        if used > MAX_BUFFERED_BYTES && self.bytes + count > MIN_RESPONSE_BYTES {
+            return Err(BufferFull);
+        }
+        self.bytes += count;
+        self.budget.used_bytes.set(used);
+        Ok(())
+    }
+}
+
+impl Drop for BufferedBytes {
+    fn drop(&mut self) {
+        self.budget.used_bytes.set(self.budget.used_bytes.get().saturating_sub(self.bytes));
+    }
+}
--- a/crates/flamingotrail-runtime/src/gateway/process.rs
+++ b/crates/flamingotrail-runtime/src/gateway/process.rs
@@ -22,6 +22,7 @@
 use crate::clock;
 use crate::configs::daemon;
 use crate::gateway::attempts;
+use crate::gateway::buffer_budget;
 use crate::gateway::callers;
 use crate::gateway::control;
 use crate::gateway::executor;
@@ -116,7 +117,12 @@
         store.address()
     );
     let executor = executor::Executor {
-        attempts: attempts::AttemptRunner { pool, calls, inputs: inputs.clone() },
+        attempts: attempts::AttemptRunner {
+            pool,
+            calls,
+            inputs: inputs.clone(),
+            buffers: buffer_budget::BufferBudget::default(),
+        },
         peers,
         store: store.clone(),
         metrics,
--- a/crates/flamingotrail-standins/src/fleet/gateways.rs
+++ b/crates/flamingotrail-standins/src/fleet/gateways.rs
@@ -99,6 +99,18 @@
         poll_until(|| self.child.try_wait().ok().flatten()).and_then(|status| status.code())
     }
 
+    /// Peak of the process's resident memory, in kilobytes.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process has exited or its status can't be read.
+    pub fn peak_memory_kb(&self) -> io::Result<u64> {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()))?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let number = line.and_then(|text| text.trim().strip_suffix(" kB"));
+        number.and_then(|text| text.parse().ok()).ok_or(io::ErrorKind::InvalidData.into())
+    }
+
     /// Whether the process is still running.
     pub fn is_running(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
--- a/crates/flamingotrail-standins/src/fleet/runner.rs
+++ b/crates/flamingotrail-standins/src/fleet/runner.rs
@@ -18,6 +18,52 @@
     delay: time::Duration,
     /// Requests per second that the runner accepts from all gateways together, if it names a limit.
     limit_per_s: Option<f64>,
+    /// A response that does not end, if the runner sends one.
+    endless: Option<Endless>,
+}
+
+/// Where a response never ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Endless {
+    /// In the value of a header.
+    Header,
+    /// In interim responses before the response.
+    InterimResponses,
+    /// In a body that ends with the connection.
+    Body,
+    /// In a body of chunks.
+    Chunks,
+    /// In the trailer after a body of chunks.
+    Trailer,
+    /// In the body of a refusal, which says that the request was not executed.
+    Refusal,
+    /// In an event of a stream.
+    Event,
+    /// In a stream of complete events.
+    Events,
+}
+
+impl Endless {
+    /// The response to request `id`: its beginning, and what follows again and again.
+    fn response(self, id: &str) -> server::Response {
+        let head = format!("HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: s.{id}\r\n");
+        let chunked = "Transfer-Encoding: chunked\r\n\r\n";
+        let stream = "Content-Type: text/event-stream\r\n\r\n";
+        let (start, repeated) = match self {
+            Endless::Header => (format!("{head}X-Padding: "), "x"),
+            Endless::InterimResponses => (String::new(), "HTTP/1.1 102 Processing\r\n\r\n"),
+            Endless::Body => (format!("{head}\r\n"), "noise"),
+            Endless::Chunks => (format!("{head}{chunked}"), "5\r\nnoise\r\n"),
+            Endless::Trailer => (format!("{head}{chunked}0\r\n"), "X-Padding: x\r\n"),
+            Endless::Refusal => (
+                format!("HTTP/1.1 503 Full\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\n\r\n"),
+                "noise",
+            ),
+            Endless::Event => (format!("{head}{stream}data: "), "x"),
+            Endless::Events => (format!("{head}{stream}"), "data: w\n\n"),
+        };
+        server::Response::Endless(start.into_bytes(), repeated.as_bytes().to_vec())
+    }
 }
 
 /// A runner; clones share their state.
@@ -42,6 +88,10 @@
         server::serve(move |request| {
             runner.lock().requests.push(request.clone());
             let id = request.header("request-id").unwrap_or_default();
+            let endless = runner.lock().endless;
+            if let Some(endless) = endless {
+                return endless.response(id);
+            }
             let head = format!(
                 "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: s.{id}\r\n\
                  {}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
@@ -85,6 +135,10 @@
             return server::Response::Close;
         }
         let id = request.header("request-id").unwrap_or_default();
+        let endless = self.lock().endless;
+        if let Some(endless) = endless {
+            return endless.response(id);
+        }
         let signature = format!("s.{id}");
         let announcements = self.announcements();
         let mut headers = vec![("Request-Id", id), ("Response-Signature", &signature)];
@@ -117,6 +171,11 @@
         self.lock().limit_per_s = per_s;
     }
 
+    /// Sets whether the runner sends responses that do not end.
+    pub fn set_endless(&self, endless: Option<Endless>) {
+        self.lock().endless = endless;
+    }
+
     /// Response headers in which the runner announces its state.
     fn announcements(&self) -> Vec<(&'static str, String)> {
         let state = self.lock();
--- a/crates/flamingotrail-standins/src/fleet/server.rs
+++ b/crates/flamingotrail-standins/src/fleet/server.rs
@@ -10,6 +10,9 @@
 use std::thread;
 use std::time;
 
+/// Number of bytes after which an endless response ends all the same, so that a test ends.
+const MAX_ENDLESS_BYTES: usize = 1 << 30;
+
 /// An HTTP request.
 #[derive(Clone, Debug)]
 pub struct Request {
@@ -48,6 +51,9 @@
     Bytes(Vec<u8>),
     /// Writes the chunks with a delay before each and keeps the connection open.
     DelayedChunks(Vec<Vec<u8>>, time::Duration),
+    /// Writes the first bytes, then the second ones again and again until the peer closes the
+    /// connection, or up to `MAX_ENDLESS_BYTES`.
+    Endless(Vec<u8>, Vec<u8>),
     /// Closes the connection without a response.
     Close,
 }
@@ -103,11 +109,27 @@
                     }
                 }
             }
+            Response::Endless(start, repeated) => {
+                write_endlessly(&mut out, &start, &repeated);
+                return;
+            }
             Response::Close => return,
         }
     }
 }
 
+fn write_endlessly(out: &mut net::TcpStream, start: &[u8], repeated: &[u8]) {
+    const BLOCK_BYTES: usize = 64 * 1024;
+    let block = repeated.repeat(BLOCK_BYTES.div_ceil(repeated.len().max(1)));
+    let mut written = out.write_all(start);
+    for _ in 0..MAX_ENDLESS_BYTES / BLOCK_BYTES {
+        if written.is_err() {
+            return;
+        }
+        written = out.write_all(&block);
+    }
+}
+
 /// Reads a request. Returns `None` at the end of the connection or after a malformed request line.
 fn read_request(reader: &mut io::BufReader<net::TcpStream>) -> io::Result<Option<Request>> {
     let mut line = String::new();
--- a/crates/flamingotrail-standins/tests/gateways.rs
+++ b/crates/flamingotrail-standins/tests/gateways.rs
@@ -17,6 +17,9 @@
 /// Topic in which gateways list themselves.
 const GATEWAY_TOPIC: &str = "keyed.gateways";
 
+/// Memory of the users' smallest machines for gateways, in kilobytes.
+const MAX_GATEWAY_KB: u64 = 88_000;
+
 /// The store and the runners that the gateways of a test use.
 struct Fleet {
     store: store::Store,
@@ -242,6 +245,81 @@
     assert!(response.text.contains("kind=\"append\",outcome=\"done\"} 2"), "{}", response.text);
 }
 
+// Guards against a runner that sends bytes without end, and so fills the memory of a gateway or
+// holds a caller until its deadline.
+#[test]
+fn endless_response_of_a_plain_runner_is_cut_off() {
+    let kinds = [
+        runner::Endless::Header,
+        runner::Endless::InterimResponses,
+        runner::Endless::Body,
+        runner::Endless::Chunks,
+        runner::Endless::Trailer,
+        runner::Endless::Refusal,
+    ];
+    let fleet = start_fleet("endless");
+    let gateway = fleet.start_gateway("one");
+    for kind in kinds {
+        fleet.plain.set_endless(Some(kind));
+
+        let start = time::Instant::now();
+        let response = call_tool(&gateway, "POST", "/book/1", &format!("{kind:?}"));
+
+        let status = if kind == runner::Endless::Refusal { 503 } else { 502 };
+        assert_eq!(response.status, status, "{kind:?}: {}", response.text);
+        assert!(start.elapsed() < time::Duration::from_millis(2_500), "{kind:?}");
+    }
+    let peak_kb = gateway.peak_memory_kb().expect("running");
+    assert!(peak_kb < MAX_GATEWAY_KB, "{peak_kb} kB");
+}
+
+#[test]
+fn endless_response_of_a_model_runner_is_cut_off() {
+    let fleet = start_fleet("endless-stream");
+    let gateway = fleet.start_gateway("one");
+    for kind in [runner::Endless::Event, runner::Endless::Events] {
+        fleet.model.set_endless(Some(kind));
+
+        let start = time::Instant::now();
+        let response = send_turn(&gateway, &format!("{kind:?}"), None, "8000");
+
+        assert!(!response.is_complete(), "{kind:?}");
+        // A turn of 24 tokens has three events of 8 tokens, and one may begin with them.
+        assert!(response.text.matches("data: w").count() <= 4, "{kind:?}");
+        assert!(start.elapsed() < time::Duration::from_millis(2_500), "{kind:?}");
+    }
+    let peak_kb = gateway.peak_memory_kb().expect("running");
+    assert!(peak_kb < MAX_GATEWAY_KB, "{peak_kb} kB");
+}
+
+// Guards against several endless responses at once that together take more memory than a machine
+// has, or that take it from other calls.
+#[test]
+fn endless_responses_at_once_leave_room_for_other_calls() {
+    let fleet = start_fleet("endless-many");
+    let gateway = fleet.start_gateway("one");
+    fleet.plain.set_endless(Some(runner::Endless::Chunks));
+
+    let (tools, turns) = thread::scope(|scope| {
+        let gateway = &gateway;
+        let tools: Vec<_> = (0..40)
+            .map(|n| scope.spawn(move || call_tool(gateway, "POST", "/book/1", &format!("b{n}"))))
+            .collect();
+        let turns: Vec<_> = (0..4)
+            .map(|n| scope.spawn(move || send_turn(gateway, &format!("t{n}"), None, "8000")))
+            .collect();
+        let join = |threads: Vec<thread::ScopedJoinHandle<'_, caller::Response>>| {
+            threads.into_iter().map(|t| t.join().expect("no panic").status).collect::<Vec<_>>()
+        };
+        (join(tools), join(turns))
+    });
+
+    assert!(tools.iter().all(|status| matches!(status, 502 | 503)), "{tools:?}");
+    assert_eq!(turns, [200; 4]);
+    let peak_kb = gateway.peak_memory_kb().expect("running");
+    assert!(peak_kb < MAX_GATEWAY_KB, "{peak_kb} kB");
+}
+
 // Guards against gateways that learn of a limit only from their own requests.
 #[test]
 fn limit_named_to_one_gateway_is_told_to_the_others() {
