Soak: runners that name limits and that leave

Cause: no run of real processes met an announcement of a runner.

Change: up to three announcements a seed, limits and leavings, from random numbers of their own so that the other faults of a seed stay the same; after a leaving the runner starts again under its id. Checked: requests in any 2 s under a limit, requests more than 3 s after the first response that said that the runner leaves; a started or resumed gateway may send one request of each caller, a cut runner is not counted.

Conclusion: both promises are part of the soak now.

--- a/crates/flamingotrail-standins/src/fleet/platform.rs
+++ b/crates/flamingotrail-standins/src/fleet/platform.rs
@@ -7,9 +7,16 @@
 
 /// Returns the registry entry of a runner that is ready.
 pub fn runner_entry(service: &str, address: net::SocketAddr) -> String {
+    restarted_runner_entry(service, address, 0)
+}
+
+/// Returns the registry entry of a runner that is ready after `restarts` starts under the same id.
+pub fn restarted_runner_entry(service: &str, address: net::SocketAddr, restarts: u64) -> String {
+    const FIRST_START_MS: u64 = 1_700_000_000_000;
+    let born = FIRST_START_MS + restarts;
     format!(
         "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"north-a\",\"slots\":8,\
-         \"state\":\"ready\",\"sequence\":1}}"
+         \"state\":\"ready\",\"sequence\":1,\"born\":{born}}}"
     )
 }
 
--- a/crates/flamingotrail-standins/src/fleet/runner.rs
+++ b/crates/flamingotrail-standins/src/fleet/runner.rs
@@ -18,6 +18,8 @@
     delay: time::Duration,
     /// Requests per second that the runner accepts from all gateways together, if it names a limit.
     limit_per_s: Option<f64>,
+    /// Whether the runner says that it leaves.
+    is_leaving: bool,
     /// A response that does not end, if the runner sends one.
     endless: Option<Endless>,
 }
@@ -171,6 +173,11 @@
         self.lock().limit_per_s = per_s;
     }
 
+    /// Sets whether the runner says in its responses that it leaves.
+    pub fn set_leaving(&self, is_leaving: bool) {
+        self.lock().is_leaving = is_leaving;
+    }
+
     /// Sets whether the runner sends responses that do not end.
     pub fn set_endless(&self, endless: Option<Endless>) {
         self.lock().endless = endless;
@@ -180,7 +187,8 @@
     fn announcements(&self) -> Vec<(&'static str, String)> {
         let state = self.lock();
         let limit = state.limit_per_s.map(|limit| ("Server-Limit", limit.to_string()));
-        limit.into_iter().collect()
+        let leaving = state.is_leaving.then(|| ("Server-Leaving", "1".to_owned()));
+        limit.into_iter().chain(leaving).collect()
     }
 
     /// Sets the delay before the response of a plain runner, or before each chunk of a model
--- a/crates/flamingotrail-standins/src/fleet/server.rs
+++ b/crates/flamingotrail-standins/src/fleet/server.rs
@@ -24,6 +24,8 @@
     pub headers: Vec<(String, String)>,
     /// Body of the length given by `Content-Length`.
     pub body: Vec<u8>,
+    /// When its first line was read.
+    pub received_at: time::Instant,
 }
 
 impl Request {
@@ -143,6 +145,7 @@
         target: target.to_owned(),
         headers: Vec::new(),
         body: Vec::new(),
+        received_at: time::Instant::now(),
     };
     loop {
         let mut line = String::new();
--- a/crates/flamingotrail-standins/src/soak/mod.rs
+++ b/crates/flamingotrail-standins/src/soak/mod.rs
@@ -5,6 +5,7 @@
 //!
 //! There are no clock or disk faults, since gateways use only monotonic clocks and have no disk.
 
+pub mod announcements;
 pub mod callers;
 pub mod connection;
 pub mod directory;
--- a/crates/flamingotrail-standins/src/soak/plan.rs
+++ b/crates/flamingotrail-standins/src/soak/plan.rs
@@ -33,6 +33,11 @@
     RunnerDropsResponses(usize),
     /// A configuration with one more route is published.
     Publish,
+    /// A runner names a limit in its responses.
+    RunnerLimit(usize),
+    /// A runner says in its responses that it leaves. At the end of the fault, it starts again under
+    /// the same id.
+    RunnerLeaves(usize),
 }
 
 impl Fault {
@@ -40,6 +45,11 @@
     pub fn is_maintenance(self) -> bool {
         matches!(self, Fault::Shutdown(_) | Fault::Reload(_) | Fault::Publish)
     }
+
+    /// Whether this is an announcement of a runner, which disturbs nothing by itself.
+    pub fn is_announcement(self) -> bool {
+        matches!(self, Fault::RunnerLimit(_) | Fault::RunnerLeaves(_))
+    }
 }
 
 /// A fault at a point in time.
@@ -74,6 +84,10 @@
 pub const RUNNERS: usize = 4;
 /// Number of model runners.
 pub const MODEL_RUNNERS: usize = 2;
+/// Limit that runners name, in requests per second.
+pub const RUNNER_LIMIT_PER_S: f64 = 4.0;
+/// Distinguishes the random numbers of announcements.
+const ANNOUNCEMENT_SEED: u64 = 0x5eed;
 /// Mean gap between faults that don't start together, in milliseconds.
 const FAULT_GAP_MS: u64 = 900;
 /// Every seed divisible by this has only planned maintenance.
@@ -100,10 +114,34 @@
             // A third of the faults start together with the fault before.
             at_ms += random_below(&mut rng, 2 * FAULT_GAP_MS) * random_below(&mut rng, 3).min(1);
         }
+        faults.extend(announcements(seed, load_ms));
+        faults.sort_by_key(|fault| fault.at);
         Plan { seed, gateways, callers, load_duration, faults, maintenance_only }
     }
 }
 
+/// Generates the announcements of runners. They have random numbers of their own, so that the other
+/// faults of a seed stay the same. Two runners never announce anything, so that callers are served.
+fn announcements(seed: u64, load_ms: u64) -> Vec<ScheduledFault> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ ANNOUNCEMENT_SEED);
+    let runners = [0, MODEL_RUNNERS];
+    let count = 1 + random_below(&mut rng, 3);
+    (0..count)
+        .map(|_| {
+            let runner = runners[random_index(&mut rng, runners.len())];
+            let fault = match random_below(&mut rng, 2) {
+                0 => Fault::RunnerLimit(runner),
+                _ => Fault::RunnerLeaves(runner),
+            };
+            ScheduledFault {
+                at: time::Duration::from_millis(random_below(&mut rng, load_ms / 2)),
+                duration: time::Duration::from_millis(2_000 + random_below(&mut rng, 4_000)),
+                fault,
+            }
+        })
+        .collect()
+}
+
 fn random_fault(rng: &mut ChaCha8Rng, gateways: usize) -> Fault {
     let gateway = random_index(rng, gateways);
     let runner = random_index(rng, RUNNERS);
--- a/crates/flamingotrail-standins/src/soak/run.rs
+++ b/crates/flamingotrail-standins/src/soak/run.rs
@@ -14,6 +14,7 @@
 use crate::fleet::platform;
 use crate::fleet::runner;
 use crate::fleet::store;
+use crate::soak::announcements;
 use crate::soak::callers;
 use crate::soak::directory;
 use crate::soak::observations;
@@ -80,6 +81,9 @@
     /// Number of additional routes published so far.
     published_routes: u64,
     observations: observations::Observations,
+    announcements: announcements::Announcements,
+    /// Number of starts of runners under the same id.
+    runner_restarts: u64,
 }
 
 /// Executes `plan` with the daemon at `program`. Settings and logs go to `folder`.
@@ -166,6 +170,8 @@
             scheduled_count: 0,
             published_routes: 0,
             observations: observations::Observations::default(),
+            announcements: announcements::Announcements::default(),
+            runner_restarts: 0,
         };
         for fault in &plan.faults {
             world.schedule(fault.at, Action::Inject(*fault));
@@ -187,6 +193,7 @@
         let name = format!("gateway-{index}");
         let process = gateways::start(&self.program, &self.folder, &name, row.store_link.address)?;
         row.start_count += 1;
+        self.announcements.record_disturbance();
         let incarnation = directory::Incarnation {
             gateway: index,
             number: row.start_count,
@@ -239,11 +246,20 @@
                 self.gateways[index].store_link.set_fault(link_fault)
             }
             plan::Fault::RunnerLink(index, link_fault) => {
+                self.announcements.record_cut(index);
                 self.runner_links[index].set_fault(link_fault)
             }
             plan::Fault::RunnerDropsResponses(index) => {
                 self.runners[index].set_drop_responses(true)
             }
+            plan::Fault::RunnerLimit(index) => {
+                self.runners[index].set_limit(Some(plan::RUNNER_LIMIT_PER_S));
+                self.announcements.begin(announcements::Kind::Limit, index);
+            }
+            plan::Fault::RunnerLeaves(index) => {
+                self.runners[index].set_leaving(true);
+                self.announcements.begin(announcements::Kind::Leaving, index);
+            }
             plan::Fault::Publish => {
                 self.published_routes += 1;
                 let configuration =
@@ -253,7 +269,9 @@
             }
         }
         if !scheduled.fault.is_maintenance() {
-            self.gateways.iter_mut().for_each(|row| row.is_disturbed = true);
+            if !scheduled.fault.is_announcement() {
+                self.gateways.iter_mut().for_each(|row| row.is_disturbed = true);
+            }
             self.schedule(now + scheduled.duration, Action::Clear(scheduled.fault));
         }
     }
@@ -266,23 +284,43 @@
                     self.start(index)?;
                 }
             }
-            plan::Fault::Pause(index) => self.signal(index, rustix::process::Signal::CONT),
+            plan::Fault::Pause(index) => {
+                self.announcements.record_disturbance();
+                self.signal(index, rustix::process::Signal::CONT);
+            }
             plan::Fault::StoreUnavailable => self.store.set_unavailable(false),
             plan::Fault::StoreDropsResponses => self.store.set_drop_responses(false),
             plan::Fault::StoreLink(index, _) => {
                 self.gateways[index].store_link.set_fault(proxy::LinkFault::None)
             }
             plan::Fault::RunnerLink(index, _) => {
+                self.announcements.record_cut_end(index);
                 self.runner_links[index].set_fault(proxy::LinkFault::None)
             }
             plan::Fault::RunnerDropsResponses(index) => {
                 self.runners[index].set_drop_responses(false)
             }
+            plan::Fault::RunnerLimit(index) => {
+                self.announcements.end(announcements::Kind::Limit, index);
+                self.runners[index].set_limit(None);
+            }
+            plan::Fault::RunnerLeaves(index) => self.restart_runner(index),
             plan::Fault::Shutdown(_) | plan::Fault::Reload(_) | plan::Fault::Publish => {}
         }
         Ok(())
     }
 
+    /// Ends the announcement of a runner that leaves, as if it had started again under the same id.
+    fn restart_runner(&mut self, index: usize) {
+        self.announcements.end(announcements::Kind::Leaving, index);
+        self.runners[index].set_leaving(false);
+        self.runner_restarts += 1;
+        let service = if index < plan::MODEL_RUNNERS { "model" } else { "plain" };
+        let address = self.runner_links[index].address;
+        let entry = platform::restarted_runner_entry(service, address, self.runner_restarts);
+        self.store.set("keyed.servers", &format!("runner-{index}"), &entry);
+    }
+
     fn kill(&mut self, index: usize) {
         self.directory.remove(index);
         // Dropping the handle kills the process.
@@ -327,12 +365,15 @@
 
     /// Checks the guarantees and sums up the run.
     fn report(self, plan: &plan::Plan) -> Report {
-        let requests: Vec<_> = self.runners.iter().flat_map(runner::Runner::requests).collect();
+        let by_runner: Vec<_> = self.runners.iter().map(runner::Runner::requests).collect();
+        let mut violations = self.announcements.violations(&by_runner, plan.callers);
+        let requests = by_runner.concat();
+        violations.extend(self.observations.violations(&requests, plan.maintenance_only));
         Report {
             faults: plan.faults.len(),
             turns: self.observations.completed_turns(),
             calls: self.observations.calls.len(),
-            violations: self.observations.violations(&requests, plan.maintenance_only),
+            violations,
         }
     }
 }
