Gateway: refuse calls at once for which there is no endpoint

Cause: a call without an endpoint was tried again every 50 ms for a quarter of its target latency, although only an update of the list, read every 0.7 s, can bring one.

Change: it is refused at once, as not run, with a delay before the next try.

Measured: calls::call_without_an_endpoint_is_refused_at_once fails without the change; the other 65 tests of the decisions pass.

Conclusion: the caller has the time to try another gateway.

--- a/crates/flamingotrail-gateway/src/systems/placement.rs
+++ b/crates/flamingotrail-gateway/src/systems/placement.rs
@@ -16,9 +16,7 @@
 use crate::tables::timers;
 use crate::world;
 
-/// Delay before another try to place a call for which there is no endpoint.
-const PLACEMENT_RETRY_DELAY: time::Duration = time::Duration::from_millis(50);
-/// A call waits for an endpoint for at most its route's target latency divided by this number:
+/// A call waits for its share of a limit for at most its route's target latency divided by this number:
 /// after a longer wait, a refusal would leave the caller too little time to try elsewhere.
 const MAX_WAIT_DIVISOR: u32 = 4;
 /// Number of refused attempts, in addition to the route's maximum, after which a call fails.
@@ -84,7 +82,7 @@
     match select_endpoint(world, tick, call) {
         Selection::Endpoint(endpoint) => send(world, tick, id, endpoint),
         Selection::Limited(due) => wait_for_share(world, tick, id, due),
-        Selection::None => wait_for_endpoint(world, tick, id),
+        Selection::None => completion::fail_call(world, tick, id),
     }
 }
 
@@ -133,17 +131,6 @@
     wait.max(admission::DEFAULT_RETRY_AFTER)
 }
 
-/// Schedules another try, or fails the call while the caller still has time to try elsewhere.
-fn wait_for_endpoint(world: &mut world::World, tick: &world::Tick, id: ids::CallId) {
-    let Some(call) = world.tables.calls.rows.get(&id) else { return };
-    let waited = tick.now.since(call.arrival.received);
-    if call.attempts > 0 || waited > call.target_latency / MAX_WAIT_DIVISOR {
-        completion::fail_call(world, tick, id);
-        return;
-    }
-    world.tables.timers.set(timers::Timer::CallRetry(id), tick.now.after(PLACEMENT_RETRY_DELAY));
-}
-
 /// Whether an endpoint provides `service` and is not leaving, according to the list or to its own
 /// announcement, whichever came first.
 fn serves(
--- a/crates/flamingotrail-gateway/tests/decisions/calls.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/calls.rs
@@ -116,6 +116,18 @@
     assert_eq!(gateway.sent[0].endpoint, ids::EndpointId::new("ledger-2"));
 }
 
+// Guards against callers that wait although it is known that no endpoint can serve them.
+#[test]
+fn call_without_an_endpoint_is_refused_at_once() {
+    let mut gateway = fixture::Gateway::new("one");
+    gateway.tick(vec![input::Input::Endpoints(input::Membership::default())]);
+
+    gateway.receive(fixture::request(1, "a", "/book/1"));
+
+    assert_eq!(gateway.refusal_reason(1), Some(output::Reason::Unavailable));
+    assert!(gateway.refused[0].1.retry_after.is_some());
+}
+
 #[test]
 fn missing_endpoints_are_kept_for_a_time_after_a_list_outage() {
     let mut log = fixture::MemoryLog::default();
