Gateway: ask endpoints that leave whether they still do

Cause: an endpoint that has announced its leaving gets no requests, so no response can withdraw the announcement. One that stays, and is still listed as ready, would never have been used again.

Change: one gateway, the first in the order that begins elsewhere for each endpoint, checks the endpoint's health every 5 s while it is listed as ready, and tells the others when it is healthy and no longer says that it leaves.

Measured: leaving::withdrawn_leaving_is_noticed_by_one_gateway_and_told_to_the_others and a test of processes, which fail without the checks: nothing else ends the announcement.

Conclusion: a withdrawn notice costs an endpoint 5 s.

--- a/crates/flamingotrail-gateway/src/input.rs
+++ b/crates/flamingotrail-gateway/src/input.rs
@@ -59,6 +59,13 @@
     ListUnreachable,
     /// The set of other gateways was read.
     Peers(collections::BTreeMap<ids::InstanceName, peers::Peer>),
+    /// A health check of an endpoint has ended.
+    EndpointChecked {
+        /// Endpoint that was checked.
+        endpoint: ids::EndpointId,
+        /// What the endpoint announces; `None` if it did not respond or is not healthy.
+        notice: Option<Notice>,
+    },
     /// Another gateway has learned of announcements of endpoints.
     PeerNotices(Vec<PeerNotice>),
     /// A probe of another gateway has ended.
@@ -337,6 +344,8 @@
 pub struct Service {
     /// Properties of its model engines; `None` for a plain service.
     pub engine: Option<Engine>,
+    /// Path at which endpoints say whether they are healthy; `None` if they do not.
+    pub health_path: Option<String>,
 }
 
 /// Properties of a service's model engines.
--- a/crates/flamingotrail-gateway/src/output.rs
+++ b/crates/flamingotrail-gateway/src/output.rs
@@ -49,6 +49,15 @@
         /// Record to append.
         record: Box<journal::Record>,
     },
+    /// Checks the health of an endpoint; results in one `Input::EndpointChecked`.
+    CheckEndpoint {
+        /// Endpoint to check.
+        endpoint: ids::EndpointId,
+        /// Address of the endpoint.
+        address: String,
+        /// Path of the health check.
+        path: String,
+    },
     /// Tells another gateway of announcements of endpoints, without confirmation.
     TellNotices {
         /// Gateway to tell.
--- a/crates/flamingotrail-gateway/src/schedule.rs
+++ b/crates/flamingotrail-gateway/src/schedule.rs
@@ -20,6 +20,7 @@
     System { name: "peer_probes", run: systems::peer_probes::run },
     System { name: "journal", run: systems::journal::run },
     System { name: "relay", run: systems::relay::run },
+    System { name: "leaving_checks", run: systems::leaving_checks::run },
     System { name: "notices", run: systems::notices::run },
     System { name: "completion", run: systems::completion::run },
     System { name: "admission", run: systems::admission::run },
--- a/crates/flamingotrail-gateway/src/systems/ingest.rs
+++ b/crates/flamingotrail-gateway/src/systems/ingest.rs
@@ -34,6 +34,9 @@
             input::Input::Endpoints(membership) => inbox.memberships.push(Some(membership)),
             input::Input::ListUnreachable => inbox.memberships.push(None),
             input::Input::Peers(rows) => update_peers(world, tick, rows),
+            input::Input::EndpointChecked { endpoint, notice } => {
+                inbox.endpoint_checks.push((endpoint, notice));
+            }
             input::Input::PeerNotices(notices) => inbox.peer_notices.extend(notices),
             input::Input::PeerProbed { peer, has_responded } => {
                 inbox.probe_results.push((peer, has_responded));
--- a/crates/flamingotrail-gateway/src/systems/mod.rs
+++ b/crates/flamingotrail-gateway/src/systems/mod.rs
@@ -8,6 +8,7 @@
 pub mod expiry;
 pub mod ingest;
 pub mod journal;
+pub mod leaving_checks;
 pub mod log_io;
 pub mod membership;
 pub mod notices;
--- a/crates/flamingotrail-gateway/src/systems/notices.rs
+++ b/crates/flamingotrail-gateway/src/systems/notices.rs
@@ -8,6 +8,7 @@
 use crate::ids;
 use crate::input;
 use crate::output;
+use crate::systems::leaving_checks;
 use crate::tables::timers;
 use crate::world;
 
@@ -22,6 +23,9 @@
     for (call, attempt, notice) in std::mem::take(&mut world.tables.inbox.notices) {
         apply_response(world, tick, call, attempt, notice);
     }
+    for (endpoint, notice) in std::mem::take(&mut world.tables.inbox.endpoint_checks) {
+        apply_check(world, tick, endpoint, notice);
+    }
     for peer_notice in std::mem::take(&mut world.tables.inbox.peer_notices) {
         apply_peer_notice(world, tick, &peer_notice);
     }
@@ -45,12 +49,35 @@
     let sent_ms_ago = tick.now.since(running.sent_at).as_millis();
     let source = format_args!("request={request} sent_ms_ago={sent_ms_ago}");
     if apply_notice(world, tick, &running.endpoint, notice, running.sent_at, source) {
-        let told = (notice, running.sent_at);
-        world.tables.notices.untold.insert(running.endpoint, told);
-        world.tables.dirty.untold_notices = true;
+        tell_later(world, running.endpoint, notice, running.sent_at);
+    }
+}
+
+/// Applies the notice of a health check.
+fn apply_check(
+    world: &mut world::World,
+    tick: &world::Tick,
+    endpoint: ids::EndpointId,
+    notice: Option<input::Notice>,
+) {
+    let Some(sent_at) = world.tables.notices.checked_at(&endpoint) else { return };
+    let Some(notice) = notice else { return };
+    if apply_notice(world, tick, &endpoint, notice, sent_at, format_args!("request=check")) {
+        tell_later(world, endpoint, notice, sent_at);
     }
 }
 
+/// Marks an announcement that the other gateways have to be told of.
+fn tell_later(
+    world: &mut world::World,
+    endpoint: ids::EndpointId,
+    notice: input::Notice,
+    sent_at: core_time::Timestamp,
+) {
+    world.tables.notices.untold.insert(endpoint, (notice, sent_at));
+    world.tables.dirty.untold_notices = true;
+}
+
 /// Applies a notice that another gateway has told.
 fn apply_peer_notice(
     world: &mut world::World,
@@ -82,6 +109,7 @@
     let has_leaving_changed =
         world.tables.notices.update_leaving(endpoint, notice, sent_at, tick.now);
     if has_leaving_changed {
+        leaving_checks::schedule(world, tick);
         let detail = format_args!("endpoint={endpoint} leaving={} {source}", notice.is_leaving);
         world.emit_event("endpoint_leaving", detail);
     }
@@ -146,15 +174,12 @@
 }
 
 /// Returns the part of the interval between two requests to `endpoint` after which this gateway sends
-/// its first one. Gateways learn of a limit at about the same time, and each takes its own place in
-/// the order of names, so that their requests are evenly distributed. The order begins with another
-/// gateway at each endpoint.
+/// its first one. Gateways learn of a limit at about the same time, and each takes its own place, so
+/// that their requests are evenly distributed.
 fn phase(world: &world::World, endpoint: &ids::EndpointId) -> f64 {
-    let peers = &world.tables.peers.rows;
-    let count = peers.len() as u64 + 1;
-    let rank = peers.range(..&world.identity.instance).count() as u64;
-    let place = (rank + ids::stable_hash(endpoint.as_str()) % count) % count;
-    (place + 1) as f64 / count as f64
+    let peers = &world.tables.peers;
+    let place = peers.place(&world.identity.instance, endpoint.as_str());
+    (place + 1) as f64 / (peers.rows.len() + 1) as f64
 }
 
 fn limit_text(per_s: Option<f64>) -> String {
--- a/crates/flamingotrail-gateway/src/systems/timers.rs
+++ b/crates/flamingotrail-gateway/src/systems/timers.rs
@@ -33,6 +33,7 @@
             timers::Timer::AppendRate => dirty.append_rate = true,
             timers::Timer::Expiry => dirty.expiry = true,
             timers::Timer::LapsedEndpoints => dirty.lapsed_endpoints = true,
+            timers::Timer::LeavingChecks => dirty.leaving_checks = true,
             timers::Timer::TellNotices => dirty.untold_notices = true,
             timers::Timer::PeerProbes => dirty.peer_probes = true,
             timers::Timer::Drain => dirty.drain = true,
--- a/crates/flamingotrail-gateway/src/tables/dirty.rs
+++ b/crates/flamingotrail-gateway/src/tables/dirty.rs
@@ -32,6 +32,8 @@
     pub expiry: bool,
     /// Whether lapsed endpoints may have to be removed.
     pub lapsed_endpoints: bool,
+    /// Whether endpoints that leave are to be checked.
+    pub leaving_checks: bool,
     /// Whether other gateways are to be told of announcements.
     pub untold_notices: bool,
     /// Whether other gateways are to be probed.
@@ -55,6 +57,7 @@
             && !self.append_rate
             && !self.expiry
             && !self.lapsed_endpoints
+            && !self.leaving_checks
             && !self.untold_notices
             && !self.peer_probes
             && !self.drain
--- a/crates/flamingotrail-gateway/src/tables/notices.rs
+++ b/crates/flamingotrail-gateway/src/tables/notices.rs
@@ -40,13 +40,22 @@
     phase: f64,
 }
 
+/// The announcement of an endpoint that it leaves.
+#[derive(Clone, Copy, Debug)]
+pub struct Leaving {
+    /// When it was learned.
+    pub learned_at: core_time::Timestamp,
+    /// When the endpoint was last asked whether it still leaves.
+    pub checked_at: Option<core_time::Timestamp>,
+}
+
 /// Table of announcements.
 #[derive(Debug, Default)]
 pub struct Notices {
     /// Limits by endpoint.
     limits: collections::BTreeMap<ids::EndpointId, Limit>,
-    /// Endpoints that have announced that they leave, with the time at which this was learned.
-    leaving: collections::BTreeMap<ids::EndpointId, core_time::Timestamp>,
+    /// Endpoints that have announced that they leave.
+    leaving: collections::BTreeMap<ids::EndpointId, Leaving>,
     /// When endpoints were started, in milliseconds since the Unix epoch, for those that say so.
     starts: collections::BTreeMap<ids::EndpointId, u64>,
     /// Number of gateways that share the limits; `None` while this one is not known to the others.
@@ -153,6 +162,16 @@
         self.leaving.contains_key(endpoint)
     }
 
+    /// Returns the endpoints that have announced that they leave.
+    pub fn leaving(&mut self) -> impl Iterator<Item = (&ids::EndpointId, &mut Leaving)> {
+        self.leaving.iter_mut()
+    }
+
+    /// Returns when `endpoint` was last asked whether it still leaves.
+    pub fn checked_at(&self, endpoint: &ids::EndpointId) -> Option<core_time::Timestamp> {
+        self.leaving.get(endpoint).and_then(|leaving| leaving.checked_at)
+    }
+
     /// Applies what the response to a request sent at `sent_at` says of whether `endpoint` leaves.
     /// Returns whether that has changed. A response to a request sent before the announcement was
     /// learned may be older than it and does not withdraw it.
@@ -165,10 +184,11 @@
     ) -> bool {
         match self.leaving.get(endpoint) {
             None if notice.is_leaving => {
-                self.leaving.insert(endpoint.clone(), now);
+                let leaving = Leaving { learned_at: now, checked_at: None };
+                self.leaving.insert(endpoint.clone(), leaving);
                 true
             }
-            Some(learned_at) if !notice.is_leaving && sent_at >= *learned_at => {
+            Some(leaving) if !notice.is_leaving && sent_at >= leaving.learned_at => {
                 self.leaving.remove(endpoint);
                 true
             }
@@ -220,7 +240,7 @@
             is_listed(id) || now.since(learned_at) < UNLISTED_RETENTION
         };
         self.limits.retain(|id, limit| is_kept(id, limit.learned_at));
-        self.leaving.retain(|id, learned_at| is_kept(id, *learned_at));
+        self.leaving.retain(|id, leaving| is_kept(id, leaving.learned_at));
         let (limits, leaving) = (&self.limits, &self.leaving);
         self.starts
             .retain(|id, _| is_listed(id) || limits.contains_key(id) || leaving.contains_key(id));
--- a/crates/flamingotrail-gateway/src/tables/peers.rs
+++ b/crates/flamingotrail-gateway/src/tables/peers.rs
@@ -46,6 +46,15 @@
         self.avoid_until.remove(peer);
     }
 
+    /// Returns the place of `own`, from 0, in the order of all gateways by name. The order begins with
+    /// another gateway for each `key`.
+    pub fn place(&self, own: &ids::InstanceName, key: &str) -> usize {
+        let count = self.rows.len() + 1;
+        let rank = self.rows.range(..own).count();
+        let shift = usize::try_from(ids::stable_hash(key) % count as u64).unwrap_or(0);
+        (rank + shift) % count
+    }
+
     /// Returns the gateways that `own` has to watch: those that follow it in the order of names, up
     /// to the first one that responds. So each gateway is watched by one that responds.
     pub fn watched(&self, own: &ids::InstanceName) -> Vec<(&ids::InstanceName, &Peer)> {
--- a/crates/flamingotrail-gateway/src/tables/timers.rs
+++ b/crates/flamingotrail-gateway/src/tables/timers.rs
@@ -26,6 +26,8 @@
     Expiry,
     /// Endpoints that are still missing from the list after an outage are removed.
     LapsedEndpoints,
+    /// Endpoints that leave are checked.
+    LeavingChecks,
     /// Other gateways are told of announcements of endpoints.
     TellNotices,
     /// Other gateways are probed.
--- a/crates/flamingotrail-gateway/tests/decisions/fleet.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/fleet.rs
@@ -56,6 +56,8 @@
     pub notices: collections::BTreeMap<ids::EndpointId, input::Notice>,
     /// Requests in the order in which they reached endpoints.
     pub reached: Vec<Reached>,
+    /// Number of health checks of all gateways.
+    pub checks: usize,
     /// Steps since the start.
     pub now: u64,
     members: collections::BTreeMap<(String, u32), Member>,
@@ -80,6 +82,7 @@
         let mut fleet = Fleet {
             notices: collections::BTreeMap::new(),
             reached: Vec::new(),
+            checks: 0,
             now: 0,
             members: collections::BTreeMap::new(),
             listed: listed.collect(),
@@ -187,6 +190,7 @@
                 self.advance_attempt(due);
             }
             self.deliver_messages();
+            self.answer_checks();
             let keys: Vec<(String, u32)> = self.members.keys().cloned().collect();
             for (index, key) in keys.iter().enumerate() {
                 let Some(member) = self.members.get_mut(key) else { continue };
@@ -235,6 +239,19 @@
         }
     }
 
+    /// Answers the health checks of all gateways.
+    fn answer_checks(&mut self) {
+        for member in self.members.values_mut() {
+            for endpoint in std::mem::take(&mut member.gateway.checked) {
+                let notice = self.notices.get(&endpoint).copied().unwrap_or_default();
+                // An endpoint that leaves is not healthy.
+                let notice = (!notice.is_leaving).then_some(notice);
+                self.checks += 1;
+                member.gateway.tick(vec![input::Input::EndpointChecked { endpoint, notice }]);
+            }
+        }
+    }
+
     fn advance_attempt(&mut self, due: Due) {
         let Some(member) = self.members.get_mut(&due.sender) else { return };
         match due.step {
--- a/crates/flamingotrail-gateway/tests/decisions/leaving.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/leaving.rs
@@ -81,3 +81,20 @@
     assert!(refusals.iter().all(|refusal| refusal.reason == output::Reason::Unavailable));
     assert!(refusals.iter().all(|refusal| refusal.retry_after.is_some()));
 }
+
+// Guards against an endpoint that stays and gets no requests for ever, since nobody asks it whether
+// it still leaves.
+#[test]
+fn withdrawn_leaving_is_noticed_by_one_gateway_and_told_to_the_others() {
+    let mut fleet = fleet::Fleet::new(9, &["e1", "free"]);
+    fleet.set_leaving("e1", true);
+    fleet.run(20, 10);
+    let (checks, reached) = (fleet.checks, fleet.reached_within("e1", 15));
+
+    fleet.set_leaving("e1", false);
+    fleet.run(10, 10);
+
+    assert!((2..=4).contains(&checks), "{checks} checks in 20 s");
+    assert_eq!(reached, 0);
+    assert!(fleet.reached_within("e1", 2) > 150, "{}", fleet.reached_within("e1", 2));
+}
--- a/crates/flamingotrail-runtime/src/gateway/executor.rs
+++ b/crates/flamingotrail-runtime/src/gateway/executor.rs
@@ -14,6 +14,7 @@
 use crate::gateway::attempts;
 use crate::gateway::callers;
 use crate::gateway::control;
+use crate::gateway::health_checks;
 use crate::gateway::metrics;
 use crate::gateway::peers;
 use crate::gateway::pending_calls;
@@ -72,6 +73,9 @@
             output::Output::RelayRecord { peer, address, record } => {
                 self.peers.relay_record(peer, address, *record);
             }
+            output::Output::CheckEndpoint { endpoint, address, path } => {
+                self.check_endpoint(endpoint, address, path);
+            }
             output::Output::TellNotices { peer, address, notices } => {
                 self.peers.tell_notices(peer, address, &notices);
             }
@@ -97,6 +101,14 @@
         }
     }
 
+    fn check_endpoint(&self, endpoint: ids::EndpointId, address: String, path: String) {
+        let inputs = self.inputs.clone();
+        actix_rt::spawn(async move {
+            let notice = health_checks::check(&endpoint, &address, &path).await;
+            inputs.send(input::Input::EndpointChecked { endpoint, notice });
+        });
+    }
+
     fn remove_peer(&self, peer: ids::InstanceName) {
         let store = self.store.clone();
         actix_rt::spawn(async move { peers::unregister(&store, &peer).await });
--- a/crates/flamingotrail-runtime/src/gateway/mod.rs
+++ b/crates/flamingotrail-runtime/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 pub mod callers;
 pub mod control;
 pub mod executor;
+pub mod health_checks;
 pub mod http1;
 pub mod metrics;
 pub mod monitoring;
--- a/crates/flamingotrail-standins/src/fleet/platform.rs
+++ b/crates/flamingotrail-standins/src/fleet/platform.rs
@@ -31,7 +31,7 @@
     routes.extend((1..=extra).map(|number| route(&format!("extra-{number}"), "safe", "plain", "")));
     format!(
         "{{\"version\":{version},\"routes\":[{}],\"services\":[{{\"name\":\"model\",\
-         \"engine\":{{\"event_stride\":{TOKENS_PER_EVENT}}}}},{{\"name\":\"plain\"}}]}}",
+         \"engine\":{{\"event_stride\":{TOKENS_PER_EVENT}}}}},{{\"name\":\"plain\",\"health_path\":\"/health\"}}]}}",
         routes.join(",")
     )
 }
--- a/crates/flamingotrail-standins/src/fleet/runner.rs
+++ b/crates/flamingotrail-standins/src/fleet/runner.rs
@@ -9,6 +9,9 @@
 
 use crate::fleet::server;
 
+/// Id that a plain runner gives in its responses to health checks.
+pub const PLAIN_RUNNER_ID: &str = "p-1";
+
 /// Requests received by a runner, and the faults injected into it.
 #[derive(Default)]
 struct State {
@@ -126,7 +129,19 @@
         server::serve(move |request| runner.respond_plain(request))
     }
 
+    /// Responds to a health check.
+    fn respond_to_check(&self) -> server::Response {
+        let status = if self.lock().is_leaving { 503 } else { 200 };
+        let announcements = self.announcements();
+        let mut headers = vec![("Instance-Id", PLAIN_RUNNER_ID)];
+        headers.extend(announcements.iter().map(|(name, value)| (*name, value.as_str())));
+        server::response(status, &headers, b"")
+    }
+
     fn respond_plain(&self, request: &server::Request) -> server::Response {
+        if request.path() == "/health" {
+            return self.respond_to_check();
+        }
         let (delay, drop_responses, duplicate_responses) = {
             let mut state = self.lock();
             state.requests.push(request.clone());
