--- a/crates/flamingotrail-gateway/src/systems/notices.rs
+++ b/crates/flamingotrail-gateway/src/systems/notices.rs
@@ -18,6 +18,16 @@
 /// Minimum time between two messages to a gateway; announcements may change with each response.
 const TELL_INTERVAL: time::Duration = time::Duration::from_millis(1_000);
 
+/// A notice of an endpoint, and where it comes from.
+struct News {
+    endpoint: ids::EndpointId,
+    notice: input::Notice,
+    /// When the request was sent whose response contained the notice.
+    sent_at: core_time::Timestamp,
+    /// The source as `key=value` pairs for the log.
+    source: String,
+}
+
 /// Applies the notices in the inbox, and tells the other gateways of what has changed.
 pub fn run(world: &mut world::World, tick: &world::Tick) {
     for (call, attempt, notice) in std::mem::take(&mut world.tables.inbox.notices) {
@@ -27,7 +37,7 @@
         apply_check(world, tick, endpoint, notice);
     }
     for peer_notice in std::mem::take(&mut world.tables.inbox.peer_notices) {
-        apply_peer_notice(world, tick, &peer_notice);
+        apply_peer_notice(world, tick, peer_notice);
     }
     if std::mem::take(&mut world.tables.dirty.untold_notices) {
         tell_peers(world, tick);
@@ -47,9 +57,11 @@
     let Some(running) = call.running.clone() else { return };
     let request = call.arrival.id.clone();
     let sent_ms_ago = tick.now.since(running.sent_at).as_millis();
-    let source = format_args!("request={request} sent_ms_ago={sent_ms_ago}");
-    if apply_notice(world, tick, &running.endpoint, notice, running.sent_at, source) {
-        tell_later(world, running.endpoint, notice, running.sent_at);
+    let source = format!("request={request} sent_ms_ago={sent_ms_ago}");
+    let sent_at = running.sent_at;
+    let news = News { endpoint: running.endpoint, notice, sent_at, source };
+    if apply_news(world, tick, &news) {
+        tell_later(world, news);
     }
 }
 
@@ -62,52 +74,36 @@
 ) {
     let Some(sent_at) = world.tables.notices.checked_at(&endpoint) else { return };
     let Some(notice) = notice else { return };
-    if apply_notice(world, tick, &endpoint, notice, sent_at, format_args!("request=check")) {
-        tell_later(world, endpoint, notice, sent_at);
+    let news = News { endpoint, notice, sent_at, source: "request=check".to_owned() };
+    if apply_news(world, tick, &news) {
+        tell_later(world, news);
     }
 }
 
 /// Marks an announcement that the other gateways have to be told of.
-fn tell_later(
-    world: &mut world::World,
-    endpoint: ids::EndpointId,
-    notice: input::Notice,
-    sent_at: core_time::Timestamp,
-) {
-    world.tables.notices.untold.insert(endpoint, (notice, sent_at));
+fn tell_later(world: &mut world::World, news: News) {
+    world.tables.notices.untold.insert(news.endpoint, (news.notice, news.sent_at));
     world.tables.dirty.untold_notices = true;
 }
 
 /// Applies a notice that another gateway has told.
-fn apply_peer_notice(
-    world: &mut world::World,
-    tick: &world::Tick,
-    peer_notice: &input::PeerNotice,
-) {
-    let endpoint = &peer_notice.endpoint;
-    let is_known = world.tables.endpoints.rows.contains_key(endpoint);
-    if !is_known && world.tables.notices.limit(endpoint).is_none() {
+fn apply_peer_notice(world: &mut world::World, tick: &world::Tick, told: input::PeerNotice) {
+    let input::PeerNotice { endpoint, notice, age } = told;
+    let is_known = world.tables.endpoints.rows.contains_key(&endpoint);
+    if !is_known && world.tables.notices.limit(&endpoint).is_none() {
         return;
     }
-    let age = peer_notice.age + MAX_MESSAGE_DELAY;
-    let sent_at = tick.now.before(age);
-    let source = format_args!("request=peer sent_ms_ago={}", peer_notice.age.as_millis());
-    apply_notice(world, tick, endpoint, peer_notice.notice, sent_at, source);
+    let sent_at = tick.now.before(age + MAX_MESSAGE_DELAY);
+    let source = format!("request=peer sent_ms_ago={}", age.as_millis());
+    apply_news(world, tick, &News { endpoint, notice, sent_at, source });
 }
 
-/// Applies a notice from the response to a request sent at `sent_at`. Returns whether it has changed
-/// anything.
-fn apply_notice(
-    world: &mut world::World,
-    tick: &world::Tick,
-    endpoint: &ids::EndpointId,
-    notice: input::Notice,
-    sent_at: core_time::Timestamp,
-    source: std::fmt::Arguments<'_>,
-) -> bool {
-    let has_limit_changed = apply_limit(world, tick, endpoint, notice, sent_at, source);
-    let has_leaving_changed =
-        world.tables.notices.update_leaving(endpoint, notice, sent_at, tick.now);
+/// Applies a notice. Returns whether it has changed anything.
+fn apply_news(world: &mut world::World, tick: &world::Tick, news: &News) -> bool {
+    let has_limit_changed = apply_limit(world, tick, news);
+    let News { endpoint, notice, sent_at, source } = news;
+    let notices = &mut world.tables.notices;
+    let has_leaving_changed = notices.update_leaving(endpoint, *notice, *sent_at, tick.now);
     if has_leaving_changed {
         leaving_checks::schedule(world, tick);
         let detail = format_args!("endpoint={endpoint} leaving={} {source}", notice.is_leaving);
@@ -117,29 +113,20 @@
 }
 
 /// Applies what a notice says of the endpoint's limit. Returns whether that has changed.
-fn apply_limit(
-    world: &mut world::World,
-    tick: &world::Tick,
-    endpoint: &ids::EndpointId,
-    notice: input::Notice,
-    sent_at: core_time::Timestamp,
-    source: std::fmt::Arguments<'_>,
-) -> bool {
+fn apply_limit(world: &mut world::World, tick: &world::Tick, news: &News) -> bool {
+    let News { endpoint, notice, sent_at, source } = news;
     let phase = phase(world, endpoint);
     let notices = &mut world.tables.notices;
     let before = notices.limit(endpoint).map(|limit| limit.max_requests_per_s);
-    if !notices.update_limit(endpoint, notice, sent_at, phase, tick.now) {
+    if !notices.update_limit(endpoint, *notice, *sent_at, phase, tick.now) {
         return false;
     }
     let share = limit_text(notices.share_per_s(endpoint));
-    world.emit_event(
-        "endpoint_limit",
-        format_args!(
-            "endpoint={endpoint} per_s={} before={} share_per_s={share} {source}",
-            limit_text(notice.max_requests_per_s),
-            limit_text(before),
-        ),
+    let (named, before) = (limit_text(notice.max_requests_per_s), limit_text(before));
+    let detail = format_args!(
+        "endpoint={endpoint} per_s={named} before={before} share_per_s={share} {source}"
     );
+    world.emit_event("endpoint_limit", detail);
     true
 }
 
--- a/crates/flamingotrail-gateway/src/tables/mod.rs
+++ b/crates/flamingotrail-gateway/src/tables/mod.rs
@@ -7,6 +7,7 @@
 pub mod dirty;
 pub mod endpoints;
 pub mod inbox;
+pub mod limits;
 pub mod notices;
 pub mod partitions;
 pub mod peers;
--- a/crates/flamingotrail-gateway/src/tables/notices.rs
+++ b/crates/flamingotrail-gateway/src/tables/notices.rs
@@ -1,9 +1,5 @@
 //! What endpoints announce of themselves in their responses, apart from the platform's list: an
 //! announcement outlives the endpoint's entry, which comes and goes with the platform's store.
-//!
-//! A limit applies to all gateways together. Each gateway uses an equal share of it without asking
-//! the others: its requests are due at regular times, and one that is not used in time is lost.
-//! Otherwise many gateways could save up one request each and send them all at once.
 
 use std::collections;
 use std::time;
@@ -12,34 +8,11 @@
 
 use crate::ids;
 use crate::input;
+use crate::tables::limits;
 
-/// Time for which a request that has become due may be sent. Bounds what all gateways together can
-/// send at once to the limit's requests in this time.
-const MAX_UNUSED_TIME: time::Duration = time::Duration::from_millis(1_000);
-/// Lowest limit that is applied, in requests per second: an endpoint that accepts nothing has to be
-/// asked now and then whether that has changed.
-const MIN_REQUESTS_PER_S: f64 = 0.1;
-/// Highest limit that is applied, in requests per second: more than any gateway sends.
-const MAX_REQUESTS_PER_S: f64 = 1e6;
 /// Time for which an announcement is kept after its endpoint has vanished from the list.
 const UNLISTED_RETENTION: time::Duration = time::Duration::from_secs(300);
 
-/// The limit that an endpoint has named, and this gateway's share of it.
-#[derive(Clone, Copy, Debug)]
-pub struct Limit {
-    /// Maximum number of requests per second from all gateways together.
-    pub max_requests_per_s: f64,
-    /// When this value was learned.
-    pub learned_at: core_time::Timestamp,
-    /// Time between two requests of this gateway; `None` while it has no share.
-    interval: Option<time::Duration>,
-    /// When the next request of this gateway is due.
-    next_at: core_time::Timestamp,
-    /// Part of the interval after which the first request is due. It differs between gateways, so
-    /// that their requests do not coincide.
-    phase: f64,
-}
-
 /// The announcement of an endpoint that it leaves.
 #[derive(Clone, Copy, Debug)]
 pub struct Leaving {
@@ -53,7 +26,7 @@
 #[derive(Debug, Default)]
 pub struct Notices {
     /// Limits by endpoint.
-    limits: collections::BTreeMap<ids::EndpointId, Limit>,
+    limits: collections::BTreeMap<ids::EndpointId, limits::Limit>,
     /// Endpoints that have announced that they leave.
     leaving: collections::BTreeMap<ids::EndpointId, Leaving>,
     /// When endpoints were started, in milliseconds since the Unix epoch, for those that say so.
@@ -67,48 +40,9 @@
     pub told_at: Option<core_time::Timestamp>,
 }
 
-impl Limit {
-    fn new(max_requests_per_s: f64, phase: f64, now: core_time::Timestamp) -> Self {
-        Limit { max_requests_per_s, learned_at: now, interval: None, next_at: now, phase }
-    }
-
-    /// Adapts the share to the limit and to the number of gateways. The progress towards the next
-    /// request is kept.
-    fn update_share(&mut self, gateway_count: Option<usize>, now: core_time::Timestamp) {
-        let limit = self.max_requests_per_s.clamp(MIN_REQUESTS_PER_S, MAX_REQUESTS_PER_S);
-        let interval =
-            gateway_count.map(|count| time::Duration::from_secs_f64(count as f64 / limit));
-        if let Some(interval) = interval {
-            let remaining = match self.interval {
-                Some(before) => {
-                    let left = self.next_at.since(now).as_secs_f64() / before.as_secs_f64();
-                    interval.mul_f64(left)
-                }
-                None => interval.mul_f64(self.phase),
-            };
-            if self.interval.is_none() || self.next_at > now {
-                self.next_at = now.after(remaining);
-            }
-        }
-        self.interval = interval;
-    }
-
-    /// Returns when this gateway may send its next request, which is in the past if one is due;
-    /// `None` while it has no share.
-    fn next_due(&self, now: core_time::Timestamp) -> Option<core_time::Timestamp> {
-        let interval = self.interval?;
-        let overdue = now.since(self.next_at);
-        if overdue <= MAX_UNUSED_TIME {
-            return Some(self.next_at);
-        }
-        let lost = (overdue - MAX_UNUSED_TIME).as_secs_f64() / interval.as_secs_f64();
-        Some(self.next_at.after(interval.mul_f64(lost.ceil())))
-    }
-}
-
 impl Notices {
     /// Returns the limit that `endpoint` has named.
-    pub fn limit(&self, endpoint: &ids::EndpointId) -> Option<&Limit> {
+    pub fn limit(&self, endpoint: &ids::EndpointId) -> Option<&limits::Limit> {
         self.limits.get(endpoint)
     }
 
@@ -136,11 +70,11 @@
         if is_same || !(is_newer || is_stricter) {
             return false;
         }
-        let limit =
-            self.limits.entry(endpoint.clone()).or_insert_with(|| Limit::new(named, phase, now));
-        limit.max_requests_per_s = named;
-        limit.learned_at = now;
-        limit.update_share(self.gateway_count, now);
+        let limit = self
+            .limits
+            .entry(endpoint.clone())
+            .or_insert_with(|| limits::Limit::new(named, phase, now));
+        limit.change(named, self.gateway_count, now);
         true
     }
 
@@ -217,17 +151,15 @@
 
     /// Records that a request was sent to `endpoint`.
     pub fn record_request(&mut self, endpoint: &ids::EndpointId, now: core_time::Timestamp) {
-        let Some(limit) = self.limits.get_mut(endpoint) else { return };
-        if let (Some(due), Some(interval)) = (limit.next_due(now), limit.interval) {
-            limit.next_at = due.after(interval);
+        if let Some(limit) = self.limits.get_mut(endpoint) {
+            limit.record_request(now);
         }
     }
 
     /// Returns the number of requests per second that this gateway may send to `endpoint`; `None`
     /// if the endpoint names no limit.
     pub fn share_per_s(&self, endpoint: &ids::EndpointId) -> Option<f64> {
-        let limit = self.limits.get(endpoint)?;
-        Some(limit.interval.map_or(0.0, |interval| 1.0 / interval.as_secs_f64()))
+        self.limits.get(endpoint).map(limits::Limit::share_per_s)
     }
 
     /// Forgets the announcements of endpoints that have not been listed for a long time.
