Gateway: new gateways ask the others for what endpoints have announced

Cause: a gateway that has started knows no limit and no leaving endpoint until its own first responses; three that restart one after the other sent three requests to an endpoint of which all others knew that it leaves.

Change: once it is listed, a gateway asks the three nearest others for all announcements that they know, with their ages.

Measured: leaving::restarted_gateway_learns_the_announcements_from_others fails without the answers (3 requests, none allowed); the test of processes covers a third gateway that starts later.

--- a/crates/flamingotrail-gateway/src/input.rs
+++ b/crates/flamingotrail-gateway/src/input.rs
@@ -66,8 +66,13 @@
         /// What the endpoint announces; `None` if it did not respond or is not healthy.
         notice: Option<Notice>,
     },
-    /// Another gateway has learned of announcements of endpoints.
+    /// Another gateway has learned of announcements of endpoints, or was asked for them.
     PeerNotices(Vec<PeerNotice>),
+    /// Another gateway asks for the announcements of endpoints that this one knows.
+    NoticesRequested {
+        /// Correlates the request with its response.
+        ticket: u64,
+    },
     /// A probe of another gateway has ended.
     PeerProbed {
         /// Gateway that was probed.
--- a/crates/flamingotrail-gateway/src/output.rs
+++ b/crates/flamingotrail-gateway/src/output.rs
@@ -67,6 +67,16 @@
         /// The announcements.
         notices: Vec<input::PeerNotice>,
     },
+    /// Asks another gateway for the announcements of endpoints that it knows; results in at most one
+    /// `Input::PeerNotices`.
+    AskNotices {
+        /// Gateway to ask.
+        peer: ids::InstanceName,
+        /// Address of that gateway.
+        address: String,
+    },
+    /// Responds to the `Input::NoticesRequested` that has this ticket.
+    RespondToNotices(u64, Vec<input::PeerNotice>),
     /// Probes another gateway; results in one `Input::PeerProbed`.
     ProbePeer {
         /// Gateway to probe.
--- a/crates/flamingotrail-gateway/src/systems/ingest.rs
+++ b/crates/flamingotrail-gateway/src/systems/ingest.rs
@@ -38,6 +38,7 @@
                 inbox.endpoint_checks.push((endpoint, notice));
             }
             input::Input::PeerNotices(notices) => inbox.peer_notices.extend(notices),
+            input::Input::NoticesRequested { ticket } => inbox.notice_requests.push(ticket),
             input::Input::PeerProbed { peer, has_responded } => {
                 inbox.probe_results.push((peer, has_responded));
             }
@@ -70,6 +71,8 @@
         tables.peers.rows = rows;
         tables.peers.is_listed = is_listed;
         tables.dirty.peer_probes = true;
+        // A gateway that has just started knows nothing of what endpoints have announced.
+        tables.dirty.unasked_notices = is_listed && !tables.notices.has_asked && count > 0;
         tables.notices.set_gateway_count(is_listed.then_some(count + 1), tick.now);
         world.emit_event("peers_changed", format_args!("count={count} listed={is_listed}"));
     }
--- a/crates/flamingotrail-gateway/src/systems/notices.rs
+++ b/crates/flamingotrail-gateway/src/systems/notices.rs
@@ -15,6 +15,8 @@
 /// Time that a message between gateways may take. What it says counts as older by this time, so that
 /// it never overrides what is really newer.
 const MAX_MESSAGE_DELAY: time::Duration = time::Duration::from_millis(500);
+/// Number of gateways that one asks after its start: one of them may just have started, too.
+const ASKED_PEERS: usize = 3;
 /// Minimum time between two messages to a gateway; announcements may change with each response.
 const TELL_INTERVAL: time::Duration = time::Duration::from_millis(1_000);
 
@@ -39,9 +41,16 @@
     for peer_notice in std::mem::take(&mut world.tables.inbox.peer_notices) {
         apply_peer_notice(world, tick, peer_notice);
     }
+    for ticket in std::mem::take(&mut world.tables.inbox.notice_requests) {
+        let notices = world.tables.notices.all(tick.now);
+        world.emit(output::Output::RespondToNotices(ticket, notices));
+    }
     if std::mem::take(&mut world.tables.dirty.untold_notices) {
         tell_peers(world, tick);
     }
+    if std::mem::take(&mut world.tables.dirty.unasked_notices) {
+        ask_peers(world);
+    }
 }
 
 /// Applies the notice of a response to one of this gateway's requests.
@@ -130,6 +139,19 @@
     true
 }
 
+/// Asks the nearest other gateways for the announcements that they know.
+fn ask_peers(world: &mut world::World) {
+    let own = &world.identity;
+    let mut peers: Vec<_> = world.tables.peers.rows.iter().collect();
+    peers.sort_by_key(|(_, peer)| (peer.region != own.region, peer.domain != own.domain));
+    let asks = peers.into_iter().take(ASKED_PEERS).map(|(name, peer)| output::Output::AskNotices {
+        peer: name.clone(),
+        address: peer.address.clone(),
+    });
+    world.outputs.extend(asks);
+    world.tables.notices.has_asked = true;
+}
+
 /// Tells all other gateways of the announcements that they have not been told of.
 fn tell_peers(world: &mut world::World, tick: &world::Tick) {
     let tables = &mut world.tables;
--- a/crates/flamingotrail-gateway/src/tables/dirty.rs
+++ b/crates/flamingotrail-gateway/src/tables/dirty.rs
@@ -32,6 +32,8 @@
     pub expiry: bool,
     /// Whether lapsed endpoints may have to be removed.
     pub lapsed_endpoints: bool,
+    /// Whether other gateways are to be asked for announcements.
+    pub unasked_notices: bool,
     /// Whether endpoints that leave are to be checked.
     pub leaving_checks: bool,
     /// Whether other gateways are to be told of announcements.
@@ -57,6 +59,7 @@
             && !self.append_rate
             && !self.expiry
             && !self.lapsed_endpoints
+            && !self.unasked_notices
             && !self.leaving_checks
             && !self.untold_notices
             && !self.peer_probes
--- a/crates/flamingotrail-gateway/src/tables/inbox.rs
+++ b/crates/flamingotrail-gateway/src/tables/inbox.rs
@@ -11,6 +11,8 @@
     pub arrivals: Vec<input::Arrival>,
     /// Notices of endpoints, with the call and the attempt's sequence number within the call.
     pub notices: Vec<(ids::CallId, u32, input::Notice)>,
+    /// Other gateways' requests for announcements, by ticket.
+    pub notice_requests: Vec<u64>,
     /// Results of health checks of endpoints.
     pub endpoint_checks: Vec<(ids::EndpointId, Option<input::Notice>)>,
     /// Notices that other gateways have told.
@@ -46,6 +48,7 @@
     pub fn is_empty(&self) -> bool {
         self.arrivals.is_empty()
             && self.notices.is_empty()
+            && self.notice_requests.is_empty()
             && self.endpoint_checks.is_empty()
             && self.peer_notices.is_empty()
             && self.disconnected.is_empty()
--- a/crates/flamingotrail-gateway/src/tables/notices.rs
+++ b/crates/flamingotrail-gateway/src/tables/notices.rs
@@ -36,6 +36,8 @@
     /// Announcements that the other gateways have not been told of, with the time at which the
     /// request was sent whose response contained them.
     pub untold: collections::BTreeMap<ids::EndpointId, (input::Notice, core_time::Timestamp)>,
+    /// Whether other gateways were asked for what they know.
+    pub has_asked: bool,
     /// When the other gateways were told last.
     pub told_at: Option<core_time::Timestamp>,
 }
@@ -101,6 +103,25 @@
         self.leaving.iter_mut()
     }
 
+    /// Returns all announcements, for a gateway that knows none.
+    pub fn all(&self, now: core_time::Timestamp) -> Vec<input::PeerNotice> {
+        let mut rows = collections::BTreeMap::new();
+        let empty = |endpoint: &ids::EndpointId, learned_at| input::PeerNotice {
+            endpoint: endpoint.clone(),
+            notice: input::Notice::default(),
+            age: now.since(learned_at),
+        };
+        for (id, limit) in &self.limits {
+            let row = rows.entry(id).or_insert_with(|| empty(id, limit.learned_at));
+            row.notice.max_requests_per_s = Some(limit.max_requests_per_s);
+        }
+        for (id, leaving) in &self.leaving {
+            let row = rows.entry(id).or_insert_with(|| empty(id, leaving.learned_at));
+            row.notice.is_leaving = true;
+        }
+        rows.into_values().collect()
+    }
+
     /// Returns when `endpoint` was last asked whether it still leaves.
     pub fn checked_at(&self, endpoint: &ids::EndpointId) -> Option<core_time::Timestamp> {
         self.leaving.get(endpoint).and_then(|leaving| leaving.checked_at)
--- a/crates/flamingotrail-gateway/tests/decisions/fixture.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/fixture.rs
@@ -41,6 +41,8 @@
     pub aborted: Vec<ids::CallId>,
     pub cancelled: Vec<ids::CallId>,
     pub relayed_records: Vec<(String, journal::Record)>,
+    pub asked: Vec<ids::InstanceName>,
+    pub notice_responses: Vec<Vec<input::PeerNotice>>,
     pub checked: Vec<ids::EndpointId>,
     pub told: Vec<(ids::InstanceName, Vec<input::PeerNotice>)>,
     pub probed: Vec<ids::InstanceName>,
@@ -211,6 +213,8 @@
             aborted: Vec::new(),
             cancelled: Vec::new(),
             relayed_records: Vec::new(),
+            asked: Vec::new(),
+            notice_responses: Vec::new(),
             checked: Vec::new(),
             told: Vec::new(),
             probed: Vec::new(),
@@ -238,6 +242,10 @@
                     self.told.push((peer, notices));
                 }
                 output::Output::CheckEndpoint { endpoint, .. } => self.checked.push(endpoint),
+                output::Output::AskNotices { peer, .. } => self.asked.push(peer),
+                output::Output::RespondToNotices(_, notices) => {
+                    self.notice_responses.push(notices);
+                }
                 output::Output::ProbePeer { peer, .. } => self.probed.push(peer),
                 output::Output::RemovePeer(peer) => self.removed.push(peer),
                 output::Output::Ready(ready) => self.ready = Some(ready),
--- a/crates/flamingotrail-gateway/tests/decisions/fleet.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/fleet.rs
@@ -190,6 +190,7 @@
                 self.advance_attempt(due);
             }
             self.deliver_messages();
+            self.answer_questions();
             self.answer_checks();
             let keys: Vec<(String, u32)> = self.members.keys().cloned().collect();
             for (index, key) in keys.iter().enumerate() {
@@ -239,6 +240,32 @@
         }
     }
 
+    /// Lets gateways that have just started receive what the others know.
+    fn answer_questions(&mut self) {
+        let members = self.members.iter_mut();
+        let questions: Vec<_> = members
+            .flat_map(|(key, member)| {
+                let asked = std::mem::take(&mut member.gateway.asked);
+                asked.into_iter().map(|peer| (key.clone(), peer))
+            })
+            .collect();
+        for (asker, peer) in questions {
+            let responses: Vec<_> = self
+                .members
+                .iter_mut()
+                .filter(|((name, _), _)| name == peer.as_str())
+                .flat_map(|(_, member)| {
+                    member.gateway.tick(vec![input::Input::NoticesRequested { ticket: 0 }]);
+                    std::mem::take(&mut member.gateway.notice_responses)
+                })
+                .collect();
+            if let Some(member) = self.members.get_mut(&asker) {
+                let inputs = responses.into_iter().map(input::Input::PeerNotices);
+                member.gateway.tick(inputs.collect());
+            }
+        }
+    }
+
     /// Answers the health checks of all gateways.
     fn answer_checks(&mut self) {
         for member in self.members.values_mut() {
--- a/crates/flamingotrail-gateway/tests/decisions/leaving.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/leaving.rs
@@ -98,3 +98,23 @@
     assert_eq!(reached, 0);
     assert!(fleet.reached_within("e1", 2) > 150, "{}", fleet.reached_within("e1", 2));
 }
+
+// Guards against a restarted gateway that sends to endpoints of which all others know that they
+// leave, or more than its share to those that have named a limit.
+#[test]
+fn restarted_gateway_learns_the_announcements_from_others() {
+    let mut fleet = fleet::Fleet::new(3, &["e1", "e2", "free"]);
+    fleet.set_leaving("e1", true);
+    fleet.limit("e2", Some(0.5));
+    fleet.run(5, 10);
+
+    for name in ["g0", "g1", "g2"] {
+        fleet.start(name);
+        fleet.publish_peers();
+        fleet.run(3, 10);
+    }
+
+    let (leaving, limited) = (fleet.reached_within("e1", 9), fleet.reached_within("e2", 9));
+    assert_eq!(leaving, 0);
+    assert!(limited <= 8, "{limited} requests in 9 s at 0.5 per second");
+}
--- a/crates/flamingotrail-runtime/src/gateway/executor.rs
+++ b/crates/flamingotrail-runtime/src/gateway/executor.rs
@@ -79,6 +79,12 @@
             output::Output::TellNotices { peer, address, notices } => {
                 self.peers.tell_notices(peer, address, &notices);
             }
+            output::Output::AskNotices { peer, address } => {
+                self.peers.ask_notices(peer, address);
+            }
+            output::Output::RespondToNotices(ticket, notices) => {
+                self.peers.respond_to_notices(ticket, &notices);
+            }
             output::Output::ProbePeer { peer, address } => self.peers.probe(peer, address),
             output::Output::RemovePeer(peer) => self.remove_peer(peer),
             output::Output::RespondToRelay(ticket, response) => {
--- a/crates/flamingotrail-runtime/src/gateway/peers.rs
+++ b/crates/flamingotrail-runtime/src/gateway/peers.rs
@@ -117,7 +117,7 @@
         if path == PROBE_PATH {
             return (StatusCode::OK, Bytes::new());
         }
-        if path == NOTICES_PATH {
+        if path == NOTICES_PATH && incoming.request.method() == Method::POST {
             return (self.receive_notices(&incoming.body), Bytes::new());
         }
         let input = if incoming.request.method() == Method::POST && path == RECORDS_PATH {
@@ -128,6 +128,8 @@
                     return (StatusCode::BAD_REQUEST, Bytes::new());
                 }
             }
+        } else if path == NOTICES_PATH {
+            input::Input::NoticesRequested { ticket }
         } else if let Some(turn) = path.strip_prefix(TURNS_PATH_PREFIX) {
             input::Input::LookupRequested { ticket, turn: ids::TurnId::new(turn) }
         } else {
@@ -157,6 +159,22 @@
         }
     }
 
+    /// Responds to another gateway's request for announcements of endpoints.
+    pub fn respond_to_notices(&self, ticket: u64, notices: &[input::PeerNotice]) {
+        self.respond(ticket, wire::encode_notices(notices));
+    }
+
+    /// Asks another gateway for announcements of endpoints.
+    pub fn ask_notices(&self, peer: ids::InstanceName, address: String) {
+        let peers = self.clone();
+        actix_rt::spawn(async move {
+            let bytes = peers.request(&peer, &address, "GET", NOTICES_PATH, Bytes::new()).await;
+            if let Some(notices) = bytes.and_then(|bytes| ok_or_log(wire::decode_notices(&bytes))) {
+                peers.inputs.send(input::Input::PeerNotices(notices));
+            }
+        });
+    }
+
     /// Tells another gateway of announcements of endpoints.
     pub fn tell_notices(
         &self,
--- a/crates/flamingotrail-standins/tests/gateways.rs
+++ b/crates/flamingotrail-standins/tests/gateways.rs
@@ -322,7 +322,7 @@
 
 // Guards against gateways that learn of a limit only from their own requests.
 #[test]
-fn limit_named_to_one_gateway_is_told_to_the_others() {
+fn limit_named_to_one_gateway_is_told_to_running_and_new_ones() {
     let fleet = start_fleet("limit");
     let first = fleet.start_gateway("one");
     let _second = fleet.start_gateway("two");
@@ -331,11 +331,14 @@
     fleet.plain.set_limit(Some(5.0));
 
     let response = call_tool(&first, "GET", "/look/1", "r1");
-    let is_told =
-        fleet.wait_until(|_| fleet.log("two").contains("endpoint=p-1 per_s=5.000 before=none"));
+    let knows_limit = |name: &str| fleet.log(name).contains("endpoint=p-1 per_s=5.000 before=none");
+    let is_told = fleet.wait_until(|_| knows_limit("two"));
+    let _third = fleet.start_gateway("three");
+    let has_asked = fleet.wait_until(|_| knows_limit("three"));
 
     assert!(response.text.contains("server-limit: 5"), "{}", response.text);
     assert!(is_told, "{}", fleet.log("two"));
+    assert!(has_asked, "{}", fleet.log("three"));
 }
 
 // Guards against a runner that gets no requests for ever once it has said that it leaves.
