Engine client: bound streams that do not end

Cause: the same as in the gateway, in the client beside an engine: a stream within one event, or of events without end, was kept in memory until the call's deadline.

Change: a stream of more than 8 MiB has failed.

Measured: endless_stream_is_cut_off fails before (14.9 s of a deadline of 20 s) and passes in 0.5 s.

Conclusion: heads are bounded by the library, bodies of services at 32 MiB as before.

--- a/crates/flamingotrail-platform/src/engine.rs
+++ b/crates/flamingotrail-platform/src/engine.rs
@@ -27,6 +27,8 @@
 const CONTROL_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 /// Timeout of the HTTP client for a call; the deadline of the call expires earlier.
 const RUN_TIMEOUT: time::Duration = time::Duration::from_secs(3600);
+/// Maximum size of a stream, in bytes. An engine that sends more has failed.
+const MAX_STREAM_BYTES: usize = 8 << 20;
 /// Data of the event that marks the end of a stream.
 const END_OF_STREAM: &str = "[DONE]";
 /// Status (503) of an engine that has no capacity for a call.
@@ -94,6 +96,15 @@
     S: futures_util::Stream<Item = Result<bytes::Bytes, E>> + Unpin,
     E: std::fmt::Display,
 {
+    let mut received = 0;
+    let body = body.map(move |bytes| {
+        let bytes = bytes.map_err(|error| error.to_string())?;
+        received += bytes.len();
+        if received > MAX_STREAM_BYTES {
+            return Err(format!("the stream exceeds {MAX_STREAM_BYTES} bytes"));
+        }
+        Ok(bytes)
+    });
     let mut events = body.eventsource();
     while let Some(event) = events.next().await {
         let event = event.map_err(|error| http::HttpError::invalid_response(url, error))?;
