Gateway: keep what a starting gateway is told, and count listed gateways anew

Cause, found in reading: a gateway that asked the others before it had read the list of endpoints dropped the answers; a gateway that listed itself again after its removal kept the time for which it had been silent, and could be removed at its next missed probe.

Change: announcements are kept whether or not the endpoint is listed; the time of silence ends with the entry.

--- a/crates/flamingotrail-gateway/src/systems/ingest.rs
+++ b/crates/flamingotrail-gateway/src/systems/ingest.rs
@@ -68,8 +68,7 @@
     let count = rows.len();
     let tables = &mut world.tables;
     if tables.peers.rows != rows || tables.peers.is_listed != is_listed {
-        tables.peers.rows = rows;
-        tables.peers.is_listed = is_listed;
+        tables.peers.set_rows(rows, is_listed);
         tables.dirty.peer_probes = true;
         // A gateway that has just started knows nothing of what endpoints have announced.
         tables.dirty.unasked_notices = is_listed && !tables.notices.has_asked && count > 0;
--- a/crates/flamingotrail-gateway/src/systems/notices.rs
+++ b/crates/flamingotrail-gateway/src/systems/notices.rs
@@ -98,10 +98,6 @@
 /// Applies a notice that another gateway has told.
 fn apply_peer_notice(world: &mut world::World, tick: &world::Tick, told: input::PeerNotice) {
     let input::PeerNotice { endpoint, notice, age } = told;
-    let is_known = world.tables.endpoints.rows.contains_key(&endpoint);
-    if !is_known && world.tables.notices.limit(&endpoint).is_none() {
-        return;
-    }
     let sent_at = tick.now.before(age + MAX_MESSAGE_DELAY);
     let source = format!("request=peer sent_ms_ago={}", age.as_millis());
     apply_news(world, tick, &News { endpoint, notice, sent_at, source });
--- a/crates/flamingotrail-gateway/src/systems/peer_probes.rs
+++ b/crates/flamingotrail-gateway/src/systems/peer_probes.rs
@@ -38,10 +38,9 @@
 }
 
 fn send_probes(world: &mut world::World, tick: &world::Tick) {
-    let peers = &mut world.tables.peers;
-    let rows = &peers.rows;
-    peers.silent_since.retain(|name, _| rows.contains_key(name));
-    let probes: Vec<output::Output> = peers
+    let probes: Vec<output::Output> = world
+        .tables
+        .peers
         .watched(&world.identity.instance)
         .into_iter()
         .map(|(name, peer)| output::Output::ProbePeer {
--- a/crates/flamingotrail-gateway/src/systems/placement.rs
+++ b/crates/flamingotrail-gateway/src/systems/placement.rs
@@ -16,8 +16,8 @@
 use crate::tables::timers;
 use crate::world;
 
-/// A call waits for its share of a limit for at most its route's target latency divided by this number:
-/// after a longer wait, a refusal would leave the caller too little time to try elsewhere.
+/// A call waits for its share of a limit for at most its route's target latency divided by this
+/// number: after a longer wait, a refusal would leave the caller too little time to try elsewhere.
 const MAX_WAIT_DIVISOR: u32 = 4;
 /// Number of refused attempts, in addition to the route's maximum, after which a call fails.
 const MAX_REFUSALS: u32 = 4;
--- a/crates/flamingotrail-gateway/src/tables/peers.rs
+++ b/crates/flamingotrail-gateway/src/tables/peers.rs
@@ -36,6 +36,17 @@
 }
 
 impl Peers {
+    /// Replaces the other gateways. One that is listed again counts as responding.
+    pub fn set_rows(
+        &mut self,
+        rows: collections::BTreeMap<ids::InstanceName, Peer>,
+        is_listed: bool,
+    ) {
+        self.silent_since.retain(|name, _| rows.contains_key(name));
+        self.rows = rows;
+        self.is_listed = is_listed;
+    }
+
     /// Records that `peer` did not respond, and avoids it for a while.
     pub fn record_failure(&mut self, peer: &ids::InstanceName, now: core_time::Timestamp) {
         self.avoid_until.insert(peer.clone(), now.after(FAILURE_BACKOFF));
--- a/crates/flamingotrail-gateway/tests/decisions/notices.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/notices.rs
@@ -82,3 +82,19 @@
 
     assert!(gateway.world.tables.notices.limit(&endpoint).is_some());
 }
+
+// Guards against a gateway that has just started and drops what it is told before it has read the
+// list of endpoints.
+#[test]
+fn announcement_of_an_endpoint_that_is_not_listed_yet_is_kept() {
+    let mut gateway = fixture::Gateway::unconfigured("one");
+    let endpoint = ids::EndpointId::new("ledger-1");
+    let notice = fixture::limit_notice(Some(5.0));
+    let age = time::Duration::from_millis(50);
+
+    let message = input::PeerNotice { endpoint: endpoint.clone(), notice, age };
+    gateway.tick(vec![input::Input::PeerNotices(vec![message])]);
+    gateway.tick(vec![input::Input::Endpoints(fixture::endpoints())]);
+
+    assert!(gateway.world.tables.notices.limit(&endpoint).is_some());
+}
--- a/crates/flamingotrail-gateway/tests/decisions/peers.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/peers.rs
@@ -64,3 +64,21 @@
 
     assert_eq!(gateway.probed, ["c", "d", "a"].map(ids::InstanceName::new));
 }
+
+// Guards against a gateway that is removed again as soon as it has listed itself again.
+#[test]
+fn gateway_that_lists_itself_again_has_time_to_respond() {
+    let mut gateway = gateway_among_others();
+    run(&mut gateway, 12, &["c"]);
+    let was_removed = !gateway.removed.is_empty();
+    for names in [&["a", "b", "d"][..], &["a", "b", "c", "d"]] {
+        let peers = names.iter().map(|name| fixture::peer(name, "north")).collect();
+        gateway.tick(vec![input::Input::Peers(peers)]);
+    }
+    gateway.removed.clear();
+
+    run(&mut gateway, 8, &["c"]);
+
+    assert!(was_removed);
+    assert!(gateway.removed.is_empty());
+}
