Gateway: read responses to earlier requests within the limits of any response

Cause, found in reading: since responses that do not end are bounded, a response to an earlier request had 50 ms and 64 KiB, where a large or distant one is sound, and the answer behind it was lost.

Change: it has the size limit of a response and the time of the attempt.

Measured: the tests of processes pass, that of stale answers among them.

--- a/crates/flamingotrail-runtime/src/gateway/attempts.rs
+++ b/crates/flamingotrail-runtime/src/gateway/attempts.rs
@@ -126,7 +126,7 @@
             if stale_responses > MAX_STALE_RESPONSES {
                 return Err(connection::ConnectionError::Malformed("responses to other requests"));
             }
-            connection.discard_body(MAX_DISCARDED_BYTES, DISCARD_TIMEOUT).await;
+            connection.discard_body(MAX_RESPONSE_BYTES, dispatch.timeout).await;
             if !connection.has_read_response() {
                 return Err(connection::ConnectionError::Malformed(
                     "the response to another request does not end",
