Soak: a runner that starts again names its limit anew

Trace: the runner's leaving ends at 7.1 s, and it starts again under its id; the gateways forget the limit of the earlier run (event=endpoint_restarted), and learn it again 20 ms later from the first response, while requests of 100 callers are under way. The check counted from the first naming of the earlier run.

Change: the check begins anew with the new run, since a limit is that of one run of a runner. The bound stays.

Conclusion: the case is allowed; the gateways did what they should.

--- a/crates/flamingotrail-standins/src/soak/announcements.rs
+++ b/crates/flamingotrail-standins/src/soak/announcements.rs
@@ -62,6 +62,15 @@
         }
     }
 
+    /// Records that `runner` starts again: it no longer leaves, and a limit is named anew.
+    pub fn restart(&mut self, runner: usize) {
+        self.end(Kind::Leaving, runner);
+        if self.open(Kind::Limit, runner).is_some() {
+            self.end(Kind::Limit, runner);
+            self.begin(Kind::Limit, runner);
+        }
+    }
+
     /// Records that the connections to `runner` are no longer disrupted.
     pub fn record_cut_end(&mut self, runner: usize) {
         self.cut_runners.remove(&runner);
--- a/crates/flamingotrail-standins/src/soak/run.rs
+++ b/crates/flamingotrail-standins/src/soak/run.rs
@@ -312,7 +312,7 @@
 
     /// Ends the announcement of a runner that leaves, as if it had started again under the same id.
     fn restart_runner(&mut self, index: usize) {
-        self.announcements.end(announcements::Kind::Leaving, index);
+        self.announcements.restart(index);
         self.runners[index].set_leaving(false);
         self.runner_restarts += 1;
         let service = if index < plan::MODEL_RUNNERS { "model" } else { "plain" };
