Gateway: budgets without history, and streams that are resumed

Cause: a budget was enforced only on routes that keep history, since one type held both; on others a program got 16 turns on a budget of two. Last-Event-Id was dropped on all routes, so a caller that resumed a stream got all its events again.

Change: a turn has a budget, a history, or both; without a history it writes no record of its end. The smallest budget named for a program holds. Routes that are resumable forward the position; a stream that breaks off is continued within its response, at another endpoint or, where the route allows no other, at the same one.

--- a/crates/flamingotrail-gateway/src/input.rs
+++ b/crates/flamingotrail-gateway/src/input.rs
@@ -156,12 +156,23 @@
     pub usage: Option<Usage>,
     /// Turn that the request continues.
     pub previous: Option<ids::TurnId>,
+    /// Where the caller resumes a stream that broke off.
+    pub resume_after: Option<ResumePoint>,
     /// Parts of the prompt, in order.
     pub prompt: Vec<PromptPart>,
     /// Body of the request.
     pub body: Bytes,
 }
 
+/// The event after which a caller resumes a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ResumePoint {
+    /// Id of the last event that the caller has.
+    Event(u64),
+    /// The caller sent something that is not the id of an event.
+    Invalid,
+}
+
 /// What the headers of a request say about its program.
 #[derive(Clone, Debug)]
 pub struct ProgramHeader {
@@ -214,8 +225,10 @@
     Streamed {
         /// Whether the stream was received completely.
         complete: bool,
-        /// Number of events that were forwarded to the caller or are held for it.
+        /// Number of events of this attempt that were forwarded to the caller or are held for it.
         events: u64,
+        /// Id of the last of these events; `None` if there was none or it has no number.
+        last_event: Option<u64>,
         /// Data of the events, each followed by a line feed.
         output: Bytes,
         /// Load that the endpoint reported at the start of the stream.
@@ -317,6 +330,21 @@
     AtMostOnce,
     /// A request runs at most once and its response is a stream of events.
     Stream,
+    /// The response is a stream of events. A request may run more than once, and another run may
+    /// continue its stream after any event.
+    ResumableStream,
+}
+
+impl RouteKind {
+    /// Whether a response is a stream of events.
+    pub fn is_stream(self) -> bool {
+        matches!(self, RouteKind::Stream | RouteKind::ResumableStream)
+    }
+
+    /// Whether a request may run more than once.
+    pub fn is_repeatable(self) -> bool {
+        matches!(self, RouteKind::Idempotent | RouteKind::ResumableStream)
+    }
 }
 
 /// Maps requests to services.
--- a/crates/flamingotrail-gateway/src/output.rs
+++ b/crates/flamingotrail-gateway/src/output.rs
@@ -136,6 +136,9 @@
     pub gated: bool,
     /// Maximum number of events of the response; `None` if the request does not limit them.
     pub max_events: Option<u64>,
+    /// Id of the last event that the caller has or that is held for it; the response continues
+    /// after it.
+    pub resume_after: Option<u64>,
     /// Whether `Output::SetEventInterval` applies to the response's events.
     pub paced: bool,
 }
@@ -158,6 +161,8 @@
     NoSuchTurn,
     /// The turn is too large for a record of the log.
     TooLarge,
+    /// The request names no event after which its stream could be resumed.
+    InvalidResume,
     /// The program's budget is spent.
     BudgetSpent,
     /// Nothing can serve the call at the moment; it did not run and will not run.
@@ -175,6 +180,7 @@
             Reason::NoRoute => "no_route",
             Reason::NoSuchTurn => "no_such_turn",
             Reason::TooLarge => "too_large",
+            Reason::InvalidResume => "invalid_resume",
             Reason::BudgetSpent => "budget_spent",
             Reason::Unavailable => "unavailable",
             Reason::TimedOut => "timed_out",
--- a/crates/flamingotrail-gateway/src/systems/admission.rs
+++ b/crates/flamingotrail-gateway/src/systems/admission.rs
@@ -1,5 +1,6 @@
 //! Admits requests: selects the route and the service, and refuses at once what cannot be served.
 
+use std::collections;
 use std::time;
 
 use crate::ids;
@@ -81,10 +82,16 @@
     };
     let timeout = arrival.timeout.unwrap_or(route.timeout).min(route.timeout);
     let turn = build_turn(world, &arrival, route);
-    if turn.is_some() && arrival.body.len() > world.settings.max_record_bytes / INPUT_SIZE_DIVISOR {
+    let keeps_history = turn.as_ref().is_some_and(|turn| turn.history.is_some());
+    let max_input = world.settings.max_record_bytes / INPUT_SIZE_DIVISOR;
+    if keeps_history && arrival.body.len() > max_input {
         let too_large = output::Refusal { reason: output::Reason::TooLarge, retry_after: None };
         return Err(Box::new((arrival, too_large)));
     }
+    let resume_after = match resume_point(&arrival, route, keeps_history) {
+        Ok(resume_after) => resume_after,
+        Err(refusal) => return Err(Box::new((arrival, refusal))),
+    };
     let phase = match turn {
         Some(_) => calls::Phase::Resolving,
         None => calls::Phase::Placing,
@@ -100,7 +107,9 @@
         phase,
         attempts: 0,
         possible_runs: 0,
-        tried_endpoints: std::collections::BTreeSet::new(),
+        tried_endpoints: collections::BTreeSet::new(),
+        ran_endpoints: collections::BTreeSet::new(),
+        streamed: calls::StreamedEvents { last: resume_after, ..Default::default() },
         running: None,
         status: None,
         turn,
@@ -108,29 +117,66 @@
     })
 }
 
-/// Builds the state of a turn; returns `None` if the route stores no turns.
+/// Returns the id of the event after which the response is to continue; `None` for its beginning.
+///
+/// # Errors
+///
+/// Fails if the caller names no event, or if the route keeps history: the output of the turn that
+/// broke off is not known here, so the turn could not be stored whole.
+fn resume_point(
+    arrival: &input::Arrival,
+    route: &input::Route,
+    keeps_history: bool,
+) -> Result<Option<u64>, output::Refusal> {
+    if route.kind != input::RouteKind::ResumableStream {
+        return Ok(None);
+    }
+    match arrival.resume_after {
+        None => Ok(None),
+        Some(input::ResumePoint::Event(_)) if keeps_history => Err(output::Refusal {
+            reason: output::Reason::Unavailable,
+            retry_after: Some(DEFAULT_RETRY_AFTER),
+        }),
+        Some(input::ResumePoint::Event(id)) => Ok(Some(id)),
+        Some(input::ResumePoint::Invalid) => {
+            Err(output::Refusal { reason: output::Reason::InvalidResume, retry_after: None })
+        }
+    }
+}
+
+/// Builds the state of a turn; returns `None` if the call has neither a history nor a budget.
 fn build_turn(
     world: &world::World,
     arrival: &input::Arrival,
     route: &input::Route,
 ) -> Option<calls::Turn> {
-    if route.kind != input::RouteKind::Stream {
+    if !route.kind.is_stream() {
         return None;
     }
-    route.retention?;
     let header = arrival.program.as_ref();
+    let history = route.retention.map(|_| calls::History {
+        previous: arrival.previous.clone(),
+        ..calls::History::default()
+    });
+    // The smallest budget that was named for a program holds, also for turns that name none.
+    let known = header.and_then(|header| world.tables.programs.rows.get(&header.id)?.budget);
+    let budget = header.and_then(|header| header.budget).into_iter().chain(known).min();
+    if history.is_none() && budget.is_none() {
+        return None;
+    }
+    // A turn that names no maximum may use all of its budget.
+    let usage = arrival.usage.filter(|usage| usage.max_output > 0);
+    let max_tokens = usage.map(|usage| usage.max_output).or(budget).unwrap_or(0);
     // A turn without a program counts as a program of its own.
     let program =
         header.map_or_else(|| ids::ProgramId::new(arrival.id.as_str()), |header| header.id.clone());
     Some(calls::Turn {
         partition: ids::Partition::of_program(&program, world.settings.partitions),
         program,
-        previous: arrival.previous.clone(),
-        max_tokens: arrival.usage.map_or(0, |usage| usage.max_output),
-        budget: header.and_then(|header| header.budget),
+        history,
+        max_tokens,
+        budget,
         reservation: calls::Reservation::None,
-        awaited_read: None,
-        search: calls::PeerSearch::default(),
         delivered_tokens: 0,
         is_charged: false,
     })
--- a/crates/flamingotrail-gateway/src/systems/completion.rs
+++ b/crates/flamingotrail-gateway/src/systems/completion.rs
@@ -55,33 +55,40 @@
         !matches!(outcome, input::Outcome::NotSent(_) | input::Outcome::Refused { .. });
     if may_have_run {
         call.possible_runs += 1;
+        call.ran_endpoints.insert(running.endpoint.clone());
     }
+    record_events(call, &outcome);
     update_endpoint_health(world, tick, &running, &outcome);
     update_endpoint_speed(world, tick, id, &running, &outcome);
     log_attempt(world, tick, id, &running, &outcome);
     let Some(call) = world.tables.calls.rows.get(&id) else { return };
     if call.phase == calls::Phase::Closed {
-        release_reservation(world, tick, id, &outcome);
+        release_reservation(world, tick, id);
         remove_if_done(world, id);
         return;
     }
     match outcome {
         input::Outcome::NotSent(_) | input::Outcome::Refused { .. } => retry(world, tick, id),
         input::Outcome::Answered { status, .. } => handle_response(world, tick, id, status),
-        input::Outcome::Streamed { complete: true, events, output, .. } => {
-            handle_complete_stream(world, tick, id, &running.endpoint, events, output);
-        }
-        input::Outcome::Streamed { complete: false, .. } => {
-            release_reservation(world, tick, id, &outcome);
-            close_call(world, id);
-            world.emit(output::Output::Abort(id));
+        input::Outcome::Streamed { complete: true, .. } => {
+            handle_complete_stream(world, tick, id, &running.endpoint);
         }
+        input::Outcome::Streamed { complete: false, .. } => handle_broken_stream(world, tick, id),
         input::Outcome::Lost(_) | input::Outcome::Cancelled => {
             handle_lost_response(world, tick, id)
         }
     }
 }
 
+/// Adds the events of an attempt to those of its call.
+fn record_events(call: &mut calls::Call, outcome: &input::Outcome) {
+    if let input::Outcome::Streamed { events, last_event, output, .. } = outcome {
+        call.streamed.count += events;
+        call.streamed.last = last_event.or(call.streamed.last.filter(|_| *events == 0));
+        call.streamed.output.push(output.clone());
+    }
+}
+
 /// Updates an endpoint's load and failures from an outcome.
 fn update_endpoint_health(
     world: &mut world::World,
@@ -183,9 +190,8 @@
 /// Forwards an endpoint's response, or retries after a server error where that is allowed.
 fn handle_response(world: &mut world::World, tick: &world::Tick, id: ids::CallId, status: u16) {
     let Some(call) = world.tables.calls.rows.get_mut(&id) else { return };
-    let idempotent = call.kind == input::RouteKind::Idempotent;
     if status >= SERVER_ERROR_STATUS
-        && idempotent
+        && call.kind.is_repeatable()
         && call.may_retry()
         && call.remaining_time(tick.now) > MIN_RETRY_TIME
     {
@@ -194,52 +200,94 @@
         return;
     }
     call.status = Some(status);
+    // A stream that has begun can't end with another kind of response.
+    let has_streamed = call.streamed.count > 0;
     close_call(world, id);
-    release_reservation(world, tick, id, &input::Outcome::Cancelled);
-    world.emit(output::Output::Finish(id));
+    release_reservation(world, tick, id);
+    world.emit(if has_streamed { output::Output::Abort(id) } else { output::Output::Finish(id) });
 }
 
-/// Submits the turn of a complete stream to the log, or ends the call if its route stores no turns.
+/// Continues a stream that broke off where its route allows that; otherwise ends its response
+/// before its end, so that it does not look complete.
+fn handle_broken_stream(world: &mut world::World, tick: &world::Tick, id: ids::CallId) {
+    let tokens_per_event = tokens_per_event(world, id);
+    let Some(call) = world.tables.calls.rows.get_mut(&id) else { return };
+    // Without the id of its last event, a stream can be repeated only from its beginning.
+    let has_position = call.streamed.count == 0 || call.streamed.last.is_some();
+    let event_limit_reached =
+        call.max_events(tokens_per_event).is_some_and(|max| call.streamed.count >= max);
+    if call.kind == input::RouteKind::ResumableStream
+        && has_position
+        && !event_limit_reached
+        && call.may_retry()
+        && call.remaining_time(tick.now) > MIN_RETRY_TIME
+    {
+        let detail = format_args!(
+            "request={} events={} after={}",
+            call.arrival.id,
+            call.streamed.count,
+            call.streamed.last.unwrap_or(0)
+        );
+        world.outputs.push(output::Output::Event(output::Event::new("stream_resumed", detail)));
+        call.phase = calls::Phase::Placing;
+        world.tables.dirty.unplaced_calls.insert(id);
+        return;
+    }
+    close_call(world, id);
+    release_reservation(world, tick, id);
+    world.emit(output::Output::Abort(id));
+}
+
+/// Ends the call of a complete stream: submits its turn to the log if its route keeps history, and
+/// waits for the decision on its reservation.
 fn handle_complete_stream(
     world: &mut world::World,
     tick: &world::Tick,
     id: ids::CallId,
     endpoint: &ids::EndpointId,
-    events: u64,
-    output: bytes::Bytes,
 ) {
-    let tokens = events * tokens_per_event(world, id);
+    let tokens_per_event = tokens_per_event(world, id);
     let tables = &mut world.tables;
     let Some(call) = tables.calls.rows.get_mut(&id) else { return };
+    let tokens = call.streamed.count * tokens_per_event;
     let Some(turn) = call.turn.as_mut() else {
         close_call(world, id);
         world.emit(output::Output::Finish(id));
         return;
     };
+    turn.delivered_tokens = tokens;
+    call.phase = calls::Phase::Settling;
+    tables.dirty.calls.insert(id);
+    let Some(history) = turn.history.as_ref() else { return };
     let end = journal::End {
         turn: call.arrival.id.clone(),
-        previous: turn.previous.clone(),
+        previous: history.previous.clone(),
         endpoint: endpoint.clone(),
         input: call.arrival.body.clone(),
-        output,
+        output: joined(&call.streamed.output),
     };
-    turn.delivered_tokens = tokens;
     let detail = format_args!(
         "request={} program={} previous={} tokens={tokens}",
         call.arrival.id,
         turn.program,
-        turn.previous.as_ref().map_or("none", |previous| previous.as_str()),
+        history.previous.as_ref().map_or("none", |previous| previous.as_str()),
     );
     world.outputs.push(output::Output::Event(output::Event::new("turn_ended", detail)));
-    call.phase = calls::Phase::Settling;
-    tables.dirty.calls.insert(id);
     relay::submit(world, tick, journal::Record::End(end));
 }
 
+/// Joins the outputs of a stream's attempts, without a copy if there is only one.
+fn joined(outputs: &[bytes::Bytes]) -> bytes::Bytes {
+    match outputs {
+        [output] => output.clone(),
+        outputs => outputs.concat().into(),
+    }
+}
+
 /// Retries or fails a call whose attempt may have run but has no response.
 fn handle_lost_response(world: &mut world::World, tick: &world::Tick, id: ids::CallId) {
     let Some(call) = world.tables.calls.rows.get_mut(&id) else { return };
-    if call.kind == input::RouteKind::Idempotent
+    if call.kind.is_repeatable()
         && call.may_retry()
         && call.remaining_time(tick.now) > MIN_RETRY_TIME
     {
@@ -270,6 +318,14 @@
     refuse(world, tick, id, refusal);
 }
 
+/// Refuses a call whose budget is spent. The caller may be told so only if the call did not run.
+pub fn refuse_over_budget(world: &mut world::World, tick: &world::Tick, id: ids::CallId) {
+    let Some(call) = world.tables.calls.rows.get(&id) else { return };
+    let has_run = call.possible_runs > 0 || call.running.is_some();
+    let reason = if has_run { output::Reason::Lost } else { output::Reason::BudgetSpent };
+    refuse(world, tick, id, output::Refusal { reason, retry_after: None });
+}
+
 /// Refuses a call and cancels its attempt.
 pub fn refuse(
     world: &mut world::World,
@@ -316,7 +372,7 @@
     if running {
         world.emit(output::Output::Cancel(id));
     } else {
-        release_reservation(world, tick, id, &input::Outcome::Cancelled);
+        release_reservation(world, tick, id);
     }
 }
 
@@ -338,19 +394,11 @@
 }
 
 /// Releases the reservation of a turn that is not stored, less the tokens that its caller received.
-fn release_reservation(
-    world: &mut world::World,
-    tick: &world::Tick,
-    id: ids::CallId,
-    outcome: &input::Outcome,
-) {
-    let events = match outcome {
-        input::Outcome::Streamed { events, .. } => *events,
-        _ => 0,
-    };
-    let tokens = events * tokens_per_event(world, id);
-    let call = world.tables.calls.rows.get_mut(&id);
-    if let Some(turn) = call.and_then(|call| call.turn.as_mut()) {
+fn release_reservation(world: &mut world::World, tick: &world::Tick, id: ids::CallId) {
+    let tokens_per_event = tokens_per_event(world, id);
+    let Some(call) = world.tables.calls.rows.get_mut(&id) else { return };
+    let tokens = call.streamed.count * tokens_per_event;
+    if let Some(turn) = call.turn.as_mut() {
         // No events are sent to the caller before the reservation is granted.
         let forwarded = turn.reservation == calls::Reservation::Granted;
         turn.delivered_tokens = turn.delivered_tokens.max(if forwarded { tokens } else { 0 });
--- a/crates/flamingotrail-gateway/src/systems/placement.rs
+++ b/crates/flamingotrail-gateway/src/systems/placement.rs
@@ -60,7 +60,8 @@
 }
 
 fn begins_program(call: &calls::Call) -> bool {
-    call.turn.as_ref().is_some_and(|turn| turn.previous.is_none())
+    let history = call.turn.as_ref().and_then(|turn| turn.history.as_ref());
+    history.is_some_and(|history| history.previous.is_none())
 }
 
 /// Sends a call to an endpoint; refuses it if its reservation was denied or too many attempts have
@@ -71,8 +72,7 @@
         return;
     }
     if call.turn.as_ref().is_some_and(|turn| turn.reservation == calls::Reservation::Denied) {
-        let refusal = output::Refusal { reason: output::Reason::BudgetSpent, retry_after: None };
-        completion::refuse(world, tick, id, refusal);
+        completion::refuse_over_budget(world, tick, id);
         return;
     }
     if call.attempts > MAX_REFUSALS + call.max_attempts {
@@ -146,7 +146,7 @@
 /// only if there is no other.
 fn select_endpoint(world: &world::World, tick: &world::Tick, call: &calls::Call) -> Selection {
     let service = world.tables.routes.service(&call.service);
-    let previous = call.turn.as_ref().and_then(|turn| turn.previous.as_ref());
+    let previous = call.turn.as_ref().and_then(|turn| turn.previous());
     let request = policy::Request {
         prompt: &call.arrival.prompt,
         prompt_tokens: call.arrival.usage.map_or(0, |usage| usage.prompt),
@@ -158,15 +158,7 @@
         domain: &world.identity.domain,
         now: tick.now,
     };
-    let rows = &world.tables.endpoints.rows;
-    let candidates: Vec<_> = rows
-        .iter()
-        .filter(|(id, row)| {
-            serves(&world.tables.notices, id, row, &call.service)
-                && !call.tried_endpoints.contains(*id)
-        })
-        .map(|(id, row)| (id, row, world.tables.notices.next_due(id, tick.now)))
-        .collect();
+    let candidates = candidates(world, tick, call);
     let accepting = candidates.iter().filter(|(_, _, due)| due.is_some_and(|due| due <= tick.now));
     let ranked = accepting.map(|(id, row, _)| {
         let region = world.identity.regions.get(&row.listed.domain);
@@ -182,6 +174,28 @@
     }
 }
 
+/// Returns the endpoints that may run a call, each with the time at which it accepts a request:
+/// those that were not tried, or else, for a call that may run again, those that ran it before.
+fn candidates<'a>(
+    world: &'a world::World,
+    tick: &world::Tick,
+    call: &calls::Call,
+) -> Vec<(&'a ids::EndpointId, &'a endpoints::Endpoint, Option<core_time::Timestamp>)> {
+    let tables = &world.tables;
+    let serving = || {
+        let rows = tables.endpoints.rows.iter();
+        rows.filter(|(id, row)| serves(&tables.notices, id, row, &call.service))
+            .map(|(id, row)| (id, row, tables.notices.next_due(id, tick.now)))
+    };
+    let mut candidates: Vec<_> = serving()
+        .filter(|(id, ..)| call.may_use_another_endpoint() && !call.tried_endpoints.contains(*id))
+        .collect();
+    if candidates.is_empty() && call.may_retry() {
+        candidates.extend(serving().filter(|(id, ..)| call.ran_endpoints.contains(*id)));
+    }
+    candidates
+}
+
 /// Sends a call to `endpoint`, with the texts of the turns that it continues.
 fn send(world: &mut world::World, tick: &world::Tick, id: ids::CallId, endpoint: ids::EndpointId) {
     let tokens_per_event = completion::tokens_per_event(world, id);
@@ -189,7 +203,7 @@
     let Some(call) = tables.calls.rows.get_mut(&id) else { return };
     let Some(row) = tables.endpoints.rows.get_mut(&endpoint) else { return };
     let mut body = Vec::new();
-    if let Some(previous) = call.turn.as_ref().and_then(|turn| turn.previous.as_ref()) {
+    if let Some(previous) = call.turn.as_ref().and_then(|turn| turn.previous()) {
         match tables.turns.chain(previous) {
             Ok(texts) => body = texts,
             Err(_) => {
@@ -209,14 +223,10 @@
     row.sent_since_load += 1;
     row.record_prompt(&call.arrival.prompt, tick.now);
     tables.notices.record_request(&endpoint, tick.now);
-    let repeatable = call.kind == input::RouteKind::Idempotent;
+    let repeatable = call.kind.is_repeatable();
     let timeout = call.remaining_time(tick.now);
-    // Engines may begin with an event that has fewer tokens than the others.
-    let max_events = call
-        .turn
-        .as_ref()
-        .filter(|turn| turn.max_tokens > 0)
-        .map(|turn| turn.max_tokens.div_ceil(tokens_per_event) + 1);
+    let max_events =
+        call.max_events(tokens_per_event).map(|max| max.saturating_sub(call.streamed.count));
     let dispatch = output::Dispatch {
         call: id,
         attempt: call.attempts,
@@ -236,7 +246,8 @@
             .as_ref()
             .is_some_and(|turn| turn.reservation != calls::Reservation::Granted),
         max_events,
-        paced: call.turn.is_some(),
+        resume_after: call.streamed.last,
+        paced: call.turn.as_ref().is_some_and(|turn| turn.history.is_some()),
         endpoint,
     };
     let detail = format_args!(
@@ -249,7 +260,7 @@
         call.route
     );
     world.outputs.push(output::Output::Event(output::Event::new("sent", detail)));
-    if repeatable && call.possible_runs + 1 < call.max_attempts {
+    if call.kind == input::RouteKind::Idempotent && call.possible_runs + 1 < call.max_attempts {
         let slow_at = tick.now.after(timeout / SLOW_ATTEMPT_DIVISOR);
         tables.timers.set(timers::Timer::AttemptSlow(id, call.attempts), slow_at);
     }
--- a/crates/flamingotrail-gateway/src/systems/relay.rs
+++ b/crates/flamingotrail-gateway/src/systems/relay.rs
@@ -293,7 +293,7 @@
 ) {
     let tables = &mut world.tables;
     let call = tables.calls.rows.get_mut(&id).and_then(|call| call.turn.as_mut());
-    let Some(search) = call.map(|turn| &mut turn.search) else { return };
+    let Some(search) = search_of(call) else { return };
     if search.pending_peer.is_some() {
         return;
     }
@@ -307,6 +307,11 @@
     world.emit(output::Output::LookUpTurn { call: id, peer, address, turn: turn.clone() });
 }
 
+/// Returns the search for the turn that a call continues.
+fn search_of(turn: Option<&mut calls::Turn>) -> Option<&mut calls::PeerSearch> {
+    Some(&mut turn?.history.as_mut()?.search)
+}
+
 /// Stores the turns that another gateway has found for a call.
 fn handle_lookup_result(
     world: &mut world::World,
@@ -324,7 +329,7 @@
         journal_system::store_turn(world, tick, end);
     }
     let call = world.tables.calls.rows.get_mut(&id).and_then(|call| call.turn.as_mut());
-    let Some(search) = call.map(|turn| &mut turn.search) else { return };
+    let Some(search) = search_of(call) else { return };
     search.pending_peer = None;
     search.is_absent = is_absent;
     world.tables.dirty.calls.insert(id);
--- a/crates/flamingotrail-gateway/src/systems/turns.rs
+++ b/crates/flamingotrail-gateway/src/systems/turns.rs
@@ -40,9 +40,9 @@
     match call.phase {
         calls::Phase::Resolving => resolve(world, tick, id),
         calls::Phase::Reserving => continue_after_decision(world, tick, id),
-        calls::Phase::Running => release_events(world, tick, id),
+        calls::Phase::Placing | calls::Phase::Running => release_events(world, tick, id),
         calls::Phase::Settling => finish_when_settled(world, tick, id),
-        calls::Phase::Placing | calls::Phase::Closed => {}
+        calls::Phase::Closed => {}
     }
 }
 
@@ -52,26 +52,25 @@
     let tables = &mut world.tables;
     let Some(call) = tables.calls.rows.get_mut(&id) else { return };
     let Some(turn) = call.turn.as_mut() else { return };
-    let missing = match turn.previous.as_ref().map(|previous| tables.turns.chain(previous)) {
-        Some(Err(missing)) => missing.clone(),
-        Some(Ok(_)) | None => {
-            reserve_budget(world, tick, id);
-            return;
-        }
+    let chain = turn.previous().map(|previous| tables.turns.chain(previous));
+    let missing = chain.and_then(Result::err).cloned();
+    let (Some(missing), Some(history)) = (missing, turn.history.as_mut()) else {
+        reserve_budget(world, tick, id);
+        return;
     };
     let partition = ids::Partition::of_turn(&missing, world.settings.partitions);
     let row = tables.partitions.row(partition);
     let mut is_absent = false;
-    match &turn.awaited_read {
+    match &history.awaited_read {
         Some((awaited, number)) if *awaited == missing => {
             is_absent = row.last_complete_read >= *number
         }
         _ => {
-            turn.awaited_read = Some((missing.clone(), row.request_read()));
+            history.awaited_read = Some((missing.clone(), row.request_read()));
             tables.dirty.partitions.insert(partition);
         }
     }
-    if is_absent || turn.search.is_absent {
+    if is_absent || history.search.is_absent {
         let refusal = output::Refusal { reason: output::Reason::NoSuchTurn, retry_after: None };
         completion::refuse(world, tick, id, refusal);
         return;
@@ -116,7 +115,8 @@
             if let Some(decision) = program.reserve(request, turn.max_tokens) {
                 decision
             } else {
-                let turns = if turn.previous.is_some() { EARLY_SEND_TURNS } else { 1 };
+                let begins_program = turn.history.is_some() && turn.previous().is_none();
+                let turns = if begins_program { 1 } else { EARLY_SEND_TURNS };
                 may_send = program.projected_tokens() + turn.max_tokens * turns <= budget;
                 let start = journal::Start {
                     turn: request.clone(),
@@ -153,11 +153,7 @@
             call.phase = calls::Phase::Placing;
             world.tables.dirty.unplaced_calls.insert(id);
         }
-        Some(calls::Reservation::Denied) => {
-            let refusal =
-                output::Refusal { reason: output::Reason::BudgetSpent, retry_after: None };
-            completion::refuse(world, tick, id, refusal);
-        }
+        Some(calls::Reservation::Denied) => completion::refuse_over_budget(world, tick, id),
         _ if admission::is_log_unreachable(world) => wait_for_log(world, tick, id),
         _ => {}
     }
@@ -168,25 +164,21 @@
     let Some(call) = world.tables.calls.rows.get(&id) else { return };
     match call.turn.as_ref().map(|turn| turn.reservation) {
         Some(calls::Reservation::Granted) => world.emit(output::Output::ReleaseEvents(id)),
-        Some(calls::Reservation::Denied) => {
-            let refusal = output::Refusal { reason: output::Reason::Lost, retry_after: None };
-            completion::refuse(world, tick, id, refusal);
-        }
+        Some(calls::Reservation::Denied) => completion::refuse_over_budget(world, tick, id),
         _ => {}
     }
 }
 
-/// Sends the end of a response once its turn is in the log and its reservation is granted. The two
-/// records are in different partitions, and either may be stored first.
+/// Sends the end of a response once its reservation is granted and, on a route that keeps history,
+/// its turn is in the log. The two records are in different partitions, and either may be stored
+/// first.
 fn finish_when_settled(world: &mut world::World, tick: &world::Tick, id: ids::CallId) {
     release_events(world, tick, id);
     let Some(call) = world.tables.calls.rows.get_mut(&id) else { return };
-    let granted =
-        call.turn.as_ref().is_some_and(|turn| turn.reservation == calls::Reservation::Granted);
-    if call.phase != calls::Phase::Settling
-        || !granted
-        || !world.tables.turns.rows.contains_key(&call.arrival.id)
-    {
+    let Some(turn) = call.turn.as_ref() else { return };
+    let granted = turn.reservation == calls::Reservation::Granted;
+    let stored = turn.history.is_none() || world.tables.turns.rows.contains_key(&call.arrival.id);
+    if call.phase != calls::Phase::Settling || !granted || !stored {
         return;
     }
     call.phase = calls::Phase::Closed;
--- a/crates/flamingotrail-gateway/src/tables/calls.rs
+++ b/crates/flamingotrail-gateway/src/tables/calls.rs
@@ -3,6 +3,7 @@
 use std::collections;
 use std::time;
 
+use bytes::Bytes;
 use flamingotrail_core::time as core_time;
 
 use crate::ids;
@@ -49,26 +50,33 @@
     pub is_absent: bool,
 }
 
-/// State of a call that runs a turn.
+/// What a turn needs on a route that keeps the history of programs.
+#[derive(Clone, Debug, Default)]
+pub struct History {
+    /// Turn that this one continues.
+    pub previous: Option<ids::TurnId>,
+    /// The turn that was found missing last, and the number of the read of its partition that shows
+    /// whether it exists.
+    pub awaited_read: Option<(ids::TurnId, u64)>,
+    /// Search for the missing turn at other gateways.
+    pub search: PeerSearch,
+}
+
+/// State of a call that runs a turn: a call that has a budget, a history, or both.
 #[derive(Clone, Debug)]
 pub struct Turn {
     /// Program that the turn belongs to.
     pub program: ids::ProgramId,
     /// Partition of the program's budget.
     pub partition: ids::Partition,
-    /// Turn that this one continues.
-    pub previous: Option<ids::TurnId>,
+    /// History of the turn; `None` if its route keeps none.
+    pub history: Option<History>,
     /// Maximum number of tokens that the turn generates.
     pub max_tokens: u64,
     /// Budget of the program; `None` if it is not limited.
     pub budget: Option<u64>,
     /// State of the turn's reservation.
     pub reservation: Reservation,
-    /// The turn that was found missing last, and the number of the read of its partition that shows
-    /// whether it exists.
-    pub awaited_read: Option<(ids::TurnId, u64)>,
-    /// Search for the missing turn at other gateways.
-    pub search: PeerSearch,
     /// Number of tokens that were delivered to the caller, or will be with the end of the
     /// response.
     pub delivered_tokens: u64,
@@ -76,6 +84,24 @@
     pub is_charged: bool,
 }
 
+impl Turn {
+    /// Returns the turn that this one continues, on a route that keeps history.
+    pub fn previous(&self) -> Option<&ids::TurnId> {
+        self.history.as_ref()?.previous.as_ref()
+    }
+}
+
+/// What the attempts of a call have streamed so far.
+#[derive(Clone, Debug, Default)]
+pub struct StreamedEvents {
+    /// Number of events.
+    pub count: u64,
+    /// Id of the last event that the caller has or that is held for it.
+    pub last: Option<u64>,
+    /// Data of the events, each followed by a line feed, by attempt.
+    pub output: Vec<Bytes>,
+}
+
 /// A running attempt.
 #[derive(Clone, Debug)]
 pub struct RunningAttempt {
@@ -112,11 +138,15 @@
     pub possible_runs: u32,
     /// Endpoints that were tried.
     pub tried_endpoints: collections::BTreeSet<ids::EndpointId>,
+    /// Endpoints that may have run the call.
+    pub ran_endpoints: collections::BTreeSet<ids::EndpointId>,
+    /// What the attempts have streamed so far.
+    pub streamed: StreamedEvents,
     /// The running attempt.
     pub running: Option<RunningAttempt>,
     /// HTTP status of the endpoint's response.
     pub status: Option<u16>,
-    /// State of the turn; `None` if the route stores no turns.
+    /// State of the turn; `None` if the call has neither a history nor a budget.
     pub turn: Option<Turn>,
 }
 
@@ -128,10 +158,24 @@
 
     /// Whether another attempt may run without violating the route's execution semantics.
     pub fn may_retry(&self) -> bool {
-        match self.kind {
-            input::RouteKind::Idempotent => self.possible_runs < self.max_attempts,
-            input::RouteKind::AtMostOnce | input::RouteKind::Stream => self.possible_runs == 0,
+        if !self.kind.is_repeatable() {
+            return self.possible_runs == 0;
         }
+        // The route limits the number of endpoints that run a call. One of them may run it again.
+        self.possible_runs <= self.max_attempts
+    }
+
+    /// Returns the maximum number of events of the response; `None` if the request does not limit
+    /// them.
+    pub fn max_events(&self, tokens_per_event: u64) -> Option<u64> {
+        let turn = self.turn.as_ref().filter(|turn| turn.max_tokens > 0)?;
+        // Engines may begin with an event that has fewer tokens than the others.
+        Some(turn.max_tokens.div_ceil(tokens_per_event) + 1)
+    }
+
+    /// Whether an endpoint that has not run the call yet may do so.
+    pub fn may_use_another_endpoint(&self) -> bool {
+        self.ran_endpoints.len() < usize::try_from(self.max_attempts.max(1)).unwrap_or(usize::MAX)
     }
 }
 
--- a/crates/flamingotrail-gateway/src/tables/programs.rs
+++ b/crates/flamingotrail-gateway/src/tables/programs.rs
@@ -56,6 +56,8 @@
     pub unsettled: collections::BTreeMap<ids::TurnId, u64>,
     /// Whether a timer is set for their settlement.
     pub is_settlement_scheduled: bool,
+    /// Smallest budget that the log's records name for the program.
+    pub budget: Option<u64>,
     /// When the last record or request of the program was processed.
     pub last_used: time::Timestamp,
 }
@@ -90,6 +92,8 @@
         desired_tokens: u64,
         budget: u64,
     ) -> Option<u64> {
+        let budget = self.budget.map_or(budget, |known| known.min(budget));
+        self.budget = Some(budget);
         if let Some(size) = self.open_allowances.get(id) {
             return Some(*size);
         }
--- a/crates/flamingotrail-gateway/tests/decisions/fixture.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/fixture.rs
@@ -96,6 +96,8 @@
             chat,
             route("/look/", input::RouteKind::Idempotent, "ledger"),
             route("/book/", input::RouteKind::AtMostOnce, "ledger"),
+            route("/ask/", input::RouteKind::Stream, "engine"),
+            route("/resume/", input::RouteKind::ResumableStream, "engine"),
         ],
         services: collections::BTreeMap::from([
             (ids::ServiceName::new("engine"), service(Some(engine))),
@@ -150,6 +152,7 @@
         program: None,
         usage: None,
         previous: None,
+        resume_after: None,
         prompt: Vec::new(),
         body: Bytes::from(format!("input of {id};")),
     }
@@ -170,9 +173,30 @@
     request
 }
 
+/// A turn on a route that keeps no history: its body is the whole prompt.
+pub fn historyless_turn_request(
+    call: u64,
+    id: &str,
+    program: &str,
+    budget: Option<u64>,
+) -> input::Arrival {
+    let mut request = turn_request(call, id, program, None, budget.unwrap_or(0));
+    request.path = "/ask/1".to_owned();
+    if let Some(header) = request.program.as_mut() {
+        header.budget = budget;
+    }
+    request
+}
+
 pub fn stream_outcome(events: u64) -> input::Outcome {
     let output = Bytes::from("word\n".repeat(events as usize));
-    input::Outcome::Streamed { complete: true, events, output, load: None }
+    input::Outcome::Streamed {
+        complete: true,
+        events,
+        last_event: Some(events),
+        output,
+        load: None,
+    }
 }
 
 pub fn limit_notice(max_requests_per_s: Option<f64>) -> input::Notice {
--- a/crates/flamingotrail-gateway/tests/decisions/placement.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/placement.rs
@@ -31,7 +31,7 @@
 fn stream_outcome_under_load(running: u32) -> input::Outcome {
     let load = Some(input::Load { running, waiting: 0, slots: SLOTS });
     let output = bytes::Bytes::from_static(b"word\n");
-    input::Outcome::Streamed { complete: true, events: 1, output, load }
+    input::Outcome::Streamed { complete: true, events: 1, last_event: Some(1), output, load }
 }
 
 /// Returns a gateway with two engines, one of which has run a turn and reports ten running
--- a/crates/flamingotrail-runtime/src/gateway/attempts.rs
+++ b/crates/flamingotrail-runtime/src/gateway/attempts.rs
@@ -55,6 +55,7 @@
 struct StreamProgress {
     is_streaming: bool,
     event_count: u64,
+    last_event: Option<u64>,
     output: BytesMut,
     load: Option<input::Load>,
 }
@@ -211,6 +212,10 @@
                         "the stream has more events than the request allows",
                     ));
                 }
+                if event.id.is_some() && event.id <= dispatch.resume_after {
+                    // The caller has this event: the endpoint began earlier than it was asked to.
+                    continue;
+                }
                 if let Some(head) = head.take() {
                     self.calls.push_stream_part(
                         dispatch.call,
@@ -218,6 +223,7 @@
                     );
                 }
                 progress.event_count += 1;
+                progress.last_event = event.id;
                 progress.output.extend_from_slice(&event.data);
                 self.calls.push_stream_part(
                     dispatch.call,
@@ -240,6 +246,7 @@
     input::Outcome::Streamed {
         complete,
         events: progress.event_count,
+        last_event: progress.last_event,
         output: progress.output.freeze(),
         load: progress.load,
     }
--- a/crates/flamingotrail-runtime/src/gateway/callers.rs
+++ b/crates/flamingotrail-runtime/src/gateway/callers.rs
@@ -264,6 +264,7 @@
 fn refusal_status(reason: output::Reason) -> StatusCode {
     match reason {
         output::Reason::NoRoute | output::Reason::NoSuchTurn => StatusCode::NOT_FOUND,
+        output::Reason::InvalidResume => StatusCode::BAD_REQUEST,
         output::Reason::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
         output::Reason::BudgetSpent => StatusCode::PAYMENT_REQUIRED,
         output::Reason::Unavailable => StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/flamingotrail-runtime/src/gateway/pending_calls.rs
+++ b/crates/flamingotrail-runtime/src/gateway/pending_calls.rs
@@ -129,10 +129,14 @@
         }
     }
 
-    /// Adds a part of a stream. It is sent at once if the stream is released and not paced.
+    /// Adds a part of a stream. It is sent at once if the stream is released and not paced. Of a
+    /// stream that several attempts continue, the caller gets the head of the first.
     pub fn push_stream_part(&self, call: ids::CallId, part: ResponsePart) {
         let mut rows = self.rows.borrow_mut();
         let Some(pending) = rows.get_mut(&call) else { return };
+        if pending.stream.is_some() && matches!(part, ResponsePart::StreamHead(_)) {
+            return;
+        }
         pending.stream.get_or_insert_with(Stream::default).held_parts.push_back(part);
         send_due_parts(pending, self.event_interval.get());
     }
--- a/crates/flamingotrail-runtime/tests/pending_calls.rs
+++ b/crates/flamingotrail-runtime/tests/pending_calls.rs
@@ -26,6 +26,7 @@
         body: Vec::new(),
         repeatable: false,
         gated,
+        resume_after: None,
         max_events: None,
         paced,
     }
--- a/crates/flamingotrail-standins/src/fleet/platform.rs
+++ b/crates/flamingotrail-standins/src/fleet/platform.rs
@@ -20,11 +20,14 @@
     )
 }
 
-/// Returns a configuration with the route `/chat/` for turns, the routes `/look/` and `/book/` for
-/// tool calls, and `extra` additional routes `/extra-1/`, `/extra-2/` and so on.
+/// Returns a configuration with the routes `/chat/` for turns with history, `/ask/` for those
+/// without and `/resume/` for those that can be resumed, the routes `/look/` and `/book/` for tool
+/// calls, and `extra` additional routes `/extra-1/`, `/extra-2/` and so on.
 pub fn configuration(version: u64, extra: u64) -> String {
     let mut routes = vec![
         route("chat", "streaming", "model", ",\"retain\":true,\"retention_s\":60.0"),
+        route("ask", "streaming", "model", ""),
+        route("resume", "streaming", "model", ",\"resumable\":true"),
         route("look", "safe", "plain", ""),
         route("book", "unsafe", "plain", ""),
     ];
--- a/crates/flamingotrail-standins/src/fleet/runner.rs
+++ b/crates/flamingotrail-standins/src/fleet/runner.rs
@@ -25,6 +25,9 @@
     is_leaving: bool,
     /// A response that does not end, if the runner sends one.
     endless: Option<Endless>,
+    /// Number of events after which a model runner breaks its next stream off, in the middle of the
+    /// event that follows.
+    break_after: Option<usize>,
 }
 
 /// Where a response never ends.
@@ -71,6 +74,12 @@
     }
 }
 
+/// The chunk of a stream's event `number`.
+fn event_chunk(number: usize) -> String {
+    let event = format!("id: {number}\ndata: w{number}\n\n");
+    format!("{:x}\r\n{event}\r\n", event.len())
+}
+
 /// A runner; clones share their state.
 #[derive(Clone, Default)]
 pub struct Runner {
@@ -106,10 +115,15 @@
                     .map(|(name, value)| format!("{name}: {value}\r\n"))
                     .collect::<String>()
             );
-            let events = (1..=events).map(|number| {
-                let event = format!("id: {number}\ndata: w{number}\n\n");
-                format!("{:x}\r\n{event}\r\n", event.len())
-            });
+            let resumed = request.header("last-event-id").and_then(|text| text.parse().ok());
+            let first = resumed.map_or(1, |last: usize| last + 1);
+            if let Some(count) = runner.lock().break_after.take() {
+                let whole = (first..first + count).map(event_chunk);
+                let torn = "12\r\nid: 99\nda".to_owned();
+                let bytes = std::iter::once(head).chain(whole).chain([torn]).collect::<String>();
+                return server::Response::Truncated(bytes.into_bytes());
+            }
+            let events = (first..=events).map(event_chunk);
             let chunks = std::iter::once(head).chain(events).chain(["0\r\n\r\n".to_owned()]);
             let delay = runner.lock().delay;
             if delay.is_zero() {
@@ -198,6 +212,12 @@
         self.lock().endless = endless;
     }
 
+    /// Makes a model runner break its next stream off after `events` events, in the middle of the
+    /// event that follows.
+    pub fn break_next_stream(&self, events: usize) {
+        self.lock().break_after = Some(events);
+    }
+
     /// Response headers in which the runner announces its state.
     fn announcements(&self) -> Vec<(&'static str, String)> {
         let state = self.lock();
--- a/crates/flamingotrail-standins/src/fleet/server.rs
+++ b/crates/flamingotrail-standins/src/fleet/server.rs
@@ -56,6 +56,8 @@
     /// Writes the first bytes, then the second ones again and again until the peer closes the
     /// connection, or up to `MAX_ENDLESS_BYTES`.
     Endless(Vec<u8>, Vec<u8>),
+    /// Writes the bytes and closes the connection.
+    Truncated(Vec<u8>),
     /// Closes the connection without a response.
     Close,
 }
@@ -115,6 +117,13 @@
                 write_endlessly(&mut out, &start, &repeated);
                 return;
             }
+            Response::Truncated(bytes) => {
+                // The peer may have closed the connection; nothing is left to do then.
+                if out.write_all(&bytes).is_err() {
+                    eprintln!("event=truncated_response_not_written");
+                }
+                return;
+            }
             Response::Close => return,
         }
     }
--- a/crates/flamingotrail-standins/tests/gateways.rs
+++ b/crates/flamingotrail-standins/tests/gateways.rs
@@ -245,6 +245,92 @@
     assert!(response.text.contains("kind=\"append\",outcome=\"done\"} 2"), "{}", response.text);
 }
 
+fn send_stream(
+    gateway: &gateways::Gateway,
+    path: &str,
+    id: &str,
+    resume_after: Option<&str>,
+) -> caller::Response {
+    let mut headers = vec![
+        ("Request-Id", id),
+        ("Program-Id", "p1"),
+        ("Token-Budget", "8000"),
+        ("Token-Usage", "100,24"),
+        ("Deadline-Ms", "5000"),
+    ];
+    headers.extend(resume_after.map(|event| ("Last-Event-Id", event)));
+    caller::call(gateway.caller_address, "POST", path, &headers, "in;").expect("no response")
+}
+
+/// Ids of the events of a response.
+fn event_ids(response: &caller::Response) -> Vec<&str> {
+    response.text.lines().filter_map(|line| line.strip_prefix("id: ")).collect()
+}
+
+// Guards against a resumed stream that begins again: its caller would get events twice.
+#[test]
+fn caller_resumes_a_stream_at_another_gateway() {
+    let fleet = start_fleet("resume");
+    let first = fleet.start_gateway("one");
+    let second = fleet.start_gateway("two");
+
+    let a = send_stream(&first, "/resume/1", "a", None);
+    let b = send_stream(&second, "/resume/1", "b", Some("2"));
+    let elsewhere = send_stream(&second, "/ask/1", "c", Some("2"));
+    let invalid = send_stream(&second, "/resume/1", "d", Some("two"));
+    let beyond = send_stream(&second, "/resume/1", "e", Some("9"));
+
+    assert_eq!(event_ids(&a), ["1", "2", "3"]);
+    assert_eq!(event_ids(&b), ["3"], "{}", b.text);
+    assert_eq!(event_ids(&elsewhere), ["1", "2", "3"], "the route can't be resumed");
+    assert_eq!(invalid.status, 400);
+    assert!(beyond.is_complete() && event_ids(&beyond).is_empty(), "{}", beyond.text);
+}
+
+// Guards against a continued stream that repeats events, joins parts of them, or mixes the heads of
+// two responses.
+#[test]
+fn stream_that_breaks_within_an_event_continues_in_the_same_response() {
+    let fleet = start_fleet("broken-stream");
+    let gateway = fleet.start_gateway("one");
+
+    fleet.model.break_next_stream(1);
+    let resumed = send_stream(&gateway, "/resume/1", "a", None);
+    fleet.model.break_next_stream(1);
+    let cut = send_stream(&gateway, "/ask/1", "b", None);
+
+    assert!(resumed.is_complete(), "{}", resumed.text);
+    assert_eq!(event_ids(&resumed), ["1", "2", "3"]);
+    assert_eq!(resumed.text.to_lowercase().matches("response-signature").count(), 1);
+    assert!(!cut.is_complete(), "{}", cut.text);
+    assert_eq!(event_ids(&cut), ["1"]);
+    let sent: Vec<_> = fleet.model.requests();
+    assert_eq!(sent.iter().filter(|r| r.header("request-id") == Some("b")).count(), 1);
+}
+
+#[test]
+fn budget_without_history_is_spent_over_two_gateways() {
+    let fleet = start_fleet("budget-ask");
+    let first = fleet.start_gateway("one");
+    let second = fleet.start_gateway("two");
+    let send = |gateway: &gateways::Gateway, id: &str| {
+        let headers = [
+            ("Request-Id", id),
+            ("Program-Id", "p1"),
+            ("Token-Budget", "48"),
+            ("Token-Usage", "100,24"),
+            ("Deadline-Ms", "5000"),
+        ];
+        caller::call(gateway.caller_address, "POST", "/ask/1", &headers, "in;")
+            .expect("no response")
+            .status
+    };
+
+    let statuses = [send(&first, "a"), send(&second, "b"), send(&first, "c")];
+
+    assert_eq!(statuses, [200, 200, 402]);
+}
+
 // Guards against a runner that sends bytes without end, and so fills the memory of a gateway or
 // holds a caller until its deadline.
 #[test]
