Gateway: turns without an allowance wait unsent while the log is away

Cause: in an outage new turns were sent to engines and their events held; their callers left after 2 s of silence, without a promise and so without a second try, and a program's three tries ended before an outage of 7 s. Gateways without turns noticed no outage. An allowance that was granted after its turn had ended was never settled.

Change: such turns wait unsent and are refused, as not run, before their callers leave; the request for the allowance is taken back where the log can't have it. The time that callers accept is read from the route. Failed reads of the list count as failures of the store. The first event is paced like the others. A budget that is spent for good is refused without the log.

The test of paced events expected the first event at once; it now expects it one interval after the request, and the following ones as before.

--- a/crates/flamingotrail-gateway/src/input.rs
+++ b/crates/flamingotrail-gateway/src/input.rs
@@ -362,6 +362,8 @@
     pub timeout: time::Duration,
     /// Latency within which a response has its full value for the caller.
     pub target_latency: time::Duration,
+    /// Time without a byte after which callers leave a stream.
+    pub max_silence: time::Duration,
     /// Priority class; 0 is the highest.
     pub priority: u8,
     /// Target services with their weights.
--- a/crates/flamingotrail-gateway/src/systems/admission.rs
+++ b/crates/flamingotrail-gateway/src/systems/admission.rs
@@ -7,6 +7,7 @@
 use crate::input;
 use crate::output;
 use crate::tables::calls;
+use crate::tables::programs;
 use crate::tables::routes;
 use crate::tables::timers;
 use crate::world;
@@ -18,17 +19,6 @@
 /// is for its output.
 const INPUT_SIZE_DIVISOR: usize = 2;
 
-/// Delay before a retry of an unsent turn while no gateway can reach the log. An outage lasts for
-/// seconds, and callers wait for at most a third of their deadline before they retry.
-pub const LOG_OUTAGE_RETRY_AFTER: time::Duration = time::Duration::from_millis(1_300);
-
-/// Whether the log is unreachable from this gateway and, as far as it knows, from all others.
-pub fn is_log_unreachable(world: &world::World) -> bool {
-    let tables = &world.tables;
-    tables.partitions.is_unreachable
-        && (tables.peers.rows.is_empty() || !tables.relay.can_peers_reach_log())
-}
-
 /// Admits the requests in the inbox.
 pub fn run(world: &mut world::World, _tick: &world::Tick) {
     for arrival in std::mem::take(&mut world.tables.inbox.arrivals) {
@@ -104,6 +94,7 @@
         max_attempts: route.max_attempts,
         service: service.clone(),
         deadline: arrival.received.after(timeout),
+        max_silence: route.max_silence,
         phase,
         attempts: 0,
         possible_runs: 0,
@@ -159,11 +150,16 @@
         ..calls::History::default()
     });
     // The smallest budget that was named for a program holds, also for turns that name none.
-    let known = header.and_then(|header| world.tables.programs.rows.get(&header.id)?.budget);
+    let known_program = header.and_then(|header| world.tables.programs.rows.get(&header.id));
+    let known = known_program.and_then(|program| program.budget);
     let budget = header.and_then(|header| header.budget).into_iter().chain(known).min();
     if history.is_none() && budget.is_none() {
         return None;
     }
+    let begins_program = match &history {
+        Some(history) => history.previous.is_none(),
+        None => !known_program.is_some_and(programs::Program::has_begun),
+    };
     // A turn that names no maximum may use all of its budget.
     let usage = arrival.usage.filter(|usage| usage.max_output > 0);
     let max_tokens = usage.map(|usage| usage.max_output).or(budget).unwrap_or(0);
@@ -174,6 +170,7 @@
         partition: ids::Partition::of_program(&program, world.settings.partitions),
         program,
         history,
+        begins_program,
         max_tokens,
         budget,
         reservation: calls::Reservation::None,
--- a/crates/flamingotrail-gateway/src/systems/budgets.rs
+++ b/crates/flamingotrail-gateway/src/systems/budgets.rs
@@ -47,13 +47,27 @@
         call.arrival.id, turn.program, turn.delivered_tokens
     );
     world.outputs.push(output::Output::Event(output::Event::new("turn_accounted", detail)));
-    if program.is_settlement_scheduled || program.has_room(turn.max_tokens * ROOM_TURNS, budget) {
+    let (id, max_tokens) = (turn.program.clone(), turn.max_tokens);
+    schedule_settlement(world, tick, &id, max_tokens, budget);
+}
+
+/// Schedules the settlement of a program's closed allowances if its budget has little room left for
+/// turns of at most `turn_tokens`.
+pub fn schedule_settlement(
+    world: &mut world::World,
+    tick: &world::Tick,
+    id: &ids::ProgramId,
+    turn_tokens: u64,
+    budget: u64,
+) {
+    let program = world.tables.programs.touch(id, tick.now);
+    let needed = turn_tokens.saturating_mul(ROOM_TURNS);
+    if program.is_settlement_scheduled || program.has_room(needed, budget) {
         return;
     }
     program.is_settlement_scheduled = true;
-    tables
-        .timers
-        .set(timers::Timer::Settlement(turn.program.clone()), tick.now.after(SETTLE_DELAY));
+    let at = tick.now.after(SETTLE_DELAY);
+    world.tables.timers.set(timers::Timer::Settlement(id.clone()), at);
 }
 
 /// Queues a `Settle` record for the closed allowances of a program.
--- a/crates/flamingotrail-gateway/src/systems/completion.rs
+++ b/crates/flamingotrail-gateway/src/systems/completion.rs
@@ -7,8 +7,8 @@
 use crate::input;
 use crate::journal;
 use crate::output;
-use crate::systems::admission;
 use crate::systems::budgets;
+use crate::systems::log_outage;
 use crate::systems::placement;
 use crate::systems::relay;
 use crate::tables::calls;
@@ -303,13 +303,10 @@
     let Some(call) = world.tables.calls.rows.get(&id) else { return };
     let not_run = call.possible_runs == 0 && call.running.is_none();
     let refusal = if not_run {
-        let log_outage = call.turn.is_some() && admission::is_log_unreachable(world);
-        let retry_after = Some(if log_outage {
-            admission::LOG_OUTAGE_RETRY_AFTER
-        } else {
-            placement::retry_after(call)
-        });
-        output::Refusal { reason: output::Reason::Unavailable, retry_after }
+        log_outage::refusal(world, call).unwrap_or_else(|| output::Refusal {
+            reason: output::Reason::Unavailable,
+            retry_after: Some(placement::retry_after(call)),
+        })
     } else if call.remaining_time(tick.now) < MIN_RETRY_TIME {
         output::Refusal { reason: output::Reason::TimedOut, retry_after: None }
     } else {
--- a/crates/flamingotrail-gateway/src/systems/journal.rs
+++ b/crates/flamingotrail-gateway/src/systems/journal.rs
@@ -8,6 +8,7 @@
 use crate::input;
 use crate::journal;
 use crate::output;
+use crate::systems::budgets;
 use crate::systems::log_io;
 use crate::systems::relay;
 use crate::systems::turns;
@@ -56,6 +57,9 @@
         Err(error) => {
             // Records are idempotent, so a batch that may have been appended is appended again.
             for record in records.into_iter().rev() {
+                if error == input::LogError::Unknown {
+                    relay::mark_uncertain(&mut world.tables.relay, &record);
+                }
                 row.queue.push_front(record);
             }
             handle_failure(world, tick, partition, error);
@@ -147,8 +151,18 @@
     let delay = MIN_RETRY_DELAY.saturating_mul(1 << row.failures.min(5)).min(MAX_RETRY_DELAY);
     row.failures += 1;
     row.retry_at = tick.now.after(add_jitter(delay, partition, tick));
-    let (retry_at, queued) = (row.retry_at, row.queue.len());
+    let retry_at = row.retry_at;
     world.tables.timers.set(timers::Timer::PartitionRetry(partition), retry_at);
+    record_store_failure(world, tick, format_args!("partition={partition} error={error:?}"));
+}
+
+/// Counts a failed call of the platform's store, and detects an outage of the log. Gateways without
+/// turns learn of it from their reads of the list.
+pub fn record_store_failure(
+    world: &mut world::World,
+    tick: &world::Tick,
+    cause: std::fmt::Arguments<'_>,
+) {
     let partitions = &mut world.tables.partitions;
     partitions.failures += 1;
     let since_success = tick.now.since(partitions.last_success);
@@ -157,8 +171,7 @@
         && since_success >= UNREACHABLE_AFTER
     {
         partitions.is_unreachable = true;
-        let detail = format_args!("partition={partition} error={error:?} queued={queued}");
-        world.emit_event("log_lost", detail);
+        world.emit_event("log_lost", cause);
         world.emit(output::Output::SetEventInterval(Some(OUTAGE_EVENT_INTERVAL)));
         relay::handle_log_loss(world);
     }
@@ -239,6 +252,16 @@
     let program = world.tables.programs.touch(&start.program, tick.now);
     let (decided, unreserved) = program.apply_decision(&start.turn, size);
     if decided.is_empty() && unreserved.is_empty() {
+        // Its turns ended before the decision, and no later one settles it.
+        if size.is_some() && program.owns_allowance(&start.turn) {
+            budgets::schedule_settlement(
+                world,
+                tick,
+                &start.program,
+                start.min_tokens,
+                start.budget,
+            );
+        }
         return;
     }
     let detail = format_args!(
--- /dev/null
+++ b/crates/flamingotrail-gateway/src/systems/log_outage.rs
@@ -0,0 +1,65 @@
+//! Turns that can't be sent while no gateway reaches the log.
+//!
+//! They wait unsent, so that they go on as soon as the log is back and no engine works for an answer
+//! that may never be delivered. Before its caller would leave, a turn is refused as not run, so that
+//! the caller can ask again.
+
+use std::time;
+
+use crate::ids;
+use crate::output;
+use crate::systems::completion;
+use crate::systems::relay;
+use crate::tables::calls;
+use crate::tables::timers;
+use crate::world;
+
+/// Maximum time that a turn waits, as a percentage of the time for which its caller accepts silence
+/// and of the time that the caller has.
+const MAX_WAIT_PERCENT: u32 = 80;
+/// Delay after which the caller of a turn that has waited may ask again.
+const RETRY_AFTER: time::Duration = time::Duration::from_millis(100);
+
+/// Whether the log is unreachable from this gateway and, as far as it knows, from all others.
+pub fn is_log_unreachable(world: &world::World) -> bool {
+    let tables = &world.tables;
+    tables.partitions.is_unreachable
+        && (tables.peers.rows.is_empty() || !tables.relay.can_peers_reach_log())
+}
+
+/// Lets an unsent turn wait for the log; refuses it before its caller would leave.
+pub fn wait_or_refuse(world: &mut world::World, tick: &world::Tick, id: ids::CallId) {
+    let Some(call) = world.tables.calls.rows.get(&id) else { return };
+    let received = call.arrival.received;
+    let patience = call.max_silence.min(call.deadline.since(received));
+    let end = received.after(patience * MAX_WAIT_PERCENT / 100);
+    if tick.now < end {
+        world.tables.timers.set(timers::Timer::CallRetry(id), end);
+        return;
+    }
+    withdraw_start(world, id);
+    completion::fail_call(world, tick, id);
+}
+
+/// Takes back the request for an allowance of a turn that is refused, unless it may already be in
+/// the log: its caller may return to another gateway.
+fn withdraw_start(world: &mut world::World, id: ids::CallId) {
+    let tables = &mut world.tables;
+    let Some(call) = tables.calls.rows.get(&id) else { return };
+    let Some(turn) = call.turn.as_ref() else { return };
+    let request = &call.arrival.id;
+    let Some(program) = tables.programs.rows.get_mut(&turn.program) else { return };
+    if program.is_sole_turn(request)
+        && relay::withdraw(&mut tables.partitions, &mut tables.relay, turn.partition, request)
+    {
+        program.withdraw_allowance(request);
+    }
+}
+
+/// Returns the refusal of a call that did not run because of an outage.
+pub fn refusal(world: &world::World, call: &calls::Call) -> Option<output::Refusal> {
+    (call.turn.is_some() && is_log_unreachable(world)).then_some(output::Refusal {
+        reason: output::Reason::Unavailable,
+        retry_after: Some(RETRY_AFTER),
+    })
+}
--- a/crates/flamingotrail-gateway/src/systems/membership.rs
+++ b/crates/flamingotrail-gateway/src/systems/membership.rs
@@ -30,6 +30,7 @@
 }
 
 fn handle_list_failure(world: &mut world::World, tick: &world::Tick) {
+    journal::record_store_failure(world, tick, format_args!("list=unreadable"));
     let endpoints = &mut world.tables.endpoints;
     endpoints.last_read = None;
     if endpoints.unreadable_since.is_none() {
--- a/crates/flamingotrail-gateway/src/systems/mod.rs
+++ b/crates/flamingotrail-gateway/src/systems/mod.rs
@@ -10,6 +10,7 @@
 pub mod journal;
 pub mod leaving_checks;
 pub mod log_io;
+pub mod log_outage;
 pub mod membership;
 pub mod notices;
 pub mod peer_probes;
--- a/crates/flamingotrail-gateway/src/systems/placement.rs
+++ b/crates/flamingotrail-gateway/src/systems/placement.rs
@@ -60,8 +60,7 @@
 }
 
 fn begins_program(call: &calls::Call) -> bool {
-    let history = call.turn.as_ref().and_then(|turn| turn.history.as_ref());
-    history.is_some_and(|history| history.previous.is_none())
+    call.turn.as_ref().is_some_and(|turn| turn.begins_program)
 }
 
 /// Sends a call to an endpoint; refuses it if its reservation was denied or too many attempts have
--- a/crates/flamingotrail-gateway/src/systems/readiness.rs
+++ b/crates/flamingotrail-gateway/src/systems/readiness.rs
@@ -3,7 +3,7 @@
 use std::time;
 
 use crate::output;
-use crate::systems::admission;
+use crate::systems::log_outage;
 use crate::tables::timers;
 use crate::world;
 
@@ -33,7 +33,7 @@
 }
 
 fn is_ready(world: &world::World) -> bool {
-    let is_isolated = !world.tables.peers.rows.is_empty() && admission::is_log_unreachable(world);
+    let is_isolated = !world.tables.peers.rows.is_empty() && log_outage::is_log_unreachable(world);
     world.draining_since.is_none()
         && !is_isolated
         && world.tables.routes.current.is_some()
--- a/crates/flamingotrail-gateway/src/systems/relay.rs
+++ b/crates/flamingotrail-gateway/src/systems/relay.rs
@@ -11,6 +11,7 @@
 use crate::output;
 use crate::systems::journal as journal_system;
 use crate::tables::calls;
+use crate::tables::partitions;
 use crate::tables::peers;
 use crate::tables::relay;
 use crate::tables::timers;
@@ -71,6 +72,7 @@
             submitted_at: tick.now,
             pending_peer: None,
             tried_peers: Default::default(),
+            may_be_stored: false,
         };
         tables.relay.pending_records.insert(key, pending);
     }
@@ -78,6 +80,31 @@
     tables.dirty.partitions.insert(partition);
 }
 
+/// Marks a record whose append had no response: the log may still store it.
+pub fn mark_uncertain(relay: &mut relay::Relay, record: &journal::Record) {
+    if let Some(pending) = record.key().and_then(|key| relay.pending_records.get_mut(&key)) {
+        pending.may_be_stored = true;
+    }
+}
+
+/// Removes the request for an allowance of `turn` that waits for an append. Returns false if it may
+/// have been sent to the log or to another gateway.
+pub fn withdraw(
+    partitions: &mut partitions::Partitions,
+    relay: &mut relay::Relay,
+    partition: ids::Partition,
+    turn: &ids::TurnId,
+) -> bool {
+    let key = journal::Key::Start(turn.clone());
+    let row = partitions.row(partition);
+    let is_sent = row.appending.iter().any(|record| record.key().as_ref() == Some(&key));
+    if is_sent || relay.pending_records.get(&key).is_none_or(|pending| pending.may_be_stored) {
+        return false;
+    }
+    row.queue.retain(|record| record.key().as_ref() != Some(&key));
+    relay.pending_records.remove(&key).is_some()
+}
+
 /// Starts relaying all pending records when the log has become unreachable from this gateway.
 pub fn handle_log_loss(world: &mut world::World) {
     let tables = &mut world.tables;
@@ -211,6 +238,7 @@
     };
     tables.relay.last_probe = tick.now;
     pending.pending_peer = Some(peer.clone());
+    pending.may_be_stored = true;
     pending.tried_peers.insert(peer.clone());
     let record = Box::new(pending.record.clone());
     world.emit(output::Output::RelayRecord { peer, address, record });
--- a/crates/flamingotrail-gateway/src/systems/turns.rs
+++ b/crates/flamingotrail-gateway/src/systems/turns.rs
@@ -1,17 +1,14 @@
 //! Advances turns: looks up the turns that they continue, reserves their part of the budget, and
 //! sends the end of a response once its turn is in the log.
 
-use std::time;
-
 use crate::ids;
 use crate::journal;
 use crate::output;
-use crate::systems::admission;
 use crate::systems::budgets;
 use crate::systems::completion;
+use crate::systems::log_outage;
 use crate::systems::relay;
 use crate::tables::calls;
-use crate::tables::timers;
 use crate::world;
 
 /// A turn that continues others is sent before the log decides on its reservation only if the
@@ -19,14 +16,6 @@
 /// gateways may have run some of the earlier turns.
 const EARLY_SEND_TURNS: u64 = 3;
 
-/// Maximum time that an unsent turn waits while no gateway can reach the log; then its caller has
-/// to retry. A program's three tries have to outlast an outage of several seconds, and callers
-/// disconnect after 2 s.
-const MAX_LOG_WAIT: time::Duration = time::Duration::from_millis(1_200);
-/// Maximum of the same wait as a percentage of the call's timeout, so that a caller that retries
-/// shortly before its own deadline still gets the refusal in time.
-const MAX_LOG_WAIT_PERCENT: u32 = 40;
-
 /// Advances the dirty calls.
 pub fn run(world: &mut world::World, tick: &world::Tick) {
     for id in std::mem::take(&mut world.tables.dirty.calls) {
@@ -78,27 +67,13 @@
     if !tables.partitions.is_unreachable {
         return;
     }
-    if admission::is_log_unreachable(world) {
-        wait_for_log(world, tick, id);
+    if log_outage::is_log_unreachable(world) {
+        log_outage::wait_or_refuse(world, tick, id);
     } else {
         relay::fetch_chain_from_peer(world, tick, id, &missing);
     }
 }
 
-/// Lets an unsent turn wait for the log up to a limit; then fails its call, so that the caller
-/// retries.
-fn wait_for_log(world: &mut world::World, tick: &world::Tick, id: ids::CallId) {
-    let Some(call) = world.tables.calls.rows.get(&id) else { return };
-    let received = call.arrival.received;
-    let timeout = call.deadline.since(received);
-    let end = received.after(MAX_LOG_WAIT.min(timeout * MAX_LOG_WAIT_PERCENT / 100));
-    if tick.now < end {
-        world.tables.timers.set(timers::Timer::CallRetry(id), end);
-    } else {
-        completion::fail_call(world, tick, id);
-    }
-}
-
 /// Reserves a part of the budget for a turn, and sends the turn at once if the budget probably has
 /// room.
 pub fn reserve_budget(world: &mut world::World, tick: &world::Tick, id: ids::CallId) {
@@ -112,12 +87,16 @@
         Some(budget) => {
             let program = tables.programs.touch(&turn.program, tick.now);
             let request = &call.arrival.id;
-            if let Some(decision) = program.reserve(request, turn.max_tokens) {
+            if program.settled_tokens + turn.max_tokens > budget {
+                // What is settled is never returned, so the log would refuse it as well.
+                calls::Reservation::Denied
+            } else if let Some(decision) = program.reserve(request, turn.max_tokens) {
                 decision
             } else {
-                let begins_program = turn.history.is_some() && turn.previous().is_none();
+                let begins_program = turn.begins_program && turn.history.is_some();
                 let turns = if begins_program { 1 } else { EARLY_SEND_TURNS };
-                may_send = program.projected_tokens() + turn.max_tokens * turns <= budget;
+                may_send = program.projected_tokens() + turn.max_tokens * turns <= budget
+                    && !tables.partitions.is_unreachable;
                 let start = journal::Start {
                     turn: request.clone(),
                     program: turn.program.clone(),
@@ -131,7 +110,7 @@
             }
         }
     };
-    if call.phase != calls::Phase::Resolving {
+    if call.phase != calls::Phase::Resolving && call.phase != calls::Phase::Reserving {
         // The turn is already running, and its events wait for the decision.
         tables.dirty.calls.insert(id);
     } else if may_send {
@@ -139,6 +118,7 @@
         tables.dirty.unplaced_calls.insert(id);
     } else {
         call.phase = calls::Phase::Reserving;
+        tables.dirty.calls.insert(id);
     }
     if let Some(start) = new_start {
         relay::submit(world, tick, journal::Record::Start(start));
@@ -154,7 +134,7 @@
             world.tables.dirty.unplaced_calls.insert(id);
         }
         Some(calls::Reservation::Denied) => completion::refuse_over_budget(world, tick, id),
-        _ if admission::is_log_unreachable(world) => wait_for_log(world, tick, id),
+        _ if log_outage::is_log_unreachable(world) => log_outage::wait_or_refuse(world, tick, id),
         _ => {}
     }
 }
--- a/crates/flamingotrail-gateway/src/tables/calls.rs
+++ b/crates/flamingotrail-gateway/src/tables/calls.rs
@@ -71,6 +71,8 @@
     pub partition: ids::Partition,
     /// History of the turn; `None` if its route keeps none.
     pub history: Option<History>,
+    /// Whether the turn is the first of its program, as far as this gateway knows.
+    pub begins_program: bool,
     /// Maximum number of tokens that the turn generates.
     pub max_tokens: u64,
     /// Budget of the program; `None` if it is not limited.
@@ -130,6 +132,8 @@
     pub service: ids::ServiceName,
     /// When the call expires.
     pub deadline: core_time::Timestamp,
+    /// Time without a byte after which the caller leaves a stream.
+    pub max_silence: time::Duration,
     /// Current phase.
     pub phase: Phase,
     /// Number of attempts so far.
--- a/crates/flamingotrail-gateway/src/tables/programs.rs
+++ b/crates/flamingotrail-gateway/src/tables/programs.rs
@@ -179,6 +179,36 @@
         (granted, unreserved)
     }
 
+    /// Whether the program has spent or reserved a part of its budget.
+    pub fn has_begun(&self) -> bool {
+        self.committed_tokens() > 0
+            || !self.allowances.is_empty()
+            || !self.unsettled.is_empty()
+            || !self.settled_allowances.is_empty()
+    }
+
+    /// Whether `turn` is the only one of the allowance that was requested for it, which the log has
+    /// not decided on.
+    pub fn is_sole_turn(&self, turn: &ids::TurnId) -> bool {
+        self.allowances.get(turn).is_some_and(|allowance| {
+            allowance.state == calls::Reservation::Pending
+                && allowance.running.keys().all(|running| running == turn)
+        })
+    }
+
+    /// Whether this gateway has requested the allowance `id`, which is not settled yet.
+    pub fn owns_allowance(&self, id: &ids::TurnId) -> bool {
+        self.allowances.contains_key(id) || self.unsettled.contains_key(id)
+    }
+
+    /// Removes the allowance that was requested for `turn`.
+    pub fn withdraw_allowance(&mut self, turn: &ids::TurnId) {
+        self.allowances.remove(turn);
+        if self.current.as_ref() == Some(turn) {
+            self.current = None;
+        }
+    }
+
     /// Ends `turn` and charges the `tokens` that it has used to its allowance.
     pub fn end_turn(&mut self, turn: &ids::TurnId, tokens: u64) {
         for allowance in self.allowances.values_mut() {
--- a/crates/flamingotrail-gateway/src/tables/relay.rs
+++ b/crates/flamingotrail-gateway/src/tables/relay.rs
@@ -19,6 +19,8 @@
     pub pending_peer: Option<ids::InstanceName>,
     /// Gateways that were asked to append the record.
     pub tried_peers: collections::BTreeSet<ids::InstanceName>,
+    /// Whether an append without a response, or another gateway, may still store the record.
+    pub may_be_stored: bool,
 }
 
 /// A lookup on behalf of another gateway.
--- a/crates/flamingotrail-gateway/tests/decisions/fixture.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/fixture.rs
@@ -75,6 +75,7 @@
         kind,
         timeout: time::Duration::from_secs(4),
         target_latency: time::Duration::from_millis(400),
+        max_silence: time::Duration::from_secs(2),
         priority: 0,
         traffic_split: vec![(ids::ServiceName::new(service), 1)],
         max_attempts: 2,
--- a/crates/flamingotrail-gateway/tests/decisions/historyless.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/historyless.rs
@@ -148,3 +148,20 @@
     assert_eq!(gateway.refusal_reason(1), Some(output::Reason::BudgetSpent));
     assert!(gateway.sent.is_empty());
 }
+
+// Guards against programs without end that cost a record for each refusal.
+#[test]
+fn turn_that_can_never_fit_is_refused_without_the_log() {
+    let mut log = fixture::MemoryLog::default();
+    let mut gateway = fixture::Gateway::new("one");
+    gateway.run_turn(fixture::historyless_turn_request(1, "a", "p", Some(80)), 10, &mut log);
+    gateway.advance(time::Duration::from_secs(1), &mut log);
+    let appends = log.appends;
+    log.error = Some(input::LogError::Refused);
+
+    gateway.receive(fixture::historyless_turn_request(2, "b", "p", Some(80)));
+
+    assert_eq!(gateway.refusal_reason(2), Some(output::Reason::BudgetSpent));
+    gateway.complete_log_calls(&mut log);
+    assert_eq!(log.appends, appends);
+}
--- a/crates/flamingotrail-gateway/tests/decisions/main.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/main.rs
@@ -8,6 +8,7 @@
 mod leaving;
 mod limits;
 mod notices;
+mod outages;
 mod peers;
 mod placement;
 mod resumption;
--- a/crates/flamingotrail-runtime/src/gateway/pending_calls.rs
+++ b/crates/flamingotrail-runtime/src/gateway/pending_calls.rs
@@ -34,6 +34,7 @@
 /// A call whose caller waits for a response.
 struct PendingCall {
     request: rc::Rc<Request>,
+    received: time::Instant,
     tx: mpsc::UnboundedSender<ResponsePart>,
     held_response: Option<(connection::ResponseHead, Bytes)>,
     stream: Option<Stream>,
@@ -68,6 +69,7 @@
         let (tx, rx) = mpsc::unbounded_channel();
         let pending = PendingCall {
             request,
+            received: time::Instant::now(),
             tx,
             held_response: None,
             stream: None,
@@ -208,8 +210,9 @@
     let interval = interval.filter(|_| pending.is_paced);
     while let Some(part) = stream.held_parts.front() {
         if matches!(part, ResponsePart::StreamData(_)) {
-            let is_early =
-                |interval| stream.last_sent.is_some_and(|sent| sent.elapsed() < interval);
+            // The caller has waited since its last event or, before the first one, its request.
+            let waited = stream.last_sent.unwrap_or(pending.received).elapsed();
+            let is_early = |interval| waited < interval;
             if interval.is_some_and(is_early) {
                 return;
             }
--- a/crates/flamingotrail-runtime/tests/pending_calls.rs
+++ b/crates/flamingotrail-runtime/tests/pending_calls.rs
@@ -73,12 +73,15 @@
 
     let mut rx = insert_stream(&calls, &dispatch(false, true), 4);
 
-    assert_eq!(take_sent(&mut rx), (1, false));
-    calls.send_due_events();
+    // The caller's patience begins with its request, so the first event is paced like the others.
     assert_eq!(take_sent(&mut rx), (0, false));
-    thread::sleep(EVENT_INTERVAL);
-    calls.send_due_events();
-    assert_eq!(take_sent(&mut rx), (1, false));
+    for _ in 0..2 {
+        thread::sleep(EVENT_INTERVAL);
+        calls.send_due_events();
+        assert_eq!(take_sent(&mut rx), (1, false));
+        calls.send_due_events();
+        assert_eq!(take_sent(&mut rx), (0, false));
+    }
 }
 
 #[test]
@@ -120,6 +123,7 @@
     let mut rx = insert_stream(&calls, &dispatch(true, true), 4);
     let before = take_sent(&mut rx);
 
+    thread::sleep(EVENT_INTERVAL);
     calls.release_events(CALL);
 
     assert_eq!(before, (0, false));
