Gateway: placement by measured times; callers that return in an outage are run

Cause: policy.rs held one deployment's numbers: 64.8 tokens a ms, half of 16 slots, 300 and 60 ms a slot, 60 and 2 ms ways. And all turns that had waited for the end of an outage began at once, when engines have least room for them.

Change: the time of a prompt token, of another request and of a call are fitted for each service from this gateway's own calls, with bounded influence of outliers and typical values to start from; ways are measured from connections; slots are read. A caller that returns after a refusal in an outage is run early, since it can't return again, so that its answer is ready.

--- a/crates/flamingotrail-gateway/src/input.rs
+++ b/crates/flamingotrail-gateway/src/input.rs
@@ -24,6 +24,13 @@
         /// What the endpoint announces of itself.
         notice: Notice,
     },
+    /// A new connection to an endpoint was established.
+    Connected {
+        /// The endpoint.
+        endpoint: ids::EndpointId,
+        /// Time that it took.
+        took: time::Duration,
+    },
     /// The caller has disconnected before the end of its response.
     Disconnected(ids::CallId),
     /// An attempt on an endpoint has ended. Each attempt has exactly one outcome.
--- a/crates/flamingotrail-gateway/src/systems/admission.rs
+++ b/crates/flamingotrail-gateway/src/systems/admission.rs
@@ -6,6 +6,7 @@
 use crate::ids;
 use crate::input;
 use crate::output;
+use crate::systems::log_outage;
 use crate::tables::calls;
 use crate::tables::programs;
 use crate::tables::routes;
@@ -94,6 +95,7 @@
         max_attempts: route.max_attempts,
         service: service.clone(),
         deadline: arrival.received.after(timeout),
+        has_returned: log_outage::has_returned(timeout, route.timeout),
         max_silence: route.max_silence,
         phase,
         attempts: 0,
--- a/crates/flamingotrail-gateway/src/systems/completion.rs
+++ b/crates/flamingotrail-gateway/src/systems/completion.rs
@@ -9,6 +9,7 @@
 use crate::output;
 use crate::systems::budgets;
 use crate::systems::log_outage;
+use crate::systems::measurements;
 use crate::systems::placement;
 use crate::systems::relay;
 use crate::tables::calls;
@@ -60,6 +61,7 @@
     record_events(call, &outcome);
     update_endpoint_health(world, tick, &running, &outcome);
     update_endpoint_speed(world, tick, id, &running, &outcome);
+    measurements::record_attempt(world, tick, id, &running, &outcome);
     log_attempt(world, tick, id, &running, &outcome);
     let Some(call) = world.tables.calls.rows.get(&id) else { return };
     if call.phase == calls::Phase::Closed {
--- a/crates/flamingotrail-gateway/src/systems/configuration.rs
+++ b/crates/flamingotrail-gateway/src/systems/configuration.rs
@@ -8,7 +8,10 @@
         let version = configuration.version;
         let (routes, services) = (configuration.routes.len(), configuration.services.len());
         let before = world.tables.routes.version();
-        if world.tables.routes.replace(configuration) {
+        let tables = &mut world.tables;
+        if tables.routes.replace(configuration) {
+            let current = &tables.routes;
+            tables.profiles.retain(|service| current.service(service).is_some());
             world.emit_event(
                 "configuration_in_force",
                 format_args!(
--- a/crates/flamingotrail-gateway/src/systems/ingest.rs
+++ b/crates/flamingotrail-gateway/src/systems/ingest.rs
@@ -17,6 +17,7 @@
             input::Input::ResponseBegan { call, attempt, notice } => {
                 inbox.notices.push((call, attempt, notice));
             }
+            input::Input::Connected { endpoint, took } => inbox.connections.push((endpoint, took)),
             input::Input::Disconnected(call) => inbox.disconnected.push(call),
             input::Input::Outcome { call, attempt, outcome } => {
                 inbox.outcomes.push((call, attempt, outcome));
--- a/crates/flamingotrail-gateway/src/systems/log_outage.rs
+++ b/crates/flamingotrail-gateway/src/systems/log_outage.rs
@@ -2,7 +2,8 @@
 //!
 //! They wait unsent, so that they go on as soon as the log is back and no engine works for an answer
 //! that may never be delivered. Before its caller would leave, a turn is refused as not run, so that
-//! the caller can ask again.
+//! the caller can ask again. Then it is run: its caller can't return once more, and the answer is
+//! ready when the log is back, when engines are busy with all that has waited.
 
 use std::time;
 
@@ -56,6 +57,12 @@
     }
 }
 
+/// Whether a request has less time than its route allows because its caller was refused before.
+pub fn has_returned(timeout: time::Duration, route_timeout: time::Duration) -> bool {
+    const RETURN_PERCENT: u32 = 80;
+    timeout < route_timeout * RETURN_PERCENT / 100
+}
+
 /// Returns the refusal of a call that did not run because of an outage.
 pub fn refusal(world: &world::World, call: &calls::Call) -> Option<output::Refusal> {
     (call.turn.is_some() && is_log_unreachable(world)).then_some(output::Refusal {
--- a/crates/flamingotrail-gateway/src/systems/notices.rs
+++ b/crates/flamingotrail-gateway/src/systems/notices.rs
@@ -61,9 +61,11 @@
     attempt: u32,
     notice: input::Notice,
 ) {
-    let calls = &world.tables.calls.rows;
-    let Some(call) = calls.get(&id).filter(|call| call.attempts == attempt) else { return };
-    let Some(running) = call.running.clone() else { return };
+    let calls = &mut world.tables.calls.rows;
+    let Some(call) = calls.get_mut(&id).filter(|call| call.attempts == attempt) else { return };
+    let Some(running) = call.running.as_mut() else { return };
+    running.began_at = Some(tick.now);
+    let running = running.clone();
     let request = call.arrival.id.clone();
     let sent_ms_ago = tick.now.since(running.sent_at).as_millis();
     let source = format!("request={request} sent_ms_ago={sent_ms_ago}");
--- a/crates/flamingotrail-gateway/src/systems/placement.rs
+++ b/crates/flamingotrail-gateway/src/systems/placement.rs
@@ -144,24 +144,12 @@
 /// Selects the endpoint with the lowest cost among those that accept a request now; a suspect one
 /// only if there is no other.
 fn select_endpoint(world: &world::World, tick: &world::Tick, call: &calls::Call) -> Selection {
-    let service = world.tables.routes.service(&call.service);
-    let previous = call.turn.as_ref().and_then(|turn| turn.previous());
-    let request = policy::Request {
-        prompt: &call.arrival.prompt,
-        prompt_tokens: call.arrival.usage.map_or(0, |usage| usage.prompt),
-        previous: previous
-            .and_then(|turn| world.tables.turns.rows.get(turn))
-            .map(|row| &row.endpoint),
-        is_engine: service.is_some_and(|service| service.engine.is_some()),
-        region: &world.identity.region,
-        domain: &world.identity.domain,
-        now: tick.now,
-    };
+    let request = placement_request(world, tick, call);
     let candidates = candidates(world, tick, call);
     let accepting = candidates.iter().filter(|(_, _, due)| due.is_some_and(|due| due <= tick.now));
     let ranked = accepting.map(|(id, row, _)| {
-        let region = world.identity.regions.get(&row.listed.domain);
-        let cost = world.placement.cost(&request, &policy::Candidate { id, row, region });
+        let way_ms = way_ms(world, &row.listed.domain);
+        let cost = world.placement.cost(&request, &policy::Candidate { id, row, way_ms });
         let is_suspect = row.lapsed || row.avoid_until > tick.now;
         (is_suspect, cost, *id)
     });
@@ -173,6 +161,33 @@
     }
 }
 
+/// Returns the properties of a call that placement depends on.
+fn placement_request<'a>(
+    world: &'a world::World,
+    tick: &world::Tick,
+    call: &'a calls::Call,
+) -> policy::Request<'a> {
+    let service = world.tables.routes.service(&call.service);
+    let previous = call.turn.as_ref().and_then(|turn| turn.previous());
+    policy::Request {
+        prompt: &call.arrival.prompt,
+        prompt_tokens: call.arrival.usage.map_or(0, |usage| usage.prompt),
+        previous: previous
+            .and_then(|turn| world.tables.turns.rows.get(turn))
+            .map(|row| &row.endpoint),
+        is_engine: service.is_some_and(|service| service.engine.is_some()),
+        profile: world.tables.profiles.profile(&call.service),
+        now: tick.now,
+    }
+}
+
+/// Returns the expected round-trip time to the endpoints of `domain`, in milliseconds.
+fn way_ms(world: &world::World, domain: &ids::DomainName) -> f64 {
+    let own = &world.identity;
+    let is_own_region = own.regions.get(domain) == Some(&own.region);
+    world.tables.ways.expected_ms(domain, *domain == own.domain, is_own_region)
+}
+
 /// Returns the endpoints that may run a call, each with the time at which it accepts a request:
 /// those that were not tried, or else, for a call that may run again, those that ran it before.
 fn candidates<'a>(
@@ -195,9 +210,32 @@
     candidates
 }
 
+/// Returns the row of an attempt that is about to be sent, with what placement expects of it.
+fn new_attempt(
+    world: &world::World,
+    tick: &world::Tick,
+    id: ids::CallId,
+    endpoint: &ids::EndpointId,
+) -> Option<calls::RunningAttempt> {
+    let call = world.tables.calls.rows.get(&id)?;
+    let row = world.tables.endpoints.rows.get(endpoint)?;
+    let request = placement_request(world, tick, call);
+    let way_ms = way_ms(world, &row.listed.domain);
+    let candidate = policy::Candidate { id: endpoint, row, way_ms };
+    Some(calls::RunningAttempt {
+        endpoint: endpoint.clone(),
+        sent_at: tick.now,
+        began_at: None,
+        uncached_tokens: policy::uncached_tokens(&request, &candidate),
+        expected_load: policy::expected_load(row, request.profile.duration_ms, tick.now),
+        expected_way: time::Duration::from_secs_f64(way_ms / 1000.0),
+    })
+}
+
 /// Sends a call to `endpoint`, with the texts of the turns that it continues.
 fn send(world: &mut world::World, tick: &world::Tick, id: ids::CallId, endpoint: ids::EndpointId) {
     let tokens_per_event = completion::tokens_per_event(world, id);
+    let Some(running) = new_attempt(world, tick, id, &endpoint) else { return };
     let tables = &mut world.tables;
     let Some(call) = tables.calls.rows.get_mut(&id) else { return };
     let Some(row) = tables.endpoints.rows.get_mut(&endpoint) else { return };
@@ -217,7 +255,7 @@
     call.attempts += 1;
     call.phase = calls::Phase::Running;
     call.tried_endpoints.insert(endpoint.clone());
-    call.running = Some(calls::RunningAttempt { endpoint: endpoint.clone(), sent_at: tick.now });
+    call.running = Some(running);
     row.in_flight += 1;
     row.sent_since_load += 1;
     row.record_prompt(&call.arrival.prompt, tick.now);
--- a/crates/flamingotrail-gateway/src/systems/turns.rs
+++ b/crates/flamingotrail-gateway/src/systems/turns.rs
@@ -96,7 +96,7 @@
                 let begins_program = turn.begins_program && turn.history.is_some();
                 let turns = if begins_program { 1 } else { EARLY_SEND_TURNS };
                 may_send = program.projected_tokens() + turn.max_tokens * turns <= budget
-                    && !tables.partitions.is_unreachable;
+                    && (call.has_returned || !tables.partitions.is_unreachable);
                 let start = journal::Start {
                     turn: request.clone(),
                     program: turn.program.clone(),
--- a/crates/flamingotrail-gateway/src/tables/calls.rs
+++ b/crates/flamingotrail-gateway/src/tables/calls.rs
@@ -111,6 +111,14 @@
     pub endpoint: ids::EndpointId,
     /// When the attempt was sent.
     pub sent_at: core_time::Timestamp,
+    /// When its response began.
+    pub began_at: Option<core_time::Timestamp>,
+    /// Number of tokens of the prompt that the endpoint probably had not cached.
+    pub uncached_tokens: u64,
+    /// Number of other requests that were probably at the endpoint.
+    pub expected_load: f64,
+    /// Expected round-trip time to the endpoint.
+    pub expected_way: time::Duration,
 }
 
 /// An active call.
@@ -132,6 +140,8 @@
     pub service: ids::ServiceName,
     /// When the call expires.
     pub deadline: core_time::Timestamp,
+    /// Whether the caller has come back after a refusal.
+    pub has_returned: bool,
     /// Time without a byte after which the caller leaves a stream.
     pub max_silence: time::Duration,
     /// Current phase.
--- a/crates/flamingotrail-gateway/src/tables/inbox.rs
+++ b/crates/flamingotrail-gateway/src/tables/inbox.rs
@@ -1,5 +1,7 @@
 //! Inputs by the system that processes them.
 
+use std::time;
+
 use crate::ids;
 use crate::input;
 use crate::journal;
@@ -11,6 +13,8 @@
     pub arrivals: Vec<input::Arrival>,
     /// Notices of endpoints, with the call and the attempt's sequence number within the call.
     pub notices: Vec<(ids::CallId, u32, input::Notice)>,
+    /// New connections to endpoints, with the time that each took.
+    pub connections: Vec<(ids::EndpointId, time::Duration)>,
     /// Other gateways' requests for announcements, by ticket.
     pub notice_requests: Vec<u64>,
     /// Results of health checks of endpoints.
@@ -48,6 +52,7 @@
     pub fn is_empty(&self) -> bool {
         self.arrivals.is_empty()
             && self.notices.is_empty()
+            && self.connections.is_empty()
             && self.notice_requests.is_empty()
             && self.endpoint_checks.is_empty()
             && self.peer_notices.is_empty()
--- a/crates/flamingotrail-gateway/src/tables/mod.rs
+++ b/crates/flamingotrail-gateway/src/tables/mod.rs
@@ -15,8 +15,10 @@
 pub mod relay;
 pub mod returns;
 pub mod routes;
+pub mod service_profiles;
 pub mod timers;
 pub mod turns;
+pub mod ways;
 
 /// All tables of one gateway.
 #[derive(Debug, Default)]
@@ -25,6 +27,10 @@
     pub routes: routes::Routes,
     /// Endpoints of all services.
     pub endpoints: endpoints::Endpoints,
+    /// Measured performance of each service's endpoints.
+    pub profiles: service_profiles::ServiceProfiles,
+    /// Measured round-trip times to failure domains.
+    pub ways: ways::Ways,
     /// What endpoints announce of themselves.
     pub notices: notices::Notices,
     /// When callers are asked to return.
--- /dev/null
+++ b/crates/flamingotrail-gateway/src/tables/service_profiles.rs
@@ -0,0 +1,152 @@
+//! How the endpoints of each service perform, as measured from this gateway's own calls.
+//!
+//! The time until a response begins is fitted as a sum of a constant, a time for each prompt token
+//! that is not cached, and a time for each other request at the endpoint. Old measurements fade. The
+//! fit starts from typical values, which count like a few measurements.
+
+use std::collections;
+use std::time;
+
+use crate::ids;
+
+/// Typical time to read a prompt token, in milliseconds, before any was measured.
+const TYPICAL_TOKEN_MS: f64 = 0.02;
+/// Typical delay that another request adds, in milliseconds, before any was measured.
+const TYPICAL_REQUEST_MS: f64 = 3.0;
+/// Typical duration of a call, in milliseconds, before any was measured.
+const TYPICAL_DURATION_MS: f64 = 200.0;
+/// Number of measurements that the typical values count for.
+const TYPICAL_WEIGHT: f64 = 20.0;
+/// Spread of prompt tokens that the typical time a token is assumed to be known from.
+const TYPICAL_TOKEN_SPREAD: f64 = 500.0;
+/// Factor by which older measurements fade with each new one.
+const FADING: f64 = 0.998;
+/// Factor by which a single measurement may exceed the expected time; larger ones are cut, so that
+/// stalled or lying endpoints have little influence.
+const MAX_EXCESS: f64 = 2.0;
+/// Weight of the newest call in the mean duration.
+const DURATION_SMOOTHING: f64 = 0.05;
+/// Limits of the fitted time for each token, in milliseconds.
+const TOKEN_MS_RANGE: (f64, f64) = (0.0005, 1.0);
+/// Limits of the fitted delay for each request, in milliseconds.
+const REQUEST_MS_RANGE: (f64, f64) = (0.5, 50.0);
+
+/// Expected performance of a service's endpoints.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Profile {
+    /// Time to read a prompt token that is not cached, in milliseconds.
+    pub token_ms: f64,
+    /// Delay that another request at the endpoint adds, in milliseconds.
+    pub request_ms: f64,
+    /// Mean time for which a call occupies a slot, in milliseconds.
+    pub duration_ms: f64,
+}
+
+/// Measurements of one service.
+#[derive(Clone, Debug)]
+struct Measurements {
+    weight: f64,
+    /// Faded means of tokens, requests and time.
+    mean: [f64; 3],
+    /// Faded sums of products of the deviations: tokens with tokens, tokens with requests, requests
+    /// with requests, tokens with time, requests with time.
+    products: [f64; 5],
+    duration_ms: f64,
+}
+
+impl Default for Measurements {
+    fn default() -> Self {
+        let token_weight = TYPICAL_WEIGHT * TYPICAL_TOKEN_SPREAD * TYPICAL_TOKEN_SPREAD;
+        Measurements {
+            weight: 0.0,
+            mean: [0.0; 3],
+            products: [
+                token_weight,
+                0.0,
+                TYPICAL_WEIGHT,
+                token_weight * TYPICAL_TOKEN_MS,
+                TYPICAL_WEIGHT * TYPICAL_REQUEST_MS,
+            ],
+            duration_ms: TYPICAL_DURATION_MS,
+        }
+    }
+}
+
+impl Measurements {
+    fn slopes(&self) -> (f64, f64) {
+        let [tt, tr, rr, ty, ry] = self.products;
+        let determinant = tt * rr - tr * tr;
+        if determinant <= f64::EPSILON * tt * rr {
+            return (TYPICAL_TOKEN_MS, TYPICAL_REQUEST_MS);
+        }
+        let token_ms = (ty * rr - ry * tr) / determinant;
+        let request_ms = (ry * tt - ty * tr) / determinant;
+        (
+            token_ms.clamp(TOKEN_MS_RANGE.0, TOKEN_MS_RANGE.1),
+            request_ms.clamp(REQUEST_MS_RANGE.0, REQUEST_MS_RANGE.1),
+        )
+    }
+
+    fn expected_ms(&self, tokens: f64, requests: f64) -> f64 {
+        let (token_ms, request_ms) = self.slopes();
+        let [mean_tokens, mean_requests, mean_ms] = self.mean;
+        mean_ms + token_ms * (tokens - mean_tokens) + request_ms * (requests - mean_requests)
+    }
+
+    fn record(&mut self, tokens: f64, requests: f64, begun_ms: f64) {
+        let is_known = self.weight >= TYPICAL_WEIGHT;
+        let limit = MAX_EXCESS * self.expected_ms(tokens, requests).max(1.0);
+        let measured = [tokens, requests, if is_known { begun_ms.min(limit) } else { begun_ms }];
+        self.weight = self.weight * FADING + 1.0;
+        let before: [f64; 3] = std::array::from_fn(|i| measured[i] - self.mean[i]);
+        for (mean, difference) in self.mean.iter_mut().zip(before) {
+            *mean += difference / self.weight;
+        }
+        let after: [f64; 3] = std::array::from_fn(|i| measured[i] - self.mean[i]);
+        let pairs = [(0, 0), (0, 1), (1, 1), (0, 2), (1, 2)];
+        for (product, (a, b)) in self.products.iter_mut().zip(pairs) {
+            *product = *product * FADING + before[a] * after[b];
+        }
+    }
+}
+
+/// Table of measured services.
+#[derive(Debug, Default)]
+pub struct ServiceProfiles {
+    rows: collections::BTreeMap<ids::ServiceName, Measurements>,
+}
+
+impl ServiceProfiles {
+    /// Records that a response began `begun` after its request was sent, with `uncached_tokens` of
+    /// its prompt probably not cached and `requests` other requests probably at the endpoint.
+    pub fn record_beginning(
+        &mut self,
+        service: &ids::ServiceName,
+        uncached_tokens: u64,
+        requests: f64,
+        begun: time::Duration,
+    ) {
+        let row = self.rows.entry(service.clone()).or_default();
+        row.record(uncached_tokens as f64, requests, begun.as_secs_f64() * 1000.0);
+    }
+
+    /// Records the duration of a call that succeeded.
+    pub fn record_duration(&mut self, service: &ids::ServiceName, duration: time::Duration) {
+        let row = self.rows.entry(service.clone()).or_default();
+        let ms = (duration.as_secs_f64() * 1000.0).min(row.duration_ms * MAX_EXCESS);
+        row.duration_ms += (ms - row.duration_ms) * DURATION_SMOOTHING;
+    }
+
+    /// Returns the expected performance of `service`.
+    pub fn profile(&self, service: &ids::ServiceName) -> Profile {
+        let typical = Measurements::default();
+        let row = self.rows.get(service).unwrap_or(&typical);
+        let (token_ms, request_ms) = row.slopes();
+        Profile { token_ms, request_ms, duration_ms: row.duration_ms.max(1.0) }
+    }
+
+    /// Removes the services for which `is_configured` is false.
+    pub fn retain(&mut self, is_configured: impl Fn(&ids::ServiceName) -> bool) {
+        self.rows.retain(|service, _| is_configured(service));
+    }
+}
--- a/crates/flamingotrail-gateway/tests/decisions/main.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/main.rs
@@ -5,6 +5,7 @@
 mod fixture;
 mod fleet;
 mod historyless;
+mod learning;
 mod leaving;
 mod limits;
 mod notices;
--- a/crates/flamingotrail-runtime/src/gateway/attempts.rs
+++ b/crates/flamingotrail-runtime/src/gateway/attempts.rs
@@ -91,8 +91,13 @@
             Some(connection) => connection,
             None => {
                 let timeout = CONNECT_TIMEOUT.min(dispatch.timeout);
+                let start = time::Instant::now();
                 match pool::connect(&dispatch.address, timeout).await {
-                    Ok(connection) => connection,
+                    Ok(connection) => {
+                        let (endpoint, took) = (dispatch.endpoint.clone(), start.elapsed());
+                        self.inputs.send(input::Input::Connected { endpoint, took });
+                        connection
+                    }
                     Err(error) => {
                         log::debug!("event=connect_failed error={:?}", error.to_string());
                         return input::Outcome::NotSent(input::Failure::Connect);
