--- a/crates/flamingotrail-runtime/src/gateway/attempts.rs
+++ b/crates/flamingotrail-runtime/src/gateway/attempts.rs
@@ -140,6 +140,10 @@
             }
             response = connection.read_head().await?;
         }
+        if !responses::names_request(&response) {
+            // A late copy of this response could not be told from the response to a later request.
+            connection.close_after_response();
+        }
         let metadata = responses::metadata(&response);
         self.inputs.send(input::Input::ResponseBegan {
             call: dispatch.call,
--- a/crates/flamingotrail-runtime/src/gateway/callers.rs
+++ b/crates/flamingotrail-runtime/src/gateway/callers.rs
@@ -81,6 +81,7 @@
         actix_rt::spawn(async move {
             loop {
                 tokio::select! {
+                    biased;
                     accepted = listener.accept() => self.handle_accept(accepted).await,
                     _ = stage.wait_for(|stage| *stage == ShutdownStage::Closed) => return,
                 }
@@ -104,11 +105,7 @@
     async fn serve_connection(mut self, mut connection: http1::Connection) {
         loop {
             let limits = self.limits.get();
-            let result = tokio::select! {
-                result = connection.wait_for_request(&limits) => result,
-                _ = self.stage.wait_for(|stage| *stage == ShutdownStage::Closed) => return,
-            };
-            if result.is_err() {
+            if !wait_for_request(&mut connection, &limits, &mut self.stage).await {
                 return;
             }
             let incoming = match connection.read_request(&limits).await {
@@ -261,6 +258,20 @@
     }
 }
 
+/// Waits for the next request of a caller. Returns false if there is none before the connection or
+/// the gateway closes. A request that has arrived is served also by a gateway that closes.
+pub async fn wait_for_request(
+    connection: &mut http1::Connection,
+    limits: &configuration::RequestLimits,
+    stage: &mut watch::Receiver<ShutdownStage>,
+) -> bool {
+    tokio::select! {
+        biased;
+        result = connection.wait_for_request(limits) => result.is_ok(),
+        _ = stage.wait_for(|stage| *stage == ShutdownStage::Closed) => false,
+    }
+}
+
 fn refusal_status(reason: output::Reason) -> StatusCode {
     match reason {
         output::Reason::NoRoute | output::Reason::NoSuchTurn => StatusCode::NOT_FOUND,
--- a/crates/flamingotrail-runtime/src/gateway/executor.rs
+++ b/crates/flamingotrail-runtime/src/gateway/executor.rs
@@ -23,6 +23,11 @@
 /// two events.
 const PACING_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(100);
 
+/// The control thread has ended before the shutdown was complete.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("the control thread has failed; the process ends and has to be started again")]
+pub struct ControlThreadEnded;
+
 /// Executes the outputs of the control thread.
 pub struct Executor {
     /// Runs attempts on endpoints.
@@ -42,17 +47,25 @@
 }
 
 impl Executor {
-    /// Executes outputs until the control thread reports that the shutdown is complete, or ends.
-    pub async fn run(self, mut outputs: mpsc::UnboundedReceiver<Vec<output::Output>>) {
+    /// Executes outputs until the control thread reports that the shutdown is complete.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the control thread has ended before.
+    pub async fn run(
+        self,
+        mut outputs: mpsc::UnboundedReceiver<Vec<output::Output>>,
+    ) -> Result<(), ControlThreadEnded> {
         while let Some(batch) = outputs.recv().await {
             for output in batch {
                 if matches!(output, output::Output::Stopped) {
                     self.stage.send_replace(callers::ShutdownStage::Closed);
-                    return;
+                    return Ok(());
                 }
                 self.execute(output);
             }
         }
+        Err(ControlThreadEnded)
     }
 
     fn calls(&self) -> &pending_calls::PendingCalls {
@@ -129,8 +142,12 @@
             return;
         };
         let runner = self.attempts.clone();
+        let task = actix_rt::spawn(async move { runner.run(&dispatch, request, cancel).await });
         actix_rt::spawn(async move {
-            let outcome = runner.run(&dispatch, request, cancel).await;
+            let outcome = task.await.unwrap_or_else(|error| {
+                log::error!("event=attempt_failed call={call} error={:?}", error.to_string());
+                input::Outcome::Lost(input::Failure::Malformed)
+            });
             inputs.send(input::Input::Outcome { call, attempt, outcome });
         });
     }
--- a/crates/flamingotrail-runtime/src/gateway/http1.rs
+++ b/crates/flamingotrail-runtime/src/gateway/http1.rs
@@ -18,6 +18,7 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 use flamingotrail_adapter::configuration;
+use flamingotrail_adapter::requests;
 use tokio::io::AsyncReadExt as _;
 use tokio::io::AsyncWriteExt as _;
 use tokio_util::codec::Decoder as _;
@@ -138,7 +139,12 @@
         if request.head().expect() {
             self.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
         }
-        let body = self.read_body(limits).await?;
+        // A body that drips is read for no longer than its caller waits for the response.
+        let max_time = requests::timeout(request.head()).unwrap_or(limits.idle_timeout);
+        let body = match tokio::time::timeout(max_time, self.read_body(limits)).await {
+            Ok(body) => body?,
+            Err(_) => return Err(ReadError::Status(StatusCode::REQUEST_TIMEOUT)),
+        };
         Ok(ReceivedRequest { request, body, received_at })
     }
 
--- a/crates/flamingotrail-runtime/src/gateway/process.rs
+++ b/crates/flamingotrail-runtime/src/gateway/process.rs
@@ -48,6 +48,9 @@
         "can't bind an address or spawn a thread: {0}; configure free addresses of this instance"
     )]
     Io(#[from] io::Error),
+    /// The control thread has failed.
+    #[error(transparent)]
+    ControlThread(#[from] executor::ControlThreadEnded),
     /// The metrics can't be registered.
     #[error("can't register the metrics: {0}; please report this as a bug")]
     Metrics(#[from] prometheus::Error),
@@ -130,10 +133,11 @@
         ready: ready_tx,
         stage: stage_tx,
     };
-    executor.run(outputs).await;
+    let ended = executor.run(outputs).await;
     // It would restore the entry.
     peer_watch.abort();
     peers::unregister(&store, &deployment.identity.instance).await;
+    ended?;
     log::info!("event=stopped");
     Ok(())
 }
--- /dev/null
+++ b/crates/flamingotrail-runtime/tests/callers.rs
@@ -0,0 +1,44 @@
+//! Tests of callers' connections around a shutdown.
+
+use flamingotrail_adapter::configuration;
+use flamingotrail_runtime::gateway::callers;
+use flamingotrail_runtime::gateway::http1;
+use tokio::io::AsyncWriteExt as _;
+use tokio::sync::watch;
+
+/// Returns the two ends of a connection: the caller's, and the gateway's.
+async fn connect() -> (tokio::net::TcpStream, http1::Connection) {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("bound");
+    let address = listener.local_addr().expect("an address");
+    let caller = tokio::net::TcpStream::connect(address).await.expect("connected");
+    let (accepted, _) = listener.accept().await.expect("accepted");
+    (caller, http1::Connection::new(accepted))
+}
+
+// Guards against a request that has just arrived and is cut off without an answer, because the gateway
+// closes at that moment. The choice was random, so one try in two failed.
+#[actix_rt::test]
+async fn request_that_has_arrived_is_served_by_a_gateway_that_closes() {
+    let limits = configuration::RequestLimits::default();
+    for _ in 0..32 {
+        let (mut caller, mut connection) = connect().await;
+        caller.write_all(b"GET / HTTP/1.1\r\n").await.expect("sent");
+        let (_tx, mut stage) = watch::channel(callers::ShutdownStage::Closed);
+        tokio::time::sleep(std::time::Duration::from_millis(2)).await;
+
+        let has_request = callers::wait_for_request(&mut connection, &limits, &mut stage).await;
+
+        assert!(has_request);
+    }
+}
+
+#[actix_rt::test]
+async fn idle_connection_is_closed_by_a_gateway_that_closes() {
+    let limits = configuration::RequestLimits::default();
+    let (_caller, mut connection) = connect().await;
+    let (_tx, mut stage) = watch::channel(callers::ShutdownStage::Closed);
+
+    let has_request = callers::wait_for_request(&mut connection, &limits, &mut stage).await;
+
+    assert!(!has_request);
+}
--- a/crates/flamingotrail-standins/src/fleet/gateways.rs
+++ b/crates/flamingotrail-standins/src/fleet/gateways.rs
@@ -20,6 +20,8 @@
 pub struct Gateway {
     /// Address for callers.
     pub caller_address: net::SocketAddr,
+    /// Address for connections between gateways.
+    pub link_address: net::SocketAddr,
     /// Address of the metrics endpoint.
     pub metrics_address: net::SocketAddr,
     readiness: net::SocketAddr,
@@ -66,7 +68,7 @@
                 .open(folder.join(format!("{name}.log")))?,
         );
     let child = processes::spawn(&mut command)?;
-    let gateway = Gateway { caller_address, metrics_address, readiness, child };
+    let gateway = Gateway { caller_address, link_address: link, metrics_address, readiness, child };
     Ok(gateway)
 }
 
--- a/crates/flamingotrail-standins/src/fleet/runner.rs
+++ b/crates/flamingotrail-standins/src/fleet/runner.rs
@@ -25,6 +25,12 @@
     is_leaving: bool,
     /// A response that does not end, if the runner sends one.
     endless: Option<Endless>,
+    /// Whether a plain runner sends a copy of each response late, when the connection is in use again.
+    late_copies: bool,
+    /// Whether responses lack the request's id.
+    omits_ids: bool,
+    /// Value of the `Keep-Alive` header of a plain runner's responses.
+    keep_alive: Option<String>,
     /// Number of events after which a model runner breaks its next stream off, in the middle of the
     /// event that follows.
     break_after: Option<usize>,
@@ -172,13 +178,24 @@
         }
         let signature = format!("s.{id}");
         let announcements = self.announcements();
-        let mut headers = vec![("Request-Id", id), ("Response-Signature", &signature)];
+        let (omits_ids, keep_alive) = {
+            let state = self.lock();
+            (state.omits_ids, state.keep_alive.clone())
+        };
+        let mut headers = vec![("Response-Signature", signature.as_str())];
+        if !omits_ids {
+            headers.push(("Request-Id", id));
+        }
+        headers.extend(keep_alive.as_deref().map(|value| ("Keep-Alive", value)));
         headers.extend(announcements.iter().map(|(name, value)| (*name, value.as_str())));
         let body = format!("done {id}");
         let server::Response::Bytes(mut bytes) = server::response(200, &headers, body.as_bytes())
         else {
             return server::Response::Close;
         };
+        if self.lock().late_copies {
+            return server::Response::LateCopy(bytes);
+        }
         if duplicate_responses {
             // A gateway that reuses the connection without a check takes the copy as the response
             // to its next request.
@@ -192,6 +209,19 @@
         self.lock().duplicate_responses = enabled;
     }
 
+    /// Makes a plain runner send a copy of each response before the next one, when its connection is
+    /// in use again. With `omits_ids`, responses don't say which request they belong to.
+    pub fn send_late_copies(&self, omits_ids: bool) {
+        let mut state = self.lock();
+        state.late_copies = true;
+        state.omits_ids = omits_ids;
+    }
+
+    /// Sets the `Keep-Alive` header of a plain runner's responses.
+    pub fn set_keep_alive(&self, value: &str) {
+        self.lock().keep_alive = Some(value.to_owned());
+    }
+
     /// Sets whether a plain runner executes requests and closes the connection without a response.
     pub fn set_drop_responses(&self, enabled: bool) {
         self.lock().drop_responses = enabled;
--- a/crates/flamingotrail-standins/src/fleet/server.rs
+++ b/crates/flamingotrail-standins/src/fleet/server.rs
@@ -51,6 +51,9 @@
 pub enum Response {
     /// Writes the bytes and keeps the connection open.
     Bytes(Vec<u8>),
+    /// Writes the bytes and keeps the connection open. Writes them again before the next response on
+    /// the connection.
+    LateCopy(Vec<u8>),
     /// Writes the chunks with a delay before each and keeps the connection open.
     DelayedChunks(Vec<Vec<u8>>, time::Duration),
     /// Writes the first bytes, then the second ones again and again until the peer closes the
@@ -98,8 +101,19 @@
 fn serve_connection(stream: net::TcpStream, handler: &dyn Fn(&Request) -> Response) {
     let Ok(mut out) = stream.try_clone() else { return };
     let mut reader = io::BufReader::new(stream);
+    let mut late_copy = Vec::new();
     while let Ok(Some(request)) = read_request(&mut reader) {
-        match handler(&request) {
+        let response = handler(&request);
+        if out.write_all(&std::mem::take(&mut late_copy)).is_err() {
+            return;
+        }
+        match response {
+            Response::LateCopy(bytes) => {
+                if out.write_all(&bytes).is_err() {
+                    return;
+                }
+                late_copy = bytes;
+            }
             Response::Bytes(bytes) => {
                 if out.write_all(&bytes).is_err() {
                     return;
--- /dev/null
+++ b/crates/flamingotrail-standins/tests/operators.rs
@@ -0,0 +1,211 @@
+//! Failures that operators of similar systems have met, caused to gateway processes on loopback.
+//! `docs/incidents/operators.md` says for each whether it can happen here.
+
+use std::io::Read as _;
+use std::io::Write as _;
+use std::net;
+use std::path;
+use std::thread;
+use std::time;
+
+use flamingotrail_standins::fleet::caller;
+use flamingotrail_standins::fleet::gateways;
+use flamingotrail_standins::fleet::platform;
+use flamingotrail_standins::fleet::runner;
+use flamingotrail_standins::fleet::store;
+
+/// Events in each response of the model runner.
+const EVENTS_PER_RESPONSE: usize = 3;
+
+struct Fleet {
+    store: store::Store,
+    model: runner::Runner,
+    plain: runner::Runner,
+    gateway: gateways::Gateway,
+}
+
+/// Starts a store, a model runner, a plain runner and a gateway.
+fn start_fleet(name: &str) -> Fleet {
+    let store = store::Store::new();
+    let store_address = store.serve().expect("no free port");
+    let (model, plain) = (runner::Runner::new(), runner::Runner::new());
+    let model_address = model.serve_model(EVENTS_PER_RESPONSE).expect("no free port");
+    let plain_address = plain.serve_plain().expect("no free port");
+    store.set("keyed.op", "config", &platform::configuration(3, 0));
+    store.set("keyed.servers", "m-1", &platform::runner_entry("model", model_address));
+    store.set("keyed.servers", "p-1", &platform::runner_entry("plain", plain_address));
+    let folder = std::env::temp_dir().join(format!("flamingotrail-{name}-{}", std::process::id()));
+    let program =
+        path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../target/release/flamingotraild");
+    let gateway = gateways::start(&program, &folder, "one", store_address);
+    let gateway = gateway.expect("the gateway did not start; scripts/test builds the program");
+    assert!(gateway.wait_until_ready(), "the gateway did not become ready");
+    Fleet { store, model, plain, gateway }
+}
+
+impl Fleet {
+    fn call(&self, method: &str, path: &str, id: &str, deadline_ms: &str) -> caller::Response {
+        let headers = [
+            ("Request-Id", id),
+            ("Program-Id", id),
+            ("Token-Usage", "100,24"),
+            ("Deadline-Ms", deadline_ms),
+        ];
+        caller::call(self.gateway.caller_address, method, path, &headers, "").expect("no response")
+    }
+
+    /// Checks that the gateway still serves calls and turns.
+    fn assert_serves(&self) {
+        let tool = self.call("GET", "/look/1", "after", "3000");
+        let turn = self.call("POST", "/chat/1", "after-turn", "3000");
+        assert_eq!((tool.status, turn.status), (200, 200), "{} {}", tool.text, turn.text);
+    }
+}
+
+/// Sends `bytes` to `address` and reads until the connection ends or nothing comes for 300 ms.
+fn send_raw(address: net::SocketAddr, bytes: &[u8]) {
+    let mut stream = net::TcpStream::connect(address).expect("connected");
+    stream.set_read_timeout(Some(time::Duration::from_millis(300))).expect("set");
+    let mut response = Vec::new();
+    // The gateway may close the connection at any byte.
+    if stream.write_all(bytes).is_err() || stream.read_to_end(&mut response).is_err() {
+        println!("the connection has ended early");
+    }
+}
+
+// Guards against the late copy of a response on a connection that is in use again: the next caller
+// gets the response of the one before.
+#[test]
+fn late_copy_of_a_response_reaches_nobody() {
+    for omits_ids in [false, true] {
+        let fleet = start_fleet(&format!("late-copy-{omits_ids}"));
+        fleet.plain.send_late_copies(omits_ids);
+
+        for number in 0..4 {
+            let id = format!("r{number}");
+            let response = fleet.call("GET", "/look/1", &id, "3000");
+
+            let is_own = response.text.ends_with(&format!("done {id}"));
+            assert!(response.status != 200 || is_own, "{id}: {}", response.text);
+        }
+    }
+}
+
+// Guards against a stream that is cut because it is slow, though each of its events comes.
+#[test]
+fn slow_sound_stream_is_not_cut() {
+    let fleet = start_fleet("slow-stream");
+    fleet.model.set_delay(time::Duration::from_millis(800));
+
+    let response = fleet.call("POST", "/chat/1", "a", "5900");
+
+    assert!(response.is_complete(), "{}", response.text);
+    assert_eq!(response.text.matches("data: w").count(), EVENTS_PER_RESPONSE);
+}
+
+// Guards against a stream that sends a byte now and then and never ends.
+#[test]
+fn dripping_stream_ends_at_the_deadline() {
+    let fleet = start_fleet("dripping-stream");
+    fleet.model.set_delay(time::Duration::from_millis(700));
+
+    let start = time::Instant::now();
+    let response = fleet.call("POST", "/chat/1", "a", "1500");
+
+    assert!(!response.is_complete(), "{}", response.text);
+    assert!(start.elapsed() < time::Duration::from_millis(2_500), "{:?}", start.elapsed());
+}
+
+// Guards against a request whose body never ends: each byte comes in time.
+#[test]
+fn dripping_request_ends_at_its_deadline() {
+    let fleet = start_fleet("dripping-request");
+    let mut stream = net::TcpStream::connect(fleet.gateway.caller_address).expect("connected");
+    let head = "POST /book/1 HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: a\r\n\
+                Deadline-Ms: 1000\r\nContent-Length: 1000\r\n\r\n";
+    stream.write_all(head.as_bytes()).expect("sent");
+    let mut reader = stream.try_clone().expect("cloned");
+    let response = thread::spawn(move || {
+        let mut text = String::new();
+        let ended = reader.read_to_string(&mut text);
+        (text, ended.is_ok())
+    });
+
+    let start = time::Instant::now();
+    let mut is_open = true;
+    while is_open && start.elapsed() < time::Duration::from_secs(4) {
+        thread::sleep(time::Duration::from_millis(100));
+        is_open = !response.is_finished() && stream.write_all(b"x").is_ok();
+    }
+
+    assert!(!is_open, "the gateway still reads");
+    let (text, _) = response.join().expect("no panic");
+    assert!(text.starts_with("HTTP/1.1 408"), "{text}");
+    assert!(fleet.plain.requests().is_empty());
+}
+
+// Guards against a value of a response that overflows: a runner's `Keep-Alive` ended the process.
+#[test]
+fn extreme_values_of_a_runner_do_not_end_the_process() {
+    let fleet = start_fleet("extreme-runner");
+    for value in ["timeout=18446744073709551615", "timeout=-1", "timeout=1e400", "max=0"] {
+        fleet.plain.set_keep_alive(value);
+        for number in 0..3 {
+            let response = fleet.call("GET", "/look/1", &format!("{value}-{number}"), "3000");
+            assert_eq!(response.status, 200, "{value}: {}", response.text);
+        }
+    }
+    fleet.plain.set_limit(Some(f64::MAX));
+    fleet.assert_serves();
+}
+
+#[test]
+fn extreme_values_of_a_caller_do_not_end_the_process() {
+    let fleet = start_fleet("extreme-caller");
+    let max = u64::MAX.to_string();
+    let usage = format!("{max},{max}");
+    let prompt = format!("ffffffffffffffff:{max},1:{max},2:{max}");
+    for path in ["/chat/1", "/ask/1", "/resume/1"] {
+        let headers = [
+            ("Request-Id", "a"),
+            ("Program-Id", "p"),
+            ("Token-Budget", &*max),
+            ("Token-Usage", &*usage),
+            ("Prompt-Prefix", &*prompt),
+            ("Deadline-Ms", &*max),
+            ("Last-Event-Id", &*max),
+        ];
+        let response = caller::call(fleet.gateway.caller_address, "POST", path, &headers, "x");
+        assert!(response.expect("a response").status != 0, "{path}");
+    }
+    fleet.assert_serves();
+}
+
+#[test]
+fn malformed_messages_do_not_end_the_process() {
+    let fleet = start_fleet("malformed");
+    let post = |path: &str, body: &[u8]| {
+        let head =
+            format!("POST {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {}\r\n\r\n", body.len());
+        [head.as_bytes(), body].concat()
+    };
+    let bodies: [&[u8]; 4] = [b"", b"\xff\xff\xff\xff", b"\x95\xc0\xc0", &[0xdf; 64]];
+    for address in [fleet.gateway.link_address, fleet.gateway.caller_address] {
+        send_raw(address, b"\0\0\0\0\0");
+        send_raw(address, b"GET / HTTP/9.9\r\n\r\n");
+        send_raw(address, &[b'x'; 100_000]);
+        for body in bodies {
+            for path in ["/v1/alive", "/v1/records", "/v1/notices", "/v1/turns/%ff"] {
+                send_raw(address, &post(path, body));
+            }
+        }
+    }
+    for value in ["", "{", "[]", "{\"version\":1e400}", "{\"version\":-1,\"routes\":{}}"] {
+        fleet.store.set("keyed.op", "config", value);
+        fleet.store.set("keyed.servers", "bad", value);
+        fleet.store.set("keyed.gateways", "bad", value);
+    }
+    thread::sleep(time::Duration::from_millis(1_500));
+
+    fleet.assert_serves();
+}
