Gateway: an order of each gateway's own among equal endpoints; bounds and memory read

Cause: gateways that knew nothing of their endpoints all chose the one whose name comes first, so that engines idled beside others that preempted. The pace of reads and the memory for responses were one deployment's numbers.

Change: equal endpoints are ranked by a hash with the gateway's name, after those with a limited request that is due. The list is read four times within the bound for leaving endpoints, a read of the configuration waits a third of its bound, and responses take a fifth of the memory that the settings name.

--- a/crates/flamingotrail-gateway/src/systems/placement.rs
+++ b/crates/flamingotrail-gateway/src/systems/placement.rs
@@ -153,7 +153,17 @@
         let is_suspect = row.lapsed || row.avoid_until > tick.now;
         (is_suspect, cost, *id)
     });
-    let best = ranked.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+    // Among equals, a request that is due at a limited endpoint goes first, since it is lost if it is
+    // not used. Else each gateway has an order of its own, so that gateways that know as little of an
+    // endpoint as of the others don't all choose the same one.
+    let rank = |id: &ids::EndpointId| {
+        let is_free = world.tables.notices.limit(id).is_none();
+        (is_free, ids::stable_hash(&format!("{}/{id}", world.identity.instance)))
+    };
+    let best = ranked.min_by(|a, b| {
+        let by_cost = a.0.cmp(&b.0).then(a.1.total_cmp(&b.1));
+        by_cost.then_with(|| rank(a.2).cmp(&rank(b.2)))
+    });
     match best {
         Some((_, _, id)) => Selection::Endpoint(id.clone()),
         None if candidates.is_empty() => Selection::None,
--- a/crates/flamingotrail-gateway/tests/decisions/placement.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/placement.rs
@@ -112,3 +112,29 @@
     assert!(!to_slow.is_empty(), "both endpoints were used");
     assert!(to_slow.iter().all(|index| *index < 12), "{to_slow:?}");
 }
+
+// Load pattern: many thin gateways that have seen nothing yet. Guards against gateways that all begin
+// with the endpoint whose name comes first, while others idle.
+#[test]
+fn thin_gateways_spread_their_first_turns() {
+    let names: Vec<String> = (0..8).map(|number| format!("engine-{number}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut log = fixture::MemoryLog::default();
+
+    let mut firsts = std::collections::BTreeMap::new();
+    for number in 0..32 {
+        let mut gateway = fixture::Gateway::new(&format!("gateway-{number}"));
+        gateway.tick(vec![engines(&names)]);
+        let mut first = turn_after(1, &format!("t{number}"), None, 2_000);
+        first.program = first.program.map(|program| input::ProgramHeader {
+            id: ids::ProgramId::new(format!("p{number}")),
+            ..program
+        });
+        gateway.receive(first);
+        gateway.complete_log_calls(&mut log);
+        *firsts.entry(gateway.sent[0].endpoint.clone()).or_insert(0) += 1;
+    }
+
+    assert!(firsts.len() >= 6, "{firsts:?}");
+    assert!(firsts.values().all(|count| *count <= 12), "{firsts:?}");
+}
--- a/crates/flamingotrail-runtime/src/gateway/buffer_budget.rs
+++ b/crates/flamingotrail-runtime/src/gateway/buffer_budget.rs
@@ -3,27 +3,30 @@
 use std::cell;
 use std::rc;
 
-/// Maximum size of all unfinished responses together, in bytes: a fifth of the users' smallest
-/// machines.
-const MAX_BUFFERED_BYTES: usize = 16 << 20;
+/// All unfinished responses together may take the process's memory divided by this number.
+const MEMORY_DIVISOR: usize = 5;
 /// Size up to which a response is buffered in any case, in bytes, so that large ones do not take the
 /// memory of others.
 const MIN_RESPONSE_BYTES: usize = 64 << 10;
 
 /// The unfinished responses take too much memory.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-#[error(
-    "unfinished responses exceed {MAX_BUFFERED_BYTES} bytes; the request may have been processed"
-)]
+#[error("unfinished responses exceed their memory; the request may have been processed")]
 pub struct BufferFull;
 
 /// Bytes that are buffered for unfinished responses. Clones share the count.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct BufferBudget {
+    max_bytes: usize,
     used_bytes: rc::Rc<cell::Cell<usize>>,
 }
 
 impl BufferBudget {
+    /// Creates a budget for a process that may use `memory_bytes`.
+    pub fn new(memory_bytes: usize) -> Self {
+        BufferBudget { max_bytes: memory_bytes / MEMORY_DIVISOR, used_bytes: rc::Rc::default() }
+    }
+
     /// Begins a response, whose bytes are released when the returned value is dropped.
     pub fn begin(&self) -> BufferedBytes {
         BufferedBytes { budget: self.clone(), bytes: 0 }
@@ -44,7 +47,7 @@
     /// Fails if all responses together exceed their limit, unless this one is small.
     pub fn add(&mut self, count: usize) -> Result<(), BufferFull> {
         let used = self.budget.used_bytes.get() + count;
-        if used > MAX_BUFFERED_BYTES && self.bytes + count > MIN_RESPONSE_BYTES {
+        if used > self.budget.max_bytes && self.bytes + count > MIN_RESPONSE_BYTES {
             return Err(BufferFull);
         }
         self.bytes += count;
--- a/crates/flamingotrail-runtime/src/gateway/process.rs
+++ b/crates/flamingotrail-runtime/src/gateway/process.rs
@@ -94,8 +94,13 @@
         metrics.clone(),
     );
     caller_server.listen(deployment.listen_address).await?;
-    actix_rt::spawn(watch::configuration(store.clone(), inputs.clone(), limits));
-    actix_rt::spawn(watch::endpoints(store.clone(), inputs.clone()));
+    actix_rt::spawn(watch::configuration(
+        store.clone(),
+        inputs.clone(),
+        limits,
+        deployment.configuration_bound,
+    ));
+    actix_rt::spawn(watch::endpoints(store.clone(), inputs.clone(), deployment.leaving_bound));
     let metrics_address = net::SocketAddr::new(deployment.ip, config.metrics_port);
     monitoring::listen(metrics_address, metrics.clone()).await?;
     let link_address = net::SocketAddr::new(deployment.ip, deployment.peer_ports.0);
@@ -124,7 +129,7 @@
             pool,
             calls,
             inputs: inputs.clone(),
-            buffers: buffer_budget::BufferBudget::default(),
+            buffers: buffer_budget::BufferBudget::new(deployment.memory_bytes),
         },
         peers,
         store: store.clone(),
--- a/crates/flamingotrail-runtime/src/gateway/watch.rs
+++ b/crates/flamingotrail-runtime/src/gateway/watch.rs
@@ -15,17 +15,23 @@
 
 use crate::gateway::control;
 
-/// Delay between two reads of the endpoint list. Each read returns all changes since the previous
-/// one, and a draining endpoint has to be noticed well before it stops serving.
-const ENDPOINT_READ_INTERVAL: time::Duration = time::Duration::from_millis(700);
-/// Long-poll wait of a read of the configuration. A call that takes longer than this and the
-/// response timeout together indicates a dead connection.
-const CONFIGURATION_CHANGE_WAIT: time::Duration = time::Duration::from_millis(1_000);
+/// The endpoint list is read this often within the time in which a leaving endpoint has to be noticed:
+/// some reads may fail, and running requests have to end as well. Each read returns all changes since
+/// the previous one.
+const ENDPOINT_READS_PER_BOUND: u32 = 4;
+/// A read of the configuration waits for a change for the time in which one has to be in force, divided
+/// by this number. A call that takes longer than this and the response timeout together indicates a
+/// dead connection, after which another one has to bring the change in time.
+const CONFIGURATION_WAITS_PER_BOUND: u32 = 3;
 /// Delay after a failed read.
 const RETRY_DELAY: time::Duration = time::Duration::from_millis(150);
 
 /// Watches the list of endpoints until the process exits.
-pub async fn endpoints(store: rc::Rc<store::StoreClient>, inputs: control::InputSender) {
+pub async fn endpoints(
+    store: rc::Rc<store::StoreClient>,
+    inputs: control::InputSender,
+    leaving_bound: time::Duration,
+) {
     let mut reader = TopicReader::new(store::ENDPOINT_TOPIC);
     let mut entries = collections::BTreeMap::new();
     loop {
@@ -39,7 +45,7 @@
                 }
                 let membership = input::Membership { endpoints: entries.clone() };
                 inputs.send(input::Input::Endpoints(membership));
-                actix_rt::time::sleep(ENDPOINT_READ_INTERVAL).await;
+                actix_rt::time::sleep(leaving_bound / ENDPOINT_READS_PER_BOUND).await;
             }
             Err(error) => {
                 log::debug!("event=endpoint_list_read_failed error={:?}", error.to_string());
@@ -81,10 +87,12 @@
     store: rc::Rc<store::StoreClient>,
     inputs: control::InputSender,
     limits: rc::Rc<cell::Cell<configuration::RequestLimits>>,
+    configuration_bound: time::Duration,
 ) {
     let mut reader = TopicReader::new(store::CONFIGURATION_TOPIC);
+    let wait = configuration_bound / CONFIGURATION_WAITS_PER_BOUND;
     loop {
-        match reader.read(&store, CONFIGURATION_CHANGE_WAIT).await {
+        match reader.read(&store, wait).await {
             Ok(update) => {
                 let newest = update.records.into_iter().rfind(|(key, _)| key == configuration::KEY);
                 if let Some((_, value)) = newest {
