Soak: turns without history, on routes that can and can't be resumed

They count towards the same budgets; a stream that breaks off on a resumable route is resumed at any gateway. Checked: each event once and in order, the body, at most one run on the other route.

--- a/crates/flamingotrail-standins/src/soak/callers.rs
+++ b/crates/flamingotrail-standins/src/soak/callers.rs
@@ -96,6 +96,7 @@
             match response.status {
                 Some(200) if response.is_complete => {
                     program.last_turn = Some(id);
+                    self.send_stream(program);
                     self.call_tool();
                     return true;
                 }
@@ -136,6 +137,50 @@
         (id, response)
     }
 
+    /// Sends a turn without history, which counts towards the same budget; resumes it at any gateway
+    /// while it breaks off on a route where that is allowed.
+    fn send_stream(&mut self, program: &Program) {
+        let is_resumable = match plan::random_below(&mut self.rng, 3) {
+            0 => return,
+            choice => choice == 1,
+        };
+        let path = if is_resumable { "/resume/1" } else { "/ask/1" };
+        let (budget, usage) = (program.budget.to_string(), format!("100,{TOKENS_PER_TURN}"));
+        let mut received = 0;
+        for _ in 0..MAX_SENDS {
+            let id = self.next_id("s");
+            let resume_after = (received > 0).then_some(received);
+            let position = received.to_string();
+            let mut headers = vec![
+                ("Request-Id", id.as_str()),
+                ("Program-Id", &program.id),
+                ("Token-Budget", &budget),
+                ("Token-Usage", &usage),
+                ("Deadline-Ms", "4000"),
+            ];
+            headers.extend(resume_after.map(|_| ("Last-Event-Id", position.as_str())));
+            let input = format!("in {id};");
+            let (_, response) = self.send("POST", path, &headers, &input);
+            let events = response.body.matches("data:").count() as u64;
+            self.report(observations::Observation::Stream(observations::Stream {
+                turn: observations::Turn {
+                    id: id.clone(),
+                    program: program.id.clone(),
+                    budget: program.budget,
+                    previous: None,
+                    input,
+                    response: response.clone(),
+                },
+                is_resumable,
+                resume_after: resume_after.unwrap_or(0),
+            }));
+            received += events;
+            if !is_resumable || response.status != Some(200) || response.is_complete {
+                return;
+            }
+        }
+    }
+
     fn call_tool(&mut self) {
         let id = self.next_id("r");
         let published_routes = self.directory.published_routes();
--- a/crates/flamingotrail-standins/src/soak/observations.rs
+++ b/crates/flamingotrail-standins/src/soak/observations.rs
@@ -39,6 +39,17 @@
     pub response: connection::Response,
 }
 
+/// A turn without history and its response.
+#[derive(Clone, Debug)]
+pub struct Stream {
+    /// The turn.
+    pub turn: Turn,
+    /// Whether its stream may be resumed.
+    pub is_resumable: bool,
+    /// Id of the event after which the caller resumed it; 0 for its beginning.
+    pub resume_after: u64,
+}
+
 /// A tool call and its response.
 #[derive(Clone, Debug)]
 pub struct Call {
@@ -57,6 +68,8 @@
 pub enum Observation {
     /// A turn has ended.
     Turn(Turn),
+    /// A turn without history has ended.
+    Stream(Stream),
     /// A tool call has ended.
     Call(Call),
     /// No gateway resumed the turn with this id within the time limit at the end of the run.
@@ -68,6 +81,8 @@
 pub struct Observations {
     /// Turns by request id.
     pub turns: collections::BTreeMap<String, Turn>,
+    /// Turns without history.
+    pub streams: Vec<Stream>,
     /// Tool calls by request id.
     pub calls: collections::BTreeMap<String, Call>,
     /// Ids of turns that could not be resumed.
@@ -86,6 +101,7 @@
             Observation::Turn(turn) => {
                 self.turns.insert(turn.id.clone(), turn);
             }
+            Observation::Stream(stream) => self.streams.push(stream),
             Observation::Call(call) => {
                 self.calls.insert(call.id.clone(), call);
             }
@@ -124,6 +140,9 @@
                 &mut violations,
             );
         }
+        for stream in &self.streams {
+            check_stream(stream, &executions, &mut violations);
+        }
         for call in self.calls.values() {
             check_call(call, &executions, &mut violations);
             check_interruption(
@@ -187,7 +206,8 @@
 
     fn check_budgets(&self, violations: &mut Vec<String>) {
         let mut usage: collections::BTreeMap<&str, (u64, u64)> = collections::BTreeMap::new();
-        for turn in self.turns.values() {
+        let streams = self.streams.iter().map(|stream| &stream.turn);
+        for turn in self.turns.values().chain(streams) {
             let events = turn.response.body.matches("data:").count() as u64;
             let row = usage.entry(&turn.program).or_default();
             row.0 += events * crate::fleet::platform::TOKENS_PER_EVENT;
@@ -207,6 +227,34 @@
     response.status == Some(200) && response.is_complete
 }
 
+/// Checks that a stream has each event once and in order, from where its caller resumed it, and that
+/// one that can't be resumed is executed at most once.
+fn check_stream(stream: &Stream, executions: &Executions<'_>, violations: &mut Vec<String>) {
+    let turn = &stream.turn;
+    check_origin(&turn.id, &turn.response, violations);
+    if !stream.is_resumable {
+        check_execution_count(&turn.id, &turn.response, executions, violations);
+    }
+    let events = turn.response.body.lines().filter_map(|line| line.strip_prefix("id: "));
+    let events: Vec<u64> = events.filter_map(|id| id.parse().ok()).collect();
+    let expected = stream.resume_after + 1..;
+    if !expected.zip(&events).all(|(expected, event)| expected == *event) {
+        violations.push(format!(
+            "order: {} got the events {events:?} after event {}",
+            turn.id, stream.resume_after
+        ));
+    }
+    let last = stream.resume_after + events.len() as u64;
+    if is_successful(&turn.response) && last != callers::EVENTS_PER_RESPONSE as u64 {
+        violations.push(format!("order: {} ended as complete after event {last}", turn.id));
+    }
+    for execution in executions.get(turn.id.as_str()).into_iter().flatten() {
+        if execution.body != turn.input.as_bytes() {
+            violations.push(format!("history: {} was executed with another body", turn.id));
+        }
+    }
+}
+
 fn check_call(call: &Call, executions: &Executions<'_>, violations: &mut Vec<String>) {
     if call.kind == CallKind::AtMostOnce {
         check_execution_count(&call.id, &call.response, executions, violations);
