Gateway: turns that waited through an outage run as soon as the log is back

Cause: they waited for the log's decision on their allowance, when the log has most to do. Their events are held until that decision all the same.

--- a/crates/flamingotrail-gateway/src/systems/admission.rs
+++ b/crates/flamingotrail-gateway/src/systems/admission.rs
@@ -173,6 +173,7 @@
         program,
         history,
         begins_program,
+        waits_for_log: false,
         max_tokens,
         budget,
         reservation: calls::Reservation::None,
--- a/crates/flamingotrail-gateway/src/systems/journal.rs
+++ b/crates/flamingotrail-gateway/src/systems/journal.rs
@@ -212,6 +212,7 @@
         }
         world.emit_event("log_regained", format_args!("away_ms={away_ms}"));
         world.emit(output::Output::SetEventInterval(None));
+        relay::wake_unsent_calls(world);
     }
 }
 
--- a/crates/flamingotrail-gateway/src/systems/relay.rs
+++ b/crates/flamingotrail-gateway/src/systems/relay.rs
@@ -114,7 +114,7 @@
 }
 
 /// Marks the calls that wait for the log before they can be sent.
-fn wake_unsent_calls(world: &mut world::World) {
+pub fn wake_unsent_calls(world: &mut world::World) {
     let tables = &mut world.tables;
     let unsent = tables.calls.rows.iter().filter(|(_, call)| {
         matches!(call.phase, calls::Phase::Resolving | calls::Phase::Reserving)
--- a/crates/flamingotrail-gateway/src/systems/turns.rs
+++ b/crates/flamingotrail-gateway/src/systems/turns.rs
@@ -95,8 +95,10 @@
             } else {
                 let begins_program = turn.begins_program && turn.history.is_some();
                 let turns = if begins_program { 1 } else { EARLY_SEND_TURNS };
-                may_send = program.projected_tokens() + turn.max_tokens * turns <= budget
-                    && (call.has_returned || !tables.partitions.is_unreachable);
+                let has_room = program.projected_tokens() + turn.max_tokens * turns <= budget;
+                turn.waits_for_log =
+                    has_room && tables.partitions.is_unreachable && !call.has_returned;
+                may_send = has_room && !turn.waits_for_log;
                 let start = journal::Start {
                     turn: request.clone(),
                     program: turn.program.clone(),
@@ -127,8 +129,15 @@
 
 /// Places or refuses an unsent turn once the log has decided on its reservation.
 fn continue_after_decision(world: &mut world::World, tick: &world::Tick, id: ids::CallId) {
+    let is_unreachable = world.tables.partitions.is_unreachable;
     let Some(call) = world.tables.calls.rows.get_mut(&id) else { return };
+    let waits_for_log = call.turn.as_ref().is_some_and(|turn| turn.waits_for_log);
     match call.turn.as_ref().map(|turn| turn.reservation) {
+        Some(calls::Reservation::Pending) if waits_for_log && !is_unreachable => {
+            // The log is back, and its decision can come while the turn runs.
+            call.phase = calls::Phase::Placing;
+            world.tables.dirty.unplaced_calls.insert(id);
+        }
         Some(calls::Reservation::Granted) => {
             call.phase = calls::Phase::Placing;
             world.tables.dirty.unplaced_calls.insert(id);
--- a/crates/flamingotrail-gateway/src/tables/calls.rs
+++ b/crates/flamingotrail-gateway/src/tables/calls.rs
@@ -73,6 +73,8 @@
     pub history: Option<History>,
     /// Whether the turn is the first of its program, as far as this gateway knows.
     pub begins_program: bool,
+    /// Whether the turn is unsent only because the log is unreachable.
+    pub waits_for_log: bool,
     /// Maximum number of tokens that the turn generates.
     pub max_tokens: u64,
     /// Budget of the program; `None` if it is not limited.
--- a/crates/flamingotrail-gateway/tests/decisions/outages.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/outages.rs
@@ -225,3 +225,26 @@
     assert_eq!(other.refusal_reason(1), None, "the budget is whole");
     assert_eq!(other.sent.len(), 1);
 }
+
+// Guards against turns that have waited through an outage and then wait for the log's decision, too,
+// when the log has most to do.
+#[test]
+fn waiting_turn_runs_as_soon_as_the_log_is_back() {
+    let mut gateway = fixture::Gateway::new("one");
+    let mut log = fixture::MemoryLog {
+        error: Some(input::LogError::Refused),
+        ..fixture::MemoryLog::default()
+    };
+    gateway.tick(vec![input::Input::ListUnreachable]);
+    gateway.advance(time::Duration::from_millis(400), &mut log);
+    gateway.tick(vec![input::Input::ListUnreachable]);
+    gateway.receive(fixture::turn_request(1, "a", "p", None, 8_000));
+    gateway.advance(time::Duration::from_millis(100), &mut log);
+    let sent_in_outage = gateway.sent.len();
+
+    gateway.tick(vec![input::Input::Endpoints(fixture::endpoints())]);
+
+    assert_eq!(sent_in_outage, 0);
+    assert_eq!(gateway.sent.len(), 1, "the list could be read, so the store is back");
+    assert!(gateway.sent[0].gated, "no event is released before the log's decision");
+}
