--- a/crates/flamingotrail-standins/src/fleet/mod.rs
+++ b/crates/flamingotrail-standins/src/fleet/mod.rs
@@ -6,4 +6,5 @@
 pub mod platform;
 pub mod runner;
 pub mod server;
+pub mod small;
 pub mod store;
--- a/crates/flamingotrail-standins/src/fleet/platform.rs
+++ b/crates/flamingotrail-standins/src/fleet/platform.rs
@@ -13,7 +13,13 @@
 /// Returns the registry entry of a runner that is ready after `restarts` starts under the same id.
 pub fn restarted_runner_entry(service: &str, address: net::SocketAddr, restarts: u64) -> String {
     const FIRST_START_MS: u64 = 1_700_000_000_000;
-    let born = FIRST_START_MS + restarts;
+    const CLOCK_STEP_MS: u64 = 60_000;
+    // The runner's clock has jumped back before each second start.
+    let born = if restarts.is_multiple_of(2) {
+        FIRST_START_MS + restarts
+    } else {
+        FIRST_START_MS - restarts * CLOCK_STEP_MS
+    };
     format!(
         "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"north-a\",\"slots\":8,\
          \"state\":\"ready\",\"sequence\":1,\"born\":{born}}}"
--- a/crates/flamingotrail-standins/tests/gateways.rs
+++ b/crates/flamingotrail-standins/tests/gateways.rs
@@ -1,18 +1,13 @@
 //! End-to-end tests of gateway processes between callers, runners and the platform's store, all on
 //! loopback. Their results don't depend on timing.
 
-use std::path;
 use std::thread;
 use std::time;
 
 use flamingotrail_standins::fleet::caller;
 use flamingotrail_standins::fleet::gateways;
-use flamingotrail_standins::fleet::platform;
 use flamingotrail_standins::fleet::runner;
-use flamingotrail_standins::fleet::store;
-
-/// Events in each response of the model runner; each counts for 8 tokens.
-const EVENTS_PER_RESPONSE: usize = 3;
+use flamingotrail_standins::fleet::small;
 
 /// Topic in which gateways list themselves.
 const GATEWAY_TOPIC: &str = "keyed.gateways";
@@ -20,54 +15,8 @@
 /// Memory of the users' smallest machines for gateways, in kilobytes.
 const MAX_GATEWAY_KB: u64 = 88_000;
 
-/// The store and the runners that the gateways of a test use.
-struct Fleet {
-    store: store::Store,
-    store_address: std::net::SocketAddr,
-    model: runner::Runner,
-    plain: runner::Runner,
-    folder: path::PathBuf,
-}
-
-fn start_fleet(name: &str) -> Fleet {
-    let store = store::Store::new();
-    let store_address = store.serve().expect("no free port");
-    let (model, plain) = (runner::Runner::new(), runner::Runner::new());
-    let model_address = model.serve_model(EVENTS_PER_RESPONSE).expect("no free port");
-    let plain_address = plain.serve_plain().expect("no free port");
-    store.set("keyed.op", "config", &platform::configuration(3, 0));
-    store.set("keyed.servers", "m-1", &platform::runner_entry("model", model_address));
-    store.set("keyed.servers", "p-1", &platform::runner_entry("plain", plain_address));
-    store.set("keyed.servers", "foreign", "{\"service\":7}");
-    let folder = std::env::temp_dir().join(format!("flamingotrail-{name}-{}", std::process::id()));
-    Fleet { store, store_address, model, plain, folder }
-}
-
-impl Fleet {
-    fn start_gateway(&self, name: &str) -> gateways::Gateway {
-        let program =
-            path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../target/release/flamingotraild");
-        let gateway = gateways::start(&program, &self.folder, name, self.store_address);
-        let gateway = gateway.expect("the gateway did not start; scripts/test builds the program");
-        assert!(gateway.wait_until_ready(), "the gateway did not become ready");
-        gateway
-    }
-
-    /// What the gateway `name` has logged so far.
-    fn log(&self, name: &str) -> String {
-        std::fs::read_to_string(self.folder.join(format!("{name}.log"))).unwrap_or_default()
-    }
-
-    /// Waits until the store meets `condition`; returns false after 15 s.
-    fn wait_until(&self, condition: impl Fn(&store::Store) -> bool) -> bool {
-        for _ in 0..750 {
-            if condition(&self.store) {
-                return true;
-            }
-            thread::sleep(time::Duration::from_millis(20));
-        }
-        false
-    }
+fn start_fleet(name: &str) -> small::Fleet {
+    small::start(name).expect("no free port")
 }
 
 fn send_turn(
--- a/crates/flamingotrail-standins/tests/operators.rs
+++ b/crates/flamingotrail-standins/tests/operators.rs
@@ -4,43 +4,23 @@
 use std::io::Read as _;
 use std::io::Write as _;
 use std::net;
-use std::path;
 use std::thread;
 use std::time;
 
 use flamingotrail_standins::fleet::caller;
 use flamingotrail_standins::fleet::gateways;
-use flamingotrail_standins::fleet::platform;
-use flamingotrail_standins::fleet::runner;
-use flamingotrail_standins::fleet::store;
-
-/// Events in each response of the model runner.
-const EVENTS_PER_RESPONSE: usize = 3;
+use flamingotrail_standins::fleet::small;
 
+/// A fleet with one gateway.
 struct Fleet {
-    store: store::Store,
-    model: runner::Runner,
-    plain: runner::Runner,
+    small: small::Fleet,
     gateway: gateways::Gateway,
 }
 
-/// Starts a store, a model runner, a plain runner and a gateway.
 fn start_fleet(name: &str) -> Fleet {
-    let store = store::Store::new();
-    let store_address = store.serve().expect("no free port");
-    let (model, plain) = (runner::Runner::new(), runner::Runner::new());
-    let model_address = model.serve_model(EVENTS_PER_RESPONSE).expect("no free port");
-    let plain_address = plain.serve_plain().expect("no free port");
-    store.set("keyed.op", "config", &platform::configuration(3, 0));
-    store.set("keyed.servers", "m-1", &platform::runner_entry("model", model_address));
-    store.set("keyed.servers", "p-1", &platform::runner_entry("plain", plain_address));
-    let folder = std::env::temp_dir().join(format!("flamingotrail-{name}-{}", std::process::id()));
-    let program =
-        path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../target/release/flamingotraild");
-    let gateway = gateways::start(&program, &folder, "one", store_address);
-    let gateway = gateway.expect("the gateway did not start; scripts/test builds the program");
-    assert!(gateway.wait_until_ready(), "the gateway did not become ready");
-    Fleet { store, model, plain, gateway }
+    let small = small::start(name).expect("no free port");
+    let gateway = small.start_gateway("one");
+    Fleet { small, gateway }
 }
 
 impl Fleet {
@@ -79,7 +59,7 @@
 fn late_copy_of_a_response_reaches_nobody() {
     for omits_ids in [false, true] {
         let fleet = start_fleet(&format!("late-copy-{omits_ids}"));
-        fleet.plain.send_late_copies(omits_ids);
+        fleet.small.plain.send_late_copies(omits_ids);
 
         for number in 0..4 {
             let id = format!("r{number}");
@@ -95,19 +75,19 @@
 #[test]
 fn slow_sound_stream_is_not_cut() {
     let fleet = start_fleet("slow-stream");
-    fleet.model.set_delay(time::Duration::from_millis(800));
+    fleet.small.model.set_delay(time::Duration::from_millis(800));
 
     let response = fleet.call("POST", "/chat/1", "a", "5900");
 
     assert!(response.is_complete(), "{}", response.text);
-    assert_eq!(response.text.matches("data: w").count(), EVENTS_PER_RESPONSE);
+    assert_eq!(response.text.matches("data: w").count(), small::EVENTS_PER_RESPONSE);
 }
 
 // Guards against a stream that sends a byte now and then and never ends.
 #[test]
 fn dripping_stream_ends_at_the_deadline() {
     let fleet = start_fleet("dripping-stream");
-    fleet.model.set_delay(time::Duration::from_millis(700));
+    fleet.small.model.set_delay(time::Duration::from_millis(700));
 
     let start = time::Instant::now();
     let response = fleet.call("POST", "/chat/1", "a", "1500");
@@ -141,7 +121,7 @@
     assert!(!is_open, "the gateway still reads");
     let (text, _) = response.join().expect("no panic");
     assert!(text.starts_with("HTTP/1.1 408"), "{text}");
-    assert!(fleet.plain.requests().is_empty());
+    assert!(fleet.small.plain.requests().is_empty());
 }
 
 // Guards against a value of a response that overflows: a runner's `Keep-Alive` ended the process.
@@ -149,13 +129,13 @@
 fn extreme_values_of_a_runner_do_not_end_the_process() {
     let fleet = start_fleet("extreme-runner");
     for value in ["timeout=18446744073709551615", "timeout=-1", "timeout=1e400", "max=0"] {
-        fleet.plain.set_keep_alive(value);
+        fleet.small.plain.set_keep_alive(value);
         for number in 0..3 {
             let response = fleet.call("GET", "/look/1", &format!("{value}-{number}"), "3000");
             assert_eq!(response.status, 200, "{value}: {}", response.text);
         }
     }
-    fleet.plain.set_limit(Some(f64::MAX));
+    fleet.small.plain.set_limit(Some(f64::MAX));
     fleet.assert_serves();
 }
 
@@ -201,9 +181,9 @@
         }
     }
     for value in ["", "{", "[]", "{\"version\":1e400}", "{\"version\":-1,\"routes\":{}}"] {
-        fleet.store.set("keyed.op", "config", value);
-        fleet.store.set("keyed.servers", "bad", value);
-        fleet.store.set("keyed.gateways", "bad", value);
+        fleet.small.store.set("keyed.op", "config", value);
+        fleet.small.store.set("keyed.servers", "bad", value);
+        fleet.small.store.set("keyed.gateways", "bad", value);
     }
     thread::sleep(time::Duration::from_millis(1_500));
 
