--- a/crates/flamingotrail-gateway/src/input.rs
+++ b/crates/flamingotrail-gateway/src/input.rs
@@ -247,6 +247,20 @@
     Cancelled,
 }
 
+/// Lowest HTTP status that counts as a failure of the endpoint.
+pub const SERVER_ERROR_STATUS: u16 = 500;
+
+impl Outcome {
+    /// Whether the endpoint has served the request: a complete response that is no server error.
+    pub fn has_succeeded(&self) -> bool {
+        match self {
+            Outcome::Answered { status, .. } => *status < SERVER_ERROR_STATUS,
+            Outcome::Streamed { complete, .. } => *complete,
+            _ => false,
+        }
+    }
+}
+
 /// Why an attempt failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Failure {
--- a/crates/flamingotrail-gateway/src/systems/completion.rs
+++ b/crates/flamingotrail-gateway/src/systems/completion.rs
@@ -16,8 +16,6 @@
 use crate::tables::timers;
 use crate::world;
 
-/// Lowest HTTP status that counts as a failure of the endpoint.
-const SERVER_ERROR_STATUS: u16 = 500;
 /// Shortest remaining time in which another attempt is still worthwhile.
 const MIN_RETRY_TIME: time::Duration = time::Duration::from_millis(20);
 
@@ -60,7 +58,6 @@
     }
     record_events(call, &outcome);
     update_endpoint_health(world, tick, &running, &outcome);
-    update_endpoint_speed(world, tick, id, &running, &outcome);
     measurements::record_attempt(world, tick, id, &running, &outcome);
     log_attempt(world, tick, id, &running, &outcome);
     let Some(call) = world.tables.calls.rows.get(&id) else { return };
@@ -111,7 +108,7 @@
         }
         input::Outcome::Answered { status, load, .. } => {
             row.update_load(tick.now, *load);
-            if *status < SERVER_ERROR_STATUS {
+            if *status < input::SERVER_ERROR_STATUS {
                 row.record_success();
             } else {
                 row.record_failure(tick.now);
@@ -129,27 +126,6 @@
     }
 }
 
-/// Updates an endpoint's relative speed: its response time compared with the mean of the route.
-fn update_endpoint_speed(
-    world: &mut world::World,
-    tick: &world::Tick,
-    id: ids::CallId,
-    running: &calls::RunningAttempt,
-    outcome: &input::Outcome,
-) {
-    let tables = &mut world.tables;
-    let has_succeeded = match outcome {
-        input::Outcome::Answered { status, .. } => *status < SERVER_ERROR_STATUS,
-        input::Outcome::Streamed { complete, .. } => *complete,
-        _ => false,
-    };
-    let Some(call) = tables.calls.rows.get(&id).filter(|_| has_succeeded) else { return };
-    let ratio = tables.routes.record_latency(&call.route, tick.now.since(running.sent_at));
-    if let Some(row) = tables.endpoints.rows.get_mut(&running.endpoint) {
-        row.record_latency(ratio, tick.now);
-    }
-}
-
 fn log_attempt(
     world: &mut world::World,
     tick: &world::Tick,
@@ -192,7 +168,7 @@
 /// Forwards an endpoint's response, or retries after a server error where that is allowed.
 fn handle_response(world: &mut world::World, tick: &world::Tick, id: ids::CallId, status: u16) {
     let Some(call) = world.tables.calls.rows.get_mut(&id) else { return };
-    if status >= SERVER_ERROR_STATUS
+    if status >= input::SERVER_ERROR_STATUS
         && call.kind.is_repeatable()
         && call.may_retry()
         && call.remaining_time(tick.now) > MIN_RETRY_TIME
--- a/crates/flamingotrail-gateway/src/systems/measurements.rs
+++ b/crates/flamingotrail-gateway/src/systems/measurements.rs
@@ -1,4 +1,4 @@
-//! Measures services and ways, from which placement derives its costs.
+//! Measures services, endpoints and ways, from which placement derives its costs.
 
 use crate::ids;
 use crate::input;
@@ -15,7 +15,8 @@
     }
 }
 
-/// Records what a successful attempt of a call says of its service.
+/// Records what a successful attempt of a call says of its service, and of its endpoint compared with
+/// the others.
 pub fn record_attempt(
     world: &mut world::World,
     tick: &world::Tick,
@@ -23,15 +24,14 @@
     running: &calls::RunningAttempt,
     outcome: &input::Outcome,
 ) {
-    const SERVER_ERROR_STATUS: u16 = 500;
-    let has_succeeded = match outcome {
-        input::Outcome::Answered { status, .. } => *status < SERVER_ERROR_STATUS,
-        input::Outcome::Streamed { complete, .. } => *complete,
-        _ => false,
-    };
     let tables = &mut world.tables;
-    let Some(call) = tables.calls.rows.get(&id).filter(|_| has_succeeded) else { return };
+    let succeeded = outcome.has_succeeded();
+    let Some(call) = tables.calls.rows.get(&id).filter(|_| succeeded) else { return };
     let duration = tick.now.since(running.sent_at);
+    let ratio = tables.routes.record_latency(&call.route, duration);
+    if let Some(row) = tables.endpoints.rows.get_mut(&running.endpoint) {
+        row.record_latency(ratio, tick.now);
+    }
     tables.profiles.record_duration(&call.service, duration);
     let Some(began_at) = running.began_at else { return };
     let begun = began_at.since(running.sent_at).saturating_sub(running.expected_way);
