--- a/crates/flamingotrail-gateway/src/policy.rs
+++ b/crates/flamingotrail-gateway/src/policy.rs
@@ -42,8 +42,8 @@
 /// Sums the expected components of the delay until the response begins.
 pub struct ExpectedDelay;
 
-/// Share of an engine's other requests that the prefill of a prompt delays: on average, half of its
-/// slots are in use.
+/// Share of an engine's slots whose requests the prefill of a prompt delays: half are in use on
+/// average.
 const DELAYED_SLOT_SHARE: f64 = 0.5;
 /// Slowness up to which an endpoint is not penalized.
 const SLOWNESS_TOLERANCE: f64 = 1.5;
--- a/crates/flamingotrail-gateway/src/tables/service_profiles.rs
+++ b/crates/flamingotrail-gateway/src/tables/service_profiles.rs
@@ -17,12 +17,12 @@
 const TYPICAL_DURATION_MS: f64 = 200.0;
 /// Number of measurements that the typical values count for.
 const TYPICAL_WEIGHT: f64 = 20.0;
-/// Spread of prompt tokens that the typical time a token is assumed to be known from.
+/// Standard deviation of the prompts, in tokens, of the measurements that the typical values stand for.
 const TYPICAL_TOKEN_SPREAD: f64 = 500.0;
 /// Factor by which older measurements fade with each new one.
 const FADING: f64 = 0.998;
-/// Factor by which a single measurement may exceed the expected time; larger ones are cut, so that
-/// stalled or lying endpoints have little influence.
+/// Factor by which a single measurement may exceed the expected time. Larger ones are cut, so that
+/// stalled endpoints have little influence.
 const MAX_EXCESS: f64 = 2.0;
 /// Weight of the newest call in the mean duration.
 const DURATION_SMOOTHING: f64 = 0.05;
@@ -73,6 +73,7 @@
 }
 
 impl Measurements {
+    /// Returns the fitted times of a token and of another request, in milliseconds.
     fn slopes(&self) -> (f64, f64) {
         let [tt, tr, rr, ty, ry] = self.products;
         let determinant = tt * rr - tr * tr;
--- a/crates/flamingotrail-gateway/src/tables/ways.rs
+++ b/crates/flamingotrail-gateway/src/tables/ways.rs
@@ -10,11 +10,11 @@
 /// Typical round-trip time to another failure domain of the region, in milliseconds, before any was
 /// measured.
 const TYPICAL_OTHER_DOMAIN_MS: f64 = 2.0;
-/// Weight of a connection that took longer than the way: most of these waited for something else.
+/// Weight of a connection that took longer than expected: most of these waited for the endpoint.
 const SLOW_SMOOTHING: f64 = 0.05;
-/// Factor by which a connection may exceed the known way; longer ones are cut.
+/// Factor by which a connection may exceed the expected time; longer ones are cut.
 const MAX_EXCESS: f64 = 4.0;
-/// Shortest way that is told apart, in milliseconds.
+/// Shortest round-trip time that is told apart, in milliseconds.
 const MIN_MS: f64 = 0.1;
 
 /// Table of ways.
