Review: tokens of running turns miscounted as their service leaves the configuration

Cause: the tokens of an event are looked up as a turn ends; a service that a newer configuration has no more counts one token for each event.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -62,6 +62,7 @@
         gateway = own.gateways[number % len(own.gateways)]
         request_id = fleet.new_id()
         channel = http1.Channel(gateway.front)
+        own.record(f"sends request {request_id} to {gateway.name}")
         answer = await channel.request("POST", POISONED_PATH, headers(request_id), BODY)
         channel.close()
         own.record(f"request {request_id} at {gateway.name}: {answer.outcome()}")
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -22,7 +22,8 @@
 READY_WAIT_S = 15.0
 # A case that takes longer ends as one that could not run.
 MAX_CASE_S = 118.0
-HELD, BROKEN, NOT_RUN = 0, 1, 2
+# Exit statuses; Python itself ends with 1 if it fails.
+HELD, BROKEN, NOT_RUN = 0, 10, 2
 
 HOST = "ficu95.example"
 MODEL_SERVICE, PLAIN_SERVICE = "huvo11a", "wuno96b"
@@ -256,7 +257,10 @@
 
 
 def run_case(case_file, zones, case):
-    """Runs `case(fleet, has_trouble)`, which returns whether the rule held, and exits."""
+    """Runs `case(fleet, has_trouble)`, which returns whether the rule held, and exits.
+
+    `zones` are those of the gateways.
+    """
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record_path = os.path.join(os.path.dirname(os.path.abspath(case_file)), "record.txt")
     fleet = Fleet(record_path, zones)
--- a/review/standins/programs.py
+++ b/review/standins/programs.py
@@ -50,6 +50,10 @@
         ]
         if previous is not None:
             headers.append(("Previous-Turn", previous.id))
+        self.fleet.record(
+            f"program {self.id}: sends turn {request_id} to {gateway.name}, input {len(text)} B, "
+            f"at most {self.max_tokens} tokens of {self.budget}"
+        )
         answer = await channel.request(
             "POST", self.path, headers, text.encode(), timeout=self.deadline_ms / 1000 + 1
         )
