--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -155,7 +155,7 @@
         self.store = store_module.Store(self.record)
         ips = loopback_ips(len(zones) + 1)
         self.own_ip, gateway_ips = ips[0], ips[1:]
-        self.front_port, self.ready_port, self.control_port, first = free_ports(ips, 4)
+        self.front_port, self.ready_port, first = free_ports(ips, 3)
         self.peer_ports = [first, first]
         self.zones = {zone: "vestland" for zone in zones}
         self.store_address = None
--- a/review/standins/http1.py
+++ b/review/standins/http1.py
@@ -102,11 +102,11 @@
             self.writers.discard(writer)
             writer.close()
 
-    def stop(self, reset=False):
-        """Closes the listener and all connections; with `reset`, as a process does that crashes."""
+    def reset(self):
+        """Closes the listener and resets all connections, as if the process had crashed."""
         self.server.close()
         for writer in list(self.writers):
-            writer.transport.abort() if reset else writer.close()
+            writer.transport.abort()
 
 
 class Answer:
--- a/review/standins/programs.py
+++ b/review/standins/programs.py
@@ -7,17 +7,12 @@
 class Turn:
     """A turn that was asked for, and its answer."""
 
-    def __init__(self, request_id, previous, text, answer):
-        self.id, self.previous, self.text, self.answer = request_id, previous, text, answer
+    def __init__(self, request_id, answer):
+        self.id, self.answer = request_id, answer
 
     def is_whole(self):
         return self.answer.status == 200 and self.answer.is_complete
 
-    def output(self):
-        """The data of the events, each followed by a line feed."""
-        lines = self.answer.body.decode().split("\n")
-        return "".join(line[6:] + "\n" for line in lines if line.startswith("data: "))
-
     def event_count(self):
         return sum(line.startswith("data: ") for line in self.answer.body.decode().split("\n"))
 
@@ -57,19 +52,10 @@
         answer = await channel.request(
             "POST", self.path, headers, text.encode(), timeout=self.deadline_ms / 1000 + 1
         )
-        turn = Turn(request_id, previous, text, answer)
+        turn = Turn(request_id, answer)
         self.turns[request_id] = turn
         self.fleet.record(
             f"program {self.id}: turn {request_id} after {previous.id if previous else None} "
             f"at {gateway.name}: {answer.outcome()}"
         )
         return turn
-
-    def expected_body(self, turn):
-        """What a runner has to receive for `turn`."""
-        texts = [turn.text]
-        earlier = turn.previous
-        while earlier is not None:
-            texts += [earlier.output(), earlier.text]
-            earlier = earlier.previous
-        return "".join(reversed(texts))
--- a/review/standins/runners.py
+++ b/review/standins/runners.py
@@ -14,12 +14,10 @@
 class Run:
     """One run of a request at a runner."""
 
-    def __init__(self, runner, request):
+    def __init__(self, request):
         self.id = request.head.get("request-id", "")
-        self.runner = runner
         self.path = request.path
         self.body = request.body
-        self.events = 0
 
 
 class Runner:
@@ -53,13 +51,13 @@
     def crash(self):
         """Ends like a crashed process. Its entry is removed after three reports of silence."""
         old = self.id
-        self.server.stop(reset=True)
+        self.server.reset()
 
         async def remove_entry():
             await asyncio.sleep(HEARTBEAT_S * SILENT_BEATS)
             await self.store.put("keyed.servers", old, b"")
 
-        return asyncio.ensure_future(remove_entry())
+        self.store.spawn(remove_entry())
 
     def load(self):
         return f"{min(self.active, self.slots)},{max(self.active - self.slots, 0)},{self.slots}"
@@ -102,7 +100,7 @@
         self.event_text, self.pause_s = event_text, pause_s
 
     async def run(self, request, reader, writer):
-        run = Run(self, request)
+        run = Run(request)
         self.runs.append(run)
         self.record(f"runner {self.id}: runs {run.id}, body {len(run.body)} B")
         tokens = int(request.head.get("token-usage", "0,80").split(",")[1])
@@ -117,7 +115,6 @@
             event = f"id: {number}\ndata: {self.event_text(number)}\n\n".encode()
             writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
             await writer.drain()
-            run.events = number
             if self.pause_s:
                 await asyncio.sleep(self.pause_s)
         writer.write(b"0\r\n\r\n")
@@ -133,14 +130,13 @@
     def __init__(self, store, record, service, zone, ip, crashes, away_s, work_s=0.03):
         super().__init__(store, record, service, zone, slots=6)
         self.ip, self.crashes, self.away_s, self.work_s = ip, crashes, away_s, work_s
-        self.is_up = True
 
     async def run(self, request, _reader, writer):
-        run = Run(self, request)
+        run = Run(request)
         self.runs.append(run)
         if self.crashes(run):
             self.record(f"runner {self.id}: runs {run.id} {run.path}, and crashes")
-            asyncio.ensure_future(self.crash_and_return())
+            self.store.spawn(self.crash_and_return())
             raise http1.Closed("crashed")
         self.record(f"runner {self.id}: runs {run.id} {run.path}")
         await asyncio.sleep(self.work_s)
@@ -148,9 +144,7 @@
         writer.write(http1.encode_response(200, self.answer_headers(run.id), body))
 
     async def crash_and_return(self):
-        self.is_up = False
         self.crash()
         await asyncio.sleep(self.away_s)
         await self.start(self.ip)
-        self.is_up = True
         self.record(f"runner {self.id}: back")
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -50,11 +50,18 @@
         self.changed = asyncio.Condition()
         self.writes, self.reads = Rate(WRITES_PER_S), Rate(READS_PER_S)
         self.rejected_records = 0
+        self.tasks = set()
         self.server = http1.Server(self.handle)
 
     async def start(self, ip):
         return await self.server.start(ip)
 
+    def spawn(self, work):
+        """Runs `work` beside the case, and keeps it from being collected before its end."""
+        task = asyncio.ensure_future(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
     async def put(self, topic, key, value):
         """Writes a key as the operator and the runners do. An empty value drops the key."""
         await self.store((topic, 0), [encode_keyed(key, value)])
