Budgets: a turn is charged by the engines it was admitted to

Cause: the number of tokens per event was looked up when a turn ended, in the configuration of that moment. A service that was gone counted one token for each event.

Evidence: reconfiguration.rs, three tests, red without the change: the fourth turn of a budget of three was not refused, and the limit of events of a turn that was sent after the change was 81 instead of 11.

Change: a call keeps its service's engine properties from its admission on; if the configuration has changed them since, the larger number of tokens per event counts.

--- a/crates/flamingotrail-gateway/src/systems/admission.rs
+++ b/crates/flamingotrail-gateway/src/systems/admission.rs
@@ -93,6 +93,7 @@
         priority: route.priority,
         target_latency: route.target_latency,
         max_attempts: route.max_attempts,
+        engine: world.tables.routes.engine(service).cloned(),
         service: service.clone(),
         deadline: arrival.received.after(timeout),
         has_returned: log_outage::has_returned(timeout, route.timeout),
--- a/crates/flamingotrail-gateway/src/systems/completion.rs
+++ b/crates/flamingotrail-gateway/src/systems/completion.rs
@@ -381,12 +381,12 @@
     budgets::charge_turn(world, tick, id);
 }
 
-/// Returns the number of tokens of each event of a call's stream.
+/// Returns the number of tokens of each event of a call's stream. If the configuration has changed it
+/// since the call was admitted, the larger number counts, so that no token goes uncounted.
 pub fn tokens_per_event(world: &world::World, id: ids::CallId) -> u64 {
     let Some(call) = world.tables.calls.rows.get(&id) else { return 1 };
-    let service = world.tables.routes.service(&call.service);
-    let engine = service.and_then(|service| service.engine.as_ref());
-    engine.map_or(1, |engine| engine.tokens_per_event.max(1))
+    let engines = call.engine.iter().chain(world.tables.routes.engine(&call.service));
+    engines.map(|engine| engine.tokens_per_event).max().unwrap_or(1).max(1)
 }
 
 fn remove_if_done(world: &mut world::World, id: ids::CallId) {
--- a/crates/flamingotrail-gateway/src/systems/placement.rs
+++ b/crates/flamingotrail-gateway/src/systems/placement.rs
@@ -177,7 +177,6 @@
     tick: &world::Tick,
     call: &'a calls::Call,
 ) -> policy::Request<'a> {
-    let service = world.tables.routes.service(&call.service);
     let previous = call.turn.as_ref().and_then(|turn| turn.previous());
     policy::Request {
         prompt: &call.arrival.prompt,
@@ -185,7 +184,7 @@
         previous: previous
             .and_then(|turn| world.tables.turns.rows.get(turn))
             .map(|row| &row.endpoint),
-        is_engine: service.is_some_and(|service| service.engine.is_some()),
+        is_engine: call.engine.is_some(),
         profile: world.tables.profiles.profile(&call.service),
         now: tick.now,
     }
@@ -279,12 +278,9 @@
         attempt: call.attempts,
         address: row.listed.address.clone(),
         timeout,
-        urgency: tables
-            .routes
-            .current
+        urgency: call
+            .engine
             .as_ref()
-            .and_then(|configuration| configuration.services.get(&call.service))
-            .and_then(|service| service.engine.as_ref())
             .map(|_| HIGHEST_CLASS_URGENCY.saturating_add(call.priority).min(LOWEST_URGENCY)),
         body,
         repeatable,
--- a/crates/flamingotrail-gateway/src/tables/calls.rs
+++ b/crates/flamingotrail-gateway/src/tables/calls.rs
@@ -140,6 +140,9 @@
     pub max_attempts: u32,
     /// Service that the call is sent to.
     pub service: ids::ServiceName,
+    /// Engines of the service when the call was admitted; `None` for a plain service. Kept here since
+    /// the service may leave the configuration while the call runs.
+    pub engine: Option<input::Engine>,
     /// When the call expires.
     pub deadline: core_time::Timestamp,
     /// Whether the caller has come back after a refusal.
--- a/crates/flamingotrail-gateway/src/tables/routes.rs
+++ b/crates/flamingotrail-gateway/src/tables/routes.rs
@@ -73,6 +73,12 @@
         ratio
     }
 
+    /// Returns the engines of the configured service of this name; `None` if it is a plain service or
+    /// not configured.
+    pub fn engine(&self, service: &ids::ServiceName) -> Option<&input::Engine> {
+        self.service(service)?.engine.as_ref()
+    }
+
     /// Returns the configured service of this name.
     pub fn service(&self, name: &ids::ServiceName) -> Option<&input::Service> {
         self.current.as_ref()?.services.get(name)
--- a/crates/flamingotrail-gateway/tests/decisions/main.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/main.rs
@@ -12,5 +12,6 @@
 mod outages;
 mod peers;
 mod placement;
+mod reconfiguration;
 mod resumption;
 mod turns;
