Turns: a turn that was removed from memory is read from the log again

Cause: a gateway removed rows of turns from memory 65 s after it had read them, and searched the log for a missing turn only from the place up to which it had read. If the turn had gone on at another gateway meanwhile, its record was before that place, and its absence from the rest of the partition was taken as proof. Lookups for other gateways answered the same way.

Evidence: forgotten_turns.rs on an in-memory log without any failure.

Change: an index keeps the offset of each record that was read, for the log's retention. A turn that is missing in memory is read again from its offset; only one that is in neither, in a partition that was read to its end, is called unknown. If an older turn of a chain is missing, the answer is 503.

--- a/crates/flamingotrail-gateway/src/settings.rs
+++ b/crates/flamingotrail-gateway/src/settings.rs
@@ -28,6 +28,8 @@
     pub max_record_bytes: usize,
     /// Maximum total size of the records of one append, in bytes.
     pub max_append_bytes: usize,
+    /// Time after which the log drops a record.
+    pub log_retention: time::Duration,
     /// Maximum duration of a graceful shutdown.
     pub grace_period: time::Duration,
 }
--- a/crates/flamingotrail-gateway/src/systems/expiry.rs
+++ b/crates/flamingotrail-gateway/src/systems/expiry.rs
@@ -19,6 +19,7 @@
     }
     let retention = journal::max_retention(world) + journal::RETENTION_MARGIN;
     world.tables.turns.expire(tick.now);
+    world.tables.log_index.expire(tick.now, world.settings.log_retention);
     world.tables.programs.rows.retain(|_, row| {
         !row.allowances.is_empty() && row.is_busy() || tick.now.since(row.last_used) < retention
     });
--- a/crates/flamingotrail-gateway/src/systems/journal.rs
+++ b/crates/flamingotrail-gateway/src/systems/journal.rs
@@ -69,10 +69,10 @@
     handle_success(world, tick, partition);
     let row = world.tables.partitions.row(partition);
     let end = offset + records.len() as u64;
-    if offset == row.applied && !row.reading {
+    if offset == row.applied && !row.reading && row.replay.is_none() {
         row.applied = end;
-        for record in &records {
-            apply(world, tick, record);
+        for (record, offset) in records.iter().zip(offset..) {
+            apply(world, tick, ids::Offset(offset), record);
         }
         return;
     }
@@ -102,9 +102,11 @@
     world.tables.dirty.partitions.insert(partition);
     let page = match result {
         Ok(page) => page,
-        Err(input::LogError::Expired(first)) => {
+        Err(input::LogError::Expired(first)) if first > row.next_read_offset() => {
             row.applied = row.applied.max(first.0);
+            row.advance_replay(&(0..first.0));
             world.emit_event("log_expired", format_args!("partition={partition} first={first}"));
+            wake_searches(world);
             return;
         }
         Err(error) => {
@@ -112,17 +114,51 @@
             return;
         }
     };
+    if page.records.is_empty() && page.from < page.end {
+        handle_failure(world, tick, partition, input::LogError::Unknown);
+        return;
+    }
     handle_success(world, tick, partition);
     let row = world.tables.partitions.row(partition);
-    let already_applied =
-        usize::try_from(row.applied.saturating_sub(page.from.0)).unwrap_or(usize::MAX);
-    row.applied = row.applied.max(page.from.0 + page.records.len() as u64);
+    let already_applied = row.applied;
+    let read = page.from.0..page.from.0 + page.records.len() as u64;
+    row.applied = row.applied.max(read.end);
     if row.applied >= page.end.0 {
         row.last_complete_read = row.reads_started;
     }
-    for record in page.records.iter().skip(already_applied).flatten() {
-        apply(world, tick, record);
+    let (again, new): (Vec<_>, Vec<_>) =
+        read.clone().zip(&page.records).partition(|(offset, _)| *offset < already_applied);
+    for (_, record) in again {
+        replay(world, tick, partition, record.as_ref());
+    }
+    world.tables.partitions.row(partition).advance_replay(&read);
+    for (offset, record) in new {
+        if let Some(record) = record {
+            apply(world, tick, ids::Offset(offset), record);
+        }
+    }
+    wake_searches(world);
+}
+
+/// Applies a record that was applied before if the replay of its partition waits for it.
+fn replay(
+    world: &mut world::World,
+    tick: &world::Tick,
+    partition: ids::Partition,
+    record: Option<&journal::Record>,
+) {
+    let row = world.tables.partitions.row(partition);
+    let (Some(replay), Some(record)) = (row.replay.as_mut(), record) else { return };
+    match record {
+        journal::Record::End(end) if replay.turns.remove(&end.turn) => {
+            store_turn(world, tick, end);
+        }
+        _ => {}
     }
+}
+
+/// Marks the searches for turns, whose results may have been read.
+fn wake_searches(world: &mut world::World) {
     let resolving: Vec<ids::CallId> = world
         .tables
         .calls
@@ -216,10 +252,19 @@
     }
 }
 
-fn apply(world: &mut world::World, tick: &world::Tick, record: &journal::Record) {
+/// Applies the record at `offset`; all records of the partition before it are applied.
+fn apply(
+    world: &mut world::World,
+    tick: &world::Tick,
+    offset: ids::Offset,
+    record: &journal::Record,
+) {
     match record {
         journal::Record::Start(start) => apply_start(world, tick, start),
-        journal::Record::End(end) => apply_end(world, tick, end),
+        journal::Record::End(end) => {
+            world.tables.log_index.insert_turn(&end.turn, offset);
+            apply_end(world, tick, end);
+        }
         journal::Record::Settle(settle) => {
             let program = world.tables.programs.touch(&settle.program, tick.now);
             settle.settled.iter().for_each(|settled| program.settle(settled));
--- a/crates/flamingotrail-gateway/src/systems/log_io.rs
+++ b/crates/flamingotrail-gateway/src/systems/log_io.rs
@@ -86,7 +86,7 @@
     }
     row.reading = true;
     row.reads_started += 1;
-    let from = ids::Offset(row.applied);
+    let from = row.next_read_offset();
     world.outputs.push(output::Output::Read { partition, from });
 }
 
--- a/crates/flamingotrail-gateway/src/systems/mod.rs
+++ b/crates/flamingotrail-gateway/src/systems/mod.rs
@@ -19,4 +19,5 @@
 pub mod readiness;
 pub mod relay;
 pub mod timers;
+pub mod turn_search;
 pub mod turns;
--- a/crates/flamingotrail-gateway/src/systems/relay.rs
+++ b/crates/flamingotrail-gateway/src/systems/relay.rs
@@ -10,11 +10,13 @@
 use crate::journal;
 use crate::output;
 use crate::systems::journal as journal_system;
+use crate::systems::turn_search;
 use crate::tables::calls;
 use crate::tables::partitions;
 use crate::tables::peers;
 use crate::tables::relay;
 use crate::tables::timers;
+use crate::tables::turns;
 use crate::world;
 
 /// Time that another gateway's record or lookup may wait for the log: a slow log takes about
@@ -30,7 +32,7 @@
         append_for_peer(world, tick, ticket, record);
     }
     for (ticket, turn) in std::mem::take(&mut world.tables.inbox.lookup_requests) {
-        let lookup = relay::PeerLookup { turn, awaited_read: None };
+        let lookup = relay::PeerLookup { turn, log_search: None };
         world.tables.relay.peer_lookups.insert(ticket, lookup);
         world.tables.dirty.peer_lookups.insert(ticket);
         world
@@ -39,7 +41,7 @@
             .set(timers::Timer::PeerRequestTimeout(ticket), tick.now.after(PEER_REQUEST_TIMEOUT));
     }
     for ticket in std::mem::take(&mut world.tables.dirty.peer_lookups) {
-        advance_lookup(world, ticket);
+        advance_lookup(world, tick, ticket);
     }
     for ticket in std::mem::take(&mut world.tables.dirty.timed_out_peer_requests) {
         expire_peer_request(world, ticket);
@@ -169,32 +171,25 @@
 }
 
 /// Responds to another gateway's lookup, or reads the log for the turn that is missing.
-fn advance_lookup(world: &mut world::World, ticket: u64) {
+fn advance_lookup(world: &mut world::World, tick: &world::Tick, ticket: u64) {
     let tables = &mut world.tables;
     let Some(lookup) = tables.relay.peer_lookups.get_mut(&ticket) else { return };
-    let missing = tables.turns.first_missing(&lookup.turn).cloned();
-    let Some(missing) = missing else {
-        let chain = tables.turns.chain_records(&lookup.turn);
-        respond_to_lookup(world, ticket, input::LookupResponse { chain, is_authoritative: true });
-        return;
-    };
-    let partition = ids::Partition::of_turn(&missing, world.settings.partitions);
-    let row = tables.partitions.row(partition);
-    match &lookup.awaited_read {
-        Some((awaited, number)) if *awaited == missing => {
-            if row.last_complete_read >= *number {
-                respond_to_lookup(
-                    world,
-                    ticket,
-                    input::LookupResponse { chain: Vec::new(), is_authoritative: true },
-                );
+    if let Err(turns::ChainError::Missing(missing)) = tables.turns.chain(&lookup.turn) {
+        let missing = missing.clone();
+        let partition = ids::Partition::of_turn(&missing, world.settings.partitions);
+        let mut log_search = lookup.log_search.take();
+        let knowledge = turn_search::advance(tables, tick, partition, &missing, &mut log_search);
+        if knowledge == turn_search::Knowledge::Pending {
+            if let Some(lookup) = tables.relay.peer_lookups.get_mut(&ticket) {
+                lookup.log_search = log_search;
             }
-        }
-        _ => {
-            lookup.awaited_read = Some((missing, row.request_read()));
-            tables.dirty.partitions.insert(partition);
+            return;
         }
     }
+    // Without the oldest turns, the chain still tells that the turn exists.
+    let turn = tables.relay.peer_lookups.get(&ticket).map(|lookup| &lookup.turn);
+    let chain = turn.map(|turn| tables.turns.chain_records(turn)).unwrap_or_default();
+    respond_to_lookup(world, ticket, input::LookupResponse { chain, is_authoritative: true });
 }
 
 /// Sends the result of a lookup to the gateway that asked for it.
@@ -332,12 +327,13 @@
     };
     search.pending_peer = Some(peer.clone());
     search.tried_peers.insert(peer.clone());
+    search.turn = Some(turn.clone());
     world.emit(output::Output::LookUpTurn { call: id, peer, address, turn: turn.clone() });
 }
 
 /// Returns the search for the turn that a call continues.
 fn search_of(turn: Option<&mut calls::Turn>) -> Option<&mut calls::PeerSearch> {
-    Some(&mut turn?.history.as_mut()?.search)
+    Some(&mut turn?.history.as_mut()?.peer_search)
 }
 
 /// Stores the turns that another gateway has found for a call.
--- a/crates/flamingotrail-gateway/src/systems/turns.rs
+++ b/crates/flamingotrail-gateway/src/systems/turns.rs
@@ -7,7 +7,10 @@
 use crate::systems::budgets;
 use crate::systems::completion;
 use crate::systems::log_outage;
+use crate::systems::placement;
 use crate::systems::relay;
+use crate::systems::turn_search;
+use crate::tables;
 use crate::tables::calls;
 use crate::world;
 
@@ -42,25 +45,35 @@
     let Some(call) = tables.calls.rows.get_mut(&id) else { return };
     let Some(turn) = call.turn.as_mut() else { return };
     let chain = turn.previous().map(|previous| tables.turns.chain(previous));
-    let missing = chain.and_then(Result::err).cloned();
-    let (Some(missing), Some(history)) = (missing, turn.history.as_mut()) else {
-        reserve_budget(world, tick, id);
-        return;
-    };
-    let partition = ids::Partition::of_turn(&missing, world.settings.partitions);
-    let row = tables.partitions.row(partition);
-    let mut is_absent = false;
-    match &history.awaited_read {
-        Some((awaited, number)) if *awaited == missing => {
-            is_absent = row.last_complete_read >= *number
+    let missing = match chain {
+        Some(Err(tables::turns::ChainError::Missing(missing))) => missing.clone(),
+        Some(Err(tables::turns::ChainError::TooLong)) => {
+            let refusal = output::Refusal { reason: output::Reason::TooLarge, retry_after: None };
+            completion::refuse(world, tick, id, refusal);
+            return;
         }
-        _ => {
-            history.awaited_read = Some((missing.clone(), row.request_read()));
-            tables.dirty.partitions.insert(partition);
+        Some(Ok(_)) | None => {
+            if let Some(history) = turn.history.as_mut() {
+                // If the chain expires before the turn is sent, another search is needed.
+                history.log_search = None;
+            }
+            reserve_budget(world, tick, id);
+            return;
         }
+    };
+    let Some(history) = turn.history.as_mut() else { return };
+    let mut log_search = history.log_search.take();
+    let peer_search = &history.peer_search;
+    let mut is_absent = peer_search.is_absent && peer_search.turn.as_ref() == Some(&missing);
+    let partition = ids::Partition::of_turn(&missing, world.settings.partitions);
+    let knowledge = turn_search::advance(tables, tick, partition, &missing, &mut log_search);
+    is_absent |= knowledge == turn_search::Knowledge::Absent;
+    let Some(call) = tables.calls.rows.get_mut(&id) else { return };
+    if let Some(history) = call.turn.as_mut().and_then(|turn| turn.history.as_mut()) {
+        history.log_search = log_search;
     }
-    if is_absent || history.search.is_absent {
-        let refusal = output::Refusal { reason: output::Reason::NoSuchTurn, retry_after: None };
+    if is_absent {
+        let refusal = refusal_of_missing_turn(call, &missing);
         completion::refuse(world, tick, id, refusal);
         return;
     }
@@ -74,12 +87,29 @@
     }
 }
 
+/// Returns the refusal of a turn whose chain has a turn that the log does not have. If it is not the
+/// one that the caller named, that one was found, so the chain existed.
+fn refusal_of_missing_turn(call: &calls::Call, missing: &ids::TurnId) -> output::Refusal {
+    if call.turn.as_ref().and_then(|turn| turn.previous()) == Some(missing) {
+        output::Refusal { reason: output::Reason::NoSuchTurn, retry_after: None }
+    } else {
+        let retry_after = Some(placement::retry_after(call));
+        output::Refusal { reason: output::Reason::Unavailable, retry_after }
+    }
+}
+
 /// Reserves a part of the budget for a turn, and sends the turn at once if the budget probably has
 /// room.
 pub fn reserve_budget(world: &mut world::World, tick: &world::Tick, id: ids::CallId) {
     let tables = &mut world.tables;
     let Some(call) = tables.calls.rows.get_mut(&id) else { return };
     let Some(turn) = call.turn.as_mut() else { return };
+    if turn.reservation != calls::Reservation::None {
+        // Its chain expired before it was sent, and was looked up again.
+        call.phase = calls::Phase::Placing;
+        tables.dirty.unplaced_calls.insert(id);
+        return;
+    }
     let mut may_send = true;
     let mut new_start = None;
     turn.reservation = match turn.budget {
--- a/crates/flamingotrail-gateway/src/tables/calls.rs
+++ b/crates/flamingotrail-gateway/src/tables/calls.rs
@@ -8,6 +8,7 @@
 
 use crate::ids;
 use crate::input;
+use crate::tables::partitions;
 
 /// Phase of a call's lifecycle.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -46,7 +47,9 @@
     pub pending_peer: Option<ids::InstanceName>,
     /// Gateways that were asked.
     pub tried_peers: collections::BTreeSet<ids::InstanceName>,
-    /// Whether a gateway has read the log to its end without finding the turn.
+    /// Turn that the gateways were asked for.
+    pub turn: Option<ids::TurnId>,
+    /// Whether a gateway has read the log to its end without finding that turn.
     pub is_absent: bool,
 }
 
@@ -55,11 +58,10 @@
 pub struct History {
     /// Turn that this one continues.
     pub previous: Option<ids::TurnId>,
-    /// The turn that was found missing last, and the number of the read of its partition that shows
-    /// whether it exists.
-    pub awaited_read: Option<(ids::TurnId, u64)>,
+    /// Search for the turn that was found missing last in the log.
+    pub log_search: Option<partitions::TurnSearch>,
     /// Search for the missing turn at other gateways.
-    pub search: PeerSearch,
+    pub peer_search: PeerSearch,
 }
 
 /// State of a call that runs a turn: a call that has a budget, a history, or both.
--- a/crates/flamingotrail-gateway/src/tables/mod.rs
+++ b/crates/flamingotrail-gateway/src/tables/mod.rs
@@ -8,6 +8,7 @@
 pub mod endpoints;
 pub mod inbox;
 pub mod limits;
+pub mod log_index;
 pub mod notices;
 pub mod partitions;
 pub mod peers;
@@ -41,6 +42,8 @@
     pub programs: programs::Programs,
     /// Completed turns that are stored in the log.
     pub turns: turns::Turns,
+    /// Offsets of the log's records that were read.
+    pub log_index: log_index::LogIndex,
     /// Other gateways.
     pub peers: peers::Peers,
     /// Records and lookups that are relayed between gateways.
--- a/crates/flamingotrail-gateway/src/tables/partitions.rs
+++ b/crates/flamingotrail-gateway/src/tables/partitions.rs
@@ -1,12 +1,39 @@
 //! Partitions of the log, and this gateway's progress in reading and appending.
 
 use std::collections;
+use std::ops;
 
 use flamingotrail_core::time;
 
 use crate::ids;
 use crate::journal;
 
+/// A search for a turn in the log.
+#[derive(Clone, Debug)]
+pub struct TurnSearch {
+    /// The turn, which is missing in memory.
+    pub turn: ids::TurnId,
+    /// Number of the read of the turn's partition that shows whether it exists; `None` while records
+    /// that were removed from memory are read again.
+    pub awaited_read: Option<u64>,
+}
+
+/// Another read of records that were applied before and removed from memory since.
+#[derive(Debug, Default)]
+pub struct Replay {
+    /// Offset of the next record to read.
+    pub next: u64,
+    /// Turns to find.
+    pub turns: collections::BTreeSet<ids::TurnId>,
+}
+
+impl Replay {
+    /// Whether nothing is left to find.
+    fn is_done(&self) -> bool {
+        self.turns.is_empty()
+    }
+}
+
 /// A partition of the log.
 #[derive(Debug, Default)]
 pub struct Partition {
@@ -28,6 +55,8 @@
     pub last_complete_read: u64,
     /// Number of the newest read that was requested.
     pub requested_read: u64,
+    /// Records to read again; such reads go before others.
+    pub replay: Option<Replay>,
     /// Number of consecutive failed appends and reads.
     pub failures: u32,
     /// Time before which no append or read is tried.
@@ -42,10 +71,48 @@
         number
     }
 
+    /// Requests that the records from `offset` on are read again until `turn` is found.
+    pub fn replay_turn(&mut self, turn: &ids::TurnId, offset: ids::Offset) {
+        self.replay_from(offset).turns.insert(turn.clone());
+    }
+
+    fn replay_from(&mut self, offset: ids::Offset) -> &mut Replay {
+        let new = || Replay { next: offset.0, ..Replay::default() };
+        let replay = self.replay.get_or_insert_with(new);
+        replay.next = replay.next.min(offset.0);
+        replay
+    }
+
+    /// Whether records are being read again to find `turn`.
+    pub fn is_replaying_turn(&self, turn: &ids::TurnId) -> bool {
+        self.replay.as_ref().is_some_and(|replay| replay.turns.contains(turn))
+    }
+
+    /// Records that the records of `read` were read again, or are gone. Ends the replay if it has found
+    /// everything or has reached the records that were not applied yet.
+    pub fn advance_replay(&mut self, read: &ops::Range<u64>) {
+        let applied = self.applied;
+        let Some(replay) = self.replay.as_mut() else { return };
+        // A read that began after the replay's next record was started before the newest request.
+        if replay.next >= read.start {
+            replay.next = replay.next.max(read.end);
+        }
+        if replay.is_done() || replay.next >= applied {
+            self.replay = None;
+        }
+    }
+
     /// Whether a read has to be started.
     pub fn needs_read(&self) -> bool {
         !self.reading
-            && (self.needed > self.applied || self.requested_read > self.last_complete_read)
+            && (self.replay.is_some()
+                || self.needed > self.applied
+                || self.requested_read > self.last_complete_read)
+    }
+
+    /// Returns the offset at which the next read begins.
+    pub fn next_read_offset(&self) -> ids::Offset {
+        ids::Offset(self.replay.as_ref().map_or(self.applied, |replay| replay.next))
     }
 
     /// Whether an append has to be started.
--- a/crates/flamingotrail-gateway/src/tables/relay.rs
+++ b/crates/flamingotrail-gateway/src/tables/relay.rs
@@ -7,6 +7,7 @@
 
 use crate::ids;
 use crate::journal;
+use crate::tables::partitions;
 
 /// A record of this gateway that is not yet known to be stored in the log.
 #[derive(Debug)]
@@ -28,9 +29,8 @@
 pub struct PeerLookup {
     /// Turn to look up, with the turns that it continues.
     pub turn: ids::TurnId,
-    /// The turn that was found missing last, and the number of the read that shows whether it
-    /// exists.
-    pub awaited_read: Option<(ids::TurnId, u64)>,
+    /// Search for the turn that was found missing last in the log.
+    pub log_search: Option<partitions::TurnSearch>,
 }
 
 /// Table of relayed records and lookups.
--- a/crates/flamingotrail-gateway/src/tables/turns.rs
+++ b/crates/flamingotrail-gateway/src/tables/turns.rs
@@ -33,9 +33,18 @@
     pub bytes: usize,
 }
 
-/// Maximum length of a chain of turns; only a cycle of turns that continue each other is longer.
+/// Maximum number of turns in a chain; turns with the same id can form a cycle.
 const MAX_CHAIN_LENGTH: usize = 4096;
 
+/// Why a chain of turns can't be returned.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ChainError<'a> {
+    /// This turn is not stored here.
+    Missing(&'a ids::TurnId),
+    /// The chain has too many turns.
+    TooLong,
+}
+
 impl Turns {
     /// Stores a completed turn; it and the turns that it continues are kept at least until
     /// `expires`.
@@ -69,12 +78,16 @@
     ///
     /// # Errors
     ///
-    /// Returns the id of the newest turn of the chain that is not stored here.
-    pub fn chain<'a>(&'a self, turn: &'a ids::TurnId) -> Result<Vec<Bytes>, &'a ids::TurnId> {
+    /// Fails if the chain is too long; or else if a turn of it is not stored here, with the newest
+    /// such turn.
+    pub fn chain<'a>(&'a self, turn: &'a ids::TurnId) -> Result<Vec<Bytes>, ChainError<'a>> {
         let mut texts = Vec::new();
         let mut next = Some(turn);
         while let Some(id) = next {
-            let row = self.rows.get(id).filter(|_| texts.len() < MAX_CHAIN_LENGTH).ok_or(id)?;
+            if texts.len() == 2 * MAX_CHAIN_LENGTH {
+                return Err(ChainError::TooLong);
+            }
+            let row = self.rows.get(id).ok_or(ChainError::Missing(id))?;
             texts.push(row.output.clone());
             texts.push(row.input.clone());
             next = row.previous.as_ref();
@@ -83,12 +96,7 @@
         Ok(texts)
     }
 
-    /// Returns the newest turn of the chain that ends with `turn` that is not stored here.
-    pub fn first_missing<'a>(&'a self, turn: &'a ids::TurnId) -> Option<&'a ids::TurnId> {
-        self.chain(turn).err()
-    }
-
-    /// Returns the records of the chain that ends with `turn`, the newest first.
+    /// Returns the stored records of the chain that ends with `turn`, the newest first.
     pub fn chain_records(&self, turn: &ids::TurnId) -> Vec<journal::End> {
         let mut ends: Vec<journal::End> = Vec::new();
         let mut next = Some(turn.clone());
--- a/crates/flamingotrail-gateway/tests/decisions/fixture.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/fixture.rs
@@ -18,6 +18,9 @@
 /// Tokens per event of the engines.
 pub const TOKENS_PER_EVENT: u64 = 8;
 
+/// Time after which the log drops a record.
+pub const LOG_RETENTION: time::Duration = time::Duration::from_secs(300);
+
 /// An in-memory log.
 #[derive(Default)]
 pub struct MemoryLog {
@@ -26,6 +29,10 @@
     pub error: Option<input::LogError>,
     /// Whether appended records are stored although `error` is returned.
     pub stores_on_error: bool,
+    /// Offsets of the oldest records that were not dropped, where some were.
+    pub first: collections::BTreeMap<ids::Partition, u64>,
+    /// Maximum number of records of a read; `None` returns all.
+    pub max_page_records: Option<usize>,
     pub appends: usize,
     pub reads: usize,
 }
@@ -41,6 +48,8 @@
     pub aborted: Vec<ids::CallId>,
     pub cancelled: Vec<ids::CallId>,
     pub relayed_records: Vec<(String, journal::Record)>,
+    pub lookup_responses: Vec<input::LookupResponse>,
+    pub relay_responses: Vec<input::RelayResponse>,
     pub asked: Vec<ids::InstanceName>,
     pub notice_responses: Vec<Vec<input::PeerNotice>>,
     pub checked: Vec<ids::EndpointId>,
@@ -189,6 +198,17 @@
     request
 }
 
+/// The record of a turn of one event.
+pub fn end_record(turn: &str, previous: Option<&str>) -> journal::Record {
+    journal::Record::End(journal::End {
+        turn: ids::TurnId::new(turn),
+        previous: previous.map(ids::TurnId::new),
+        endpoint: ids::EndpointId::new("engine-1"),
+        input: Bytes::from(format!("input of {turn};")),
+        output: Bytes::from("word\n"),
+    })
+}
+
 pub fn stream_outcome(events: u64) -> input::Outcome {
     let output = Bytes::from("word\n".repeat(events as usize));
     input::Outcome::Streamed {
@@ -226,6 +246,7 @@
             max_appends_per_s: 1000.0,
             max_record_bytes: 10_000,
             max_append_bytes: 100_000,
+            log_retention: LOG_RETENTION,
             grace_period: time::Duration::from_secs(8),
         };
         Gateway {
@@ -238,6 +259,8 @@
             aborted: Vec::new(),
             cancelled: Vec::new(),
             relayed_records: Vec::new(),
+            lookup_responses: Vec::new(),
+            relay_responses: Vec::new(),
             asked: Vec::new(),
             notice_responses: Vec::new(),
             checked: Vec::new(),
@@ -263,6 +286,10 @@
                 output::Output::RelayRecord { address, record, .. } => {
                     self.relayed_records.push((address, *record));
                 }
+                output::Output::RespondToLookup(_, response) => {
+                    self.lookup_responses.push(response);
+                }
+                output::Output::RespondToRelay(_, response) => self.relay_responses.push(response),
                 output::Output::TellNotices { peer, notices, .. } => {
                     self.told.push((peer, notices));
                 }
@@ -358,6 +385,18 @@
 }
 
 impl MemoryLog {
+    /// Adds a record.
+    pub fn push(&mut self, record: journal::Record) {
+        self.records.entry(record.partition(PARTITIONS)).or_default().push(record);
+    }
+
+    /// Drops all records that the log has.
+    pub fn drop_all(&mut self) {
+        let ends =
+            self.records.iter().map(|(partition, records)| (*partition, records.len() as u64));
+        self.first = ends.collect();
+    }
+
     fn execute(&mut self, output: output::Output) -> input::Input {
         match output {
             output::Output::Append { partition, records } => {
@@ -373,9 +412,15 @@
             output::Output::Read { partition, from } => {
                 self.reads += 1;
                 let row = self.records.entry(partition).or_default();
-                let records = row.iter().skip(from.0 as usize).cloned().map(Some).collect();
+                let first = self.first.get(&partition).copied().unwrap_or(0);
+                let count = self.max_page_records.unwrap_or(usize::MAX);
+                let records =
+                    row.iter().skip(from.0 as usize).take(count).cloned().map(Some).collect();
                 let page = input::Page { from, end: ids::Offset(row.len() as u64), records };
-                input::Input::Read { partition, result: self.error.map_or(Ok(page), Err) }
+                let expired =
+                    (from.0 < first).then_some(input::LogError::Expired(ids::Offset(first)));
+                let result = self.error.or(expired).map_or(Ok(page), Err);
+                input::Input::Read { partition, result }
             }
             other => panic!("not a call to the log: {other:?}"),
         }
--- /dev/null
+++ b/crates/flamingotrail-gateway/tests/decisions/forgotten_turns.rs
@@ -0,0 +1,209 @@
+//! Turns that a gateway has read from the log and removed from memory since: they exist as long as
+//! the log has them.
+
+use std::time;
+
+use crate::fixture;
+use flamingotrail_gateway::ids;
+use flamingotrail_gateway::input;
+use flamingotrail_gateway::output;
+
+const BUDGET: u64 = 8_000;
+/// Longer than rows of turns stay in memory.
+const FORGOTTEN_AFTER: time::Duration = time::Duration::from_secs(75);
+
+/// Runs the turns "t1" to "t4" at `second`, 25 s apart. `first` has read "t1" early on, beside a turn
+/// of another program, and has forgotten it by the end.
+fn run_line_elsewhere(
+    first: &mut fixture::Gateway,
+    second: &mut fixture::Gateway,
+    log: &mut fixture::MemoryLog,
+) {
+    second.run_turn(fixture::turn_request(1, "t1", "p", None, BUDGET), 1, log);
+    first.run_turn(fixture::turn_request(1, "other", "q", Some("t1"), BUDGET), 1, log);
+    for number in 2..=4 {
+        first.advance(time::Duration::from_secs(25), log);
+        second.advance(time::Duration::from_secs(25), log);
+        let (id, previous) = (format!("t{number}"), format!("t{}", number - 1));
+        let request = fixture::turn_request(number, &id, "p", Some(&previous), BUDGET);
+        second.run_turn(request, 1, log);
+    }
+}
+
+// Guards against a turn that is called unknown because this gateway has read it from the log before,
+// and has removed it from memory while its chain went on at another gateway.
+#[test]
+fn forgotten_turn_is_read_from_the_log_again() {
+    let mut log = fixture::MemoryLog::default();
+    let mut first = fixture::Gateway::new("one");
+    let mut second = fixture::Gateway::new("two");
+    run_line_elsewhere(&mut first, &mut second, &mut log);
+    let reads_before = log.reads;
+
+    first.receive(fixture::turn_request(2, "t5", "p", Some("t4"), BUDGET));
+    first.complete_log_calls(&mut log);
+
+    assert_eq!(first.refusal_reason(2), None);
+    let body = String::from_utf8(first.sent_body(2)).expect("text");
+    assert!(body.starts_with("input of t1;word\ninput of t2;word\n"), "{body}");
+    let reads = log.reads - reads_before;
+    assert!(reads <= 5, "one for each of four missing turns and for the budget, not {reads}");
+}
+
+// Guards against the same in the answer to another gateway, which takes it as proof.
+#[test]
+fn forgotten_turn_is_found_for_another_gateway() {
+    let mut log = fixture::MemoryLog::default();
+    let mut first = fixture::Gateway::new("one");
+    let mut second = fixture::Gateway::new("two");
+    run_line_elsewhere(&mut first, &mut second, &mut log);
+
+    let turn = ids::TurnId::new("t4");
+    first.tick(vec![input::Input::LookupRequested { ticket: 1, turn }]);
+    first.complete_log_calls(&mut log);
+
+    let response = first.lookup_responses.first().expect("a response");
+    assert!(response.is_authoritative);
+    assert_eq!(response.chain.len(), 4);
+}
+
+// Guards against a chain that is called unknown because it expired in memory while a turn of it ran.
+#[test]
+fn turn_that_ran_longer_than_its_chain_stays_in_memory_can_be_continued() {
+    let mut log = fixture::MemoryLog::default();
+    let mut gateway = fixture::Gateway::new("one");
+    let mut configuration = fixture::configuration(2);
+    configuration.routes[0].timeout = 2 * FORGOTTEN_AFTER;
+    gateway.tick(vec![input::Input::Configuration(Box::new(configuration))]);
+    gateway.run_turn(fixture::turn_request(1, "a", "p", None, BUDGET), 1, &mut log);
+    let mut long = fixture::turn_request(2, "b", "p", Some("a"), BUDGET);
+    long.timeout = Some(2 * FORGOTTEN_AFTER);
+    gateway.receive(long);
+    gateway.advance(FORGOTTEN_AFTER, &mut log);
+    gateway.end_attempt(2, fixture::stream_outcome(1));
+    gateway.complete_log_calls(&mut log);
+
+    gateway.receive(fixture::turn_request(3, "c", "p", Some("b"), BUDGET));
+    gateway.complete_log_calls(&mut log);
+
+    assert_eq!(gateway.sent_body(3), b"input of a;word\ninput of b;word\ninput of c;");
+}
+
+// Guards against a retention that ends early because a new configuration names a shorter one, or none.
+#[test]
+fn shorter_retention_of_a_new_configuration_loses_no_turn() {
+    let mut log = fixture::MemoryLog::default();
+    let mut gateway = fixture::Gateway::new("one");
+    gateway.run_turn(fixture::turn_request(1, "a", "p", None, BUDGET), 1, &mut log);
+    gateway.run_turn(fixture::turn_request(2, "b", "p", Some("a"), BUDGET), 1, &mut log);
+    let mut shorter = fixture::configuration(2);
+    shorter.routes[0].retention = Some(time::Duration::from_secs(1));
+    gateway.tick(vec![input::Input::Configuration(Box::new(shorter))]);
+    gateway.run_turn(fixture::turn_request(3, "c", "p", Some("b"), BUDGET), 1, &mut log);
+    gateway.advance(FORGOTTEN_AFTER, &mut log);
+
+    gateway.receive(fixture::turn_request(4, "d", "p", Some("c"), BUDGET));
+    gateway.complete_log_calls(&mut log);
+
+    assert!(gateway.sent.iter().any(|sent| sent.call == ids::CallId(4)));
+}
+
+// Guards against a replay that ends too early, or never, if it takes several reads.
+#[test]
+fn forgotten_turn_is_found_over_several_pages() {
+    let mut log = fixture::MemoryLog::default();
+    for number in 0..40 {
+        log.push(fixture::end_record(&format!("t{number}"), None));
+    }
+    let mut gateway = fixture::Gateway::new("one");
+    for call in 0..20 {
+        let request = fixture::turn_request(
+            call,
+            &format!("x{call}"),
+            "p",
+            Some(&format!("t{call}")),
+            80_000,
+        );
+        gateway.run_turn(request, 1, &mut log);
+    }
+    gateway.advance(FORGOTTEN_AFTER, &mut log);
+    log.max_page_records = Some(2);
+
+    for number in 0..40 {
+        let (id, previous) = (format!("y{number}"), format!("t{number}"));
+        let request = fixture::turn_request(100 + number, &id, "q", Some(&previous), 80_000);
+        gateway.receive(request);
+    }
+    gateway.complete_log_calls(&mut log);
+
+    let sent =
+        (100..140).filter(|call| gateway.sent.iter().any(|sent| sent.call == ids::CallId(*call)));
+    assert_eq!(sent.count(), 40, "refused: {:?}", gateway.refused);
+}
+
+// Guards against a search that never ends, or asks the log without a pause, for a turn whose record
+// the log has dropped.
+#[test]
+fn turn_that_the_log_has_dropped_does_not_exist() {
+    let mut log = fixture::MemoryLog::default();
+    let mut gateway = fixture::Gateway::new("one");
+    gateway.run_turn(fixture::turn_request(1, "a", "p", None, BUDGET), 1, &mut log);
+    gateway.advance(FORGOTTEN_AFTER, &mut log);
+    log.drop_all();
+    let reads_before = log.reads;
+
+    gateway.receive(fixture::turn_request(2, "b", "p", Some("a"), BUDGET));
+    gateway.complete_log_calls(&mut log);
+
+    assert_eq!(gateway.refusal_reason(2), Some(output::Reason::NoSuchTurn));
+    assert!(log.reads - reads_before <= 2);
+}
+
+// Guards against a turn that is called unknown although it was found, because an older turn of its
+// chain is missing.
+#[test]
+fn turn_is_not_called_unknown_if_only_an_older_one_is_missing() {
+    let mut log = fixture::MemoryLog::default();
+    log.push(fixture::end_record("b", Some("a")));
+    let mut gateway = fixture::Gateway::new("one");
+
+    gateway.receive(fixture::turn_request(1, "c", "p", Some("b"), BUDGET));
+    gateway.complete_log_calls(&mut log);
+    gateway.tick(vec![input::Input::LookupRequested { ticket: 1, turn: ids::TurnId::new("b") }]);
+    gateway.complete_log_calls(&mut log);
+
+    assert_eq!(gateway.refusal_reason(1), Some(output::Reason::Unavailable));
+    assert_eq!(gateway.lookup_responses.first().map(|response| response.chain.len()), Some(1));
+}
+
+// Guards against a limit of turns that is compared with a number of texts: the 2,050th turn of a line
+// was called unknown.
+#[test]
+fn long_chain_is_continued() {
+    let mut log = fixture::MemoryLog::default();
+    log.push(fixture::end_record("t0", None));
+    for number in 1..2_100 {
+        log.push(fixture::end_record(&format!("t{number}"), Some(&format!("t{}", number - 1))));
+    }
+    let mut gateway = fixture::Gateway::new("one");
+
+    gateway.receive(fixture::turn_request(1, "next", "p", Some("t2099"), BUDGET));
+    gateway.complete_log_calls(&mut log);
+
+    assert_eq!(gateway.refusal_reason(1), None);
+    assert_eq!(gateway.sent.len(), 1);
+}
+
+// Guards against turns that are called unknown because ids that were used twice form a cycle.
+#[test]
+fn cycle_of_turns_is_refused_as_too_large() {
+    let mut log = fixture::MemoryLog::default();
+    log.push(fixture::end_record("a", Some("b")));
+    log.push(fixture::end_record("b", Some("a")));
+    let mut gateway = fixture::Gateway::new("one");
+
+    gateway.receive(fixture::turn_request(1, "c", "p", Some("b"), BUDGET));
+    gateway.complete_log_calls(&mut log);
+
+    assert_eq!(gateway.refusal_reason(1), Some(output::Reason::TooLarge));
+}
--- a/crates/flamingotrail-runtime/src/gateway/process.rs
+++ b/crates/flamingotrail-runtime/src/gateway/process.rs
@@ -73,6 +73,7 @@
         max_appends_per_s: deployment.store.writes_per_s,
         max_record_bytes: deployment.store.max_record_bytes,
         max_append_bytes: deployment.store.max_append_bytes,
+        log_retention: deployment.store.retention,
         grace_period: deployment.shutdown_grace,
     };
     let world = world::World::new(deployment.identity.clone(), settings);
