Budgets: a program that returns is held to all of its records

Cause: a gateway removed the row of a program that it had not seen for 65 s, with all that the log had granted and settled, while the place up to which it had read the log stayed. The program's new row began at nothing. The gateways no longer derived the same account.

Evidence: forgotten_programs.rs on an in-memory log without any failure.

Change: the index has the offset of a program's first record as well. A row that is created while there is an entry is partial: before it decides anything, for this gateway or another one, all its records are applied again in their order. Rows with running turns stay in memory; rows that owe the log a settlement stay for its retention. A turn that names no budget gets that of its program's records.

--- a/crates/flamingotrail-gateway/src/systems/admission.rs
+++ b/crates/flamingotrail-gateway/src/systems/admission.rs
@@ -21,15 +21,15 @@
 const INPUT_SIZE_DIVISOR: usize = 2;
 
 /// Admits the requests in the inbox.
-pub fn run(world: &mut world::World, _tick: &world::Tick) {
+pub fn run(world: &mut world::World, tick: &world::Tick) {
     for arrival in std::mem::take(&mut world.tables.inbox.arrivals) {
-        admit(world, arrival);
+        admit(world, tick, arrival);
     }
 }
 
-fn admit(world: &mut world::World, arrival: input::Arrival) {
+fn admit(world: &mut world::World, tick: &world::Tick, arrival: input::Arrival) {
     let id = arrival.call;
-    let call = match build_call(world, arrival) {
+    let call = match build_call(world, tick, arrival) {
         Ok(call) => call,
         Err(refused) => {
             let (arrival, refusal) = *refused;
@@ -55,6 +55,7 @@
 /// Builds the call of a request, or returns the request with the reason for its refusal.
 fn build_call(
     world: &world::World,
+    tick: &world::Tick,
     arrival: input::Arrival,
 ) -> Result<calls::Call, Box<(input::Arrival, output::Refusal)>> {
     let unavailable = output::Refusal {
@@ -72,7 +73,7 @@
         return Err(Box::new((arrival, unavailable)));
     };
     let timeout = arrival.timeout.unwrap_or(route.timeout).min(route.timeout);
-    let turn = build_turn(world, &arrival, route);
+    let turn = build_turn(world, tick, &arrival, route);
     let keeps_history = turn.as_ref().is_some_and(|turn| turn.history.is_some());
     let max_input = world.settings.max_record_bytes / INPUT_SIZE_DIVISOR;
     if keeps_history && arrival.body.len() > max_input {
@@ -141,6 +142,7 @@
 /// Builds the state of a turn; returns `None` if the call has neither a history nor a budget.
 fn build_turn(
     world: &world::World,
+    tick: &world::Tick,
     arrival: &input::Arrival,
     route: &input::Route,
 ) -> Option<calls::Turn> {
@@ -156,7 +158,9 @@
     let known_program = header.and_then(|header| world.tables.programs.rows.get(&header.id));
     let known = known_program.and_then(|program| program.budget);
     let budget = header.and_then(|header| header.budget).into_iter().chain(known).min();
-    if history.is_none() && budget.is_none() {
+    // The budget of a program whose row was removed from memory is read again from the log.
+    let has_records = header.is_some_and(|header| world.tables.knows_program(&header.id, tick.now));
+    if history.is_none() && budget.is_none() && !has_records {
         return None;
     }
     let begins_program = match &history {
--- a/crates/flamingotrail-gateway/src/systems/budgets.rs
+++ b/crates/flamingotrail-gateway/src/systems/budgets.rs
@@ -11,6 +11,7 @@
 use crate::journal;
 use crate::output;
 use crate::systems::relay;
+use crate::tables;
 use crate::tables::calls;
 use crate::tables::timers;
 use crate::world;
@@ -30,6 +31,26 @@
     }
 }
 
+/// Reads the earlier records of a program again if its account does not hold: a request for an
+/// allowance is decided by the account at its place in the log. Returns whether the account holds.
+pub fn prepare_account(
+    tables: &mut tables::Tables,
+    tick: &world::Tick,
+    program: &ids::ProgramId,
+    partition: ids::Partition,
+) -> bool {
+    if !tables.touch_program(program, tick.now).is_partial {
+        return true;
+    }
+    let row = tables.partitions.row(partition);
+    // Without an entry, the log has dropped the records.
+    let offset = tables.log_index.program_offset(program, tick.now);
+    let offset = offset.unwrap_or(ids::Offset(row.applied));
+    row.replay_program(program, offset);
+    tables.dirty.partitions.insert(partition);
+    false
+}
+
 /// Charges the tokens of a call's ended turn to its program's allowance, once per turn.
 pub fn charge_turn(world: &mut world::World, tick: &world::Tick, call: ids::CallId) {
     let tables = &mut world.tables;
@@ -60,7 +81,7 @@
     turn_tokens: u64,
     budget: u64,
 ) {
-    let program = world.tables.programs.touch(id, tick.now);
+    let program = world.tables.touch_program(id, tick.now);
     let needed = turn_tokens.saturating_mul(ROOM_TURNS);
     if program.is_settlement_scheduled || program.has_room(needed, budget) {
         return;
@@ -72,7 +93,7 @@
 
 /// Queues a `Settle` record for the closed allowances of a program.
 fn settle(world: &mut world::World, tick: &world::Tick, id: &ids::ProgramId) {
-    let program = world.tables.programs.touch(id, tick.now);
+    let program = world.tables.touch_program(id, tick.now);
     program.is_settlement_scheduled = false;
     if !program.is_busy() {
         program.close_current();
--- a/crates/flamingotrail-gateway/src/systems/expiry.rs
+++ b/crates/flamingotrail-gateway/src/systems/expiry.rs
@@ -2,7 +2,9 @@
 
 use std::time;
 
+use crate::ids;
 use crate::systems::journal;
+use crate::tables::programs;
 use crate::tables::timers;
 use crate::world;
 
@@ -20,7 +22,17 @@
     let retention = journal::max_retention(world) + journal::RETENTION_MARGIN;
     world.tables.turns.expire(tick.now);
     world.tables.log_index.expire(tick.now, world.settings.log_retention);
-    world.tables.programs.rows.retain(|_, row| {
-        !row.allowances.is_empty() && row.is_busy() || tick.now.since(row.last_used) < retention
-    });
+    let log_retention = world.settings.log_retention.max(retention);
+    let tables = &mut world.tables;
+    let is_kept = |row: &programs::Program| {
+        // What this gateway owes the log is in no record; it can be settled as long as the log has
+        // the request for the allowance.
+        let kept_for = if row.owes_settlement() { log_retention } else { retention };
+        row.has_running_turns() || tick.now.since(row.last_used) < kept_for
+    };
+    let removed = tables.programs.rows.extract_if(.., |_, row| !is_kept(row));
+    for (program, _) in removed.filter(|(_, row)| row.is_partial) {
+        let partition = ids::Partition::of_program(&program, world.settings.partitions);
+        tables.partitions.row(partition).cancel_replay(&program);
+    }
 }
--- a/crates/flamingotrail-gateway/src/systems/journal.rs
+++ b/crates/flamingotrail-gateway/src/systems/journal.rs
@@ -1,5 +1,6 @@
 //! Applies the records of the log in order, and handles the results of appends and reads.
 
+use std::ops;
 use std::time;
 
 use flamingotrail_core::time as core_time;
@@ -12,6 +13,7 @@
 use crate::systems::log_io;
 use crate::systems::relay;
 use crate::systems::turns;
+use crate::tables;
 use crate::tables::calls;
 use crate::tables::timers;
 use crate::world;
@@ -104,7 +106,7 @@
         Ok(page) => page,
         Err(input::LogError::Expired(first)) if first > row.next_read_offset() => {
             row.applied = row.applied.max(first.0);
-            row.advance_replay(&(0..first.0));
+            advance_replay(&mut world.tables, partition, &(0..first.0));
             world.emit_event("log_expired", format_args!("partition={partition} first={first}"));
             wake_searches(world);
             return;
@@ -128,10 +130,10 @@
     }
     let (again, new): (Vec<_>, Vec<_>) =
         read.clone().zip(&page.records).partition(|(offset, _)| *offset < already_applied);
-    for (_, record) in again {
-        replay(world, tick, partition, record.as_ref());
+    for (offset, record) in again {
+        replay(world, tick, partition, read.start, offset, record.as_ref());
     }
-    world.tables.partitions.row(partition).advance_replay(&read);
+    advance_replay(&mut world.tables, partition, &read);
     for (offset, record) in new {
         if let Some(record) = record {
             apply(world, tick, ids::Offset(offset), record);
@@ -140,16 +142,27 @@
     wake_searches(world);
 }
 
-/// Applies a record that was applied before if the replay of its partition waits for it.
+/// Applies a record that was applied before if the replay of its partition waits for it. The read of
+/// the record began at `read_start`.
 fn replay(
     world: &mut world::World,
     tick: &world::Tick,
     partition: ids::Partition,
+    read_start: u64,
+    offset: u64,
     record: Option<&journal::Record>,
 ) {
     let row = world.tables.partitions.row(partition);
     let (Some(replay), Some(record)) = (row.replay.as_mut(), record) else { return };
+    let is_due = |program: &ids::ProgramId| {
+        let next = replay.programs.get(program).copied();
+        next.is_some_and(|next| (read_start..=offset).contains(&next))
+    };
     match record {
+        journal::Record::Start(start) if is_due(&start.program) => apply_start(world, tick, start),
+        journal::Record::Settle(settle) if is_due(&settle.program) => {
+            apply_settle(world, tick, settle);
+        }
         journal::Record::End(end) if replay.turns.remove(&end.turn) => {
             store_turn(world, tick, end);
         }
@@ -157,6 +170,16 @@
     }
 }
 
+/// Advances the replay of a partition; the accounts of programs whose records were all read hold
+/// from now on.
+fn advance_replay(tables: &mut tables::Tables, partition: ids::Partition, read: &ops::Range<u64>) {
+    for program in tables.partitions.row(partition).advance_replay(read) {
+        if let Some(row) = tables.programs.rows.get_mut(&program) {
+            row.is_partial = false;
+        }
+    }
+}
+
 /// Marks the searches for turns, whose results may have been read.
 fn wake_searches(world: &mut world::World) {
     let resolving: Vec<ids::CallId> = world
@@ -252,27 +275,43 @@
     }
 }
 
-/// Applies the record at `offset`; all records of the partition before it are applied.
+/// Applies the record at `offset`; all records of the partition before it are applied. The account of
+/// a program takes no record while earlier ones are missing: all are applied by a replay.
 fn apply(
     world: &mut world::World,
     tick: &world::Tick,
     offset: ids::Offset,
     record: &journal::Record,
 ) {
+    let tables = &mut world.tables;
     match record {
-        journal::Record::Start(start) => apply_start(world, tick, start),
+        journal::Record::Start(start) => {
+            let is_partial = tables.touch_program(&start.program, tick.now).is_partial;
+            tables.log_index.insert_program(&start.program, offset);
+            if !is_partial {
+                apply_start(world, tick, start);
+            }
+        }
         journal::Record::End(end) => {
-            world.tables.log_index.insert_turn(&end.turn, offset);
+            tables.log_index.insert_turn(&end.turn, offset);
             apply_end(world, tick, end);
         }
         journal::Record::Settle(settle) => {
-            let program = world.tables.programs.touch(&settle.program, tick.now);
-            settle.settled.iter().for_each(|settled| program.settle(settled));
+            let is_partial = tables.touch_program(&settle.program, tick.now).is_partial;
+            tables.log_index.insert_program(&settle.program, offset);
+            if !is_partial {
+                apply_settle(world, tick, settle);
+            }
             confirm_settlement(world, tick, record);
         }
     }
 }
 
+fn apply_settle(world: &mut world::World, tick: &world::Tick, settle: &journal::Settle) {
+    let program = world.tables.touch_program(&settle.program, tick.now);
+    settle.settled.iter().for_each(|settled| program.settle(settled));
+}
+
 /// Confirms a `Settle` record that is stored in the log.
 fn confirm_settlement(world: &mut world::World, tick: &world::Tick, record: &journal::Record) {
     if let Some(key) = record.key() {
@@ -281,7 +320,7 @@
 }
 
 fn apply_start(world: &mut world::World, tick: &world::Tick, start: &journal::Start) {
-    let program = world.tables.programs.touch(&start.program, tick.now);
+    let program = world.tables.touch_program(&start.program, tick.now);
     start.settled.iter().for_each(|settled| program.settle(settled));
     let granted = program.grant(&start.turn, start.min_tokens, start.desired_tokens, start.budget);
     relay::confirm_record(world, tick, &journal::Key::Start(start.turn.clone()), granted);
@@ -295,7 +334,7 @@
     start: &journal::Start,
     size: Option<u64>,
 ) {
-    let program = world.tables.programs.touch(&start.program, tick.now);
+    let program = world.tables.touch_program(&start.program, tick.now);
     let (decided, unreserved) = program.apply_decision(&start.turn, size);
     if decided.is_empty() && unreserved.is_empty() {
         // Its turns ended before the decision, and no later one settles it.
--- a/crates/flamingotrail-gateway/src/systems/relay.rs
+++ b/crates/flamingotrail-gateway/src/systems/relay.rs
@@ -9,6 +9,7 @@
 use crate::input;
 use crate::journal;
 use crate::output;
+use crate::systems::budgets;
 use crate::systems::journal as journal_system;
 use crate::systems::turn_search;
 use crate::tables::calls;
@@ -161,6 +162,9 @@
         return;
     }
     let partition = record.partition(world.settings.partitions);
+    if let journal::Record::Start(start) = &record {
+        budgets::prepare_account(&mut world.tables, tick, &start.program, partition);
+    }
     world.tables.partitions.row(partition).queue.push_back(record);
     world.tables.dirty.partitions.insert(partition);
     world.tables.relay.peer_records.insert(ticket, key);
--- a/crates/flamingotrail-gateway/src/systems/turns.rs
+++ b/crates/flamingotrail-gateway/src/systems/turns.rs
@@ -101,7 +101,15 @@
 /// Reserves a part of the budget for a turn, and sends the turn at once if the budget probably has
 /// room.
 pub fn reserve_budget(world: &mut world::World, tick: &world::Tick, id: ids::CallId) {
+    if !complete_budget(world, tick, id) {
+        return;
+    }
     let tables = &mut world.tables;
+    let is_log_unreachable = tables.partitions.is_unreachable;
+    let Some(turn) = tables.calls.rows.get(&id).and_then(|call| call.turn.as_ref()) else { return };
+    let (program, partition) = (turn.program.clone(), turn.partition);
+    let is_account_known =
+        turn.budget.is_none() || budgets::prepare_account(tables, tick, &program, partition);
     let Some(call) = tables.calls.rows.get_mut(&id) else { return };
     let Some(turn) = call.turn.as_mut() else { return };
     if turn.reservation != calls::Reservation::None {
@@ -115,7 +123,7 @@
     turn.reservation = match turn.budget {
         None => calls::Reservation::Granted,
         Some(budget) => {
-            let program = tables.programs.touch(&turn.program, tick.now);
+            let program = tables.programs.touch(&program, &tables.log_index, tick.now);
             let request = &call.arrival.id;
             if program.settled_tokens + turn.max_tokens > budget {
                 // What is settled is never returned, so the log would refuse it as well.
@@ -125,9 +133,9 @@
             } else {
                 let begins_program = turn.begins_program && turn.history.is_some();
                 let turns = if begins_program { 1 } else { EARLY_SEND_TURNS };
-                let has_room = program.projected_tokens() + turn.max_tokens * turns <= budget;
-                turn.waits_for_log =
-                    has_room && tables.partitions.is_unreachable && !call.has_returned;
+                let needed = program.projected_tokens() + turn.max_tokens * turns;
+                let has_room = is_account_known && needed <= budget;
+                turn.waits_for_log = has_room && is_log_unreachable && !call.has_returned;
                 may_send = has_room && !turn.waits_for_log;
                 let start = journal::Start {
                     turn: request.clone(),
@@ -157,6 +165,32 @@
     }
 }
 
+/// Finds the budget of a turn that names none: its program's records may name one. Returns false while
+/// they are read.
+fn complete_budget(world: &mut world::World, tick: &world::Tick, id: ids::CallId) -> bool {
+    let tables = &mut world.tables;
+    let Some(call) = tables.calls.rows.get(&id) else { return false };
+    let Some(turn) = call.turn.as_ref() else { return false };
+    if turn.budget.is_some() || !tables.knows_program(&turn.program, tick.now) {
+        return true;
+    }
+    let (program, partition) = (turn.program.clone(), turn.partition);
+    if !budgets::prepare_account(tables, tick, &program, partition) {
+        if log_outage::is_log_unreachable(world) {
+            log_outage::wait_or_refuse(world, tick, id);
+        }
+        return false;
+    }
+    let budget = tables.programs.rows.get(&program).and_then(|row| row.budget);
+    if let Some(turn) = tables.calls.rows.get_mut(&id).and_then(|call| call.turn.as_mut()) {
+        turn.budget = budget;
+        if turn.max_tokens == 0 {
+            turn.max_tokens = budget.unwrap_or(0);
+        }
+    }
+    true
+}
+
 /// Places or refuses an unsent turn once the log has decided on its reservation.
 fn continue_after_decision(world: &mut world::World, tick: &world::Tick, id: ids::CallId) {
     let is_unreachable = world.tables.partitions.is_unreachable;
--- a/crates/flamingotrail-gateway/src/tables/log_index.rs
+++ b/crates/flamingotrail-gateway/src/tables/log_index.rs
@@ -1,6 +1,6 @@
 //! Offsets of the log's records that this gateway has read.
 //!
-//! Rows of turns are removed from memory long before the log drops their records. The index tells
+//! Rows of turns and programs are removed from memory long before the log drops their records. The index tells
 //! where to read them again, and that the log has no other records before the offset up to which a
 //! partition was read.
 
@@ -24,11 +24,13 @@
     /// When the first entry was added at the earliest.
     began: core_time::Timestamp,
     turns: collections::BTreeMap<u64, u64>,
+    /// Offset of each program's first record.
+    programs: collections::BTreeMap<u64, u64>,
 }
 
 impl Generation {
     fn len(&self) -> usize {
-        self.turns.len()
+        self.turns.len() + self.programs.len()
     }
 }
 
@@ -47,6 +49,24 @@
         self.newest().turns.insert(ids::stable_hash(turn.as_str()), offset.0);
     }
 
+    /// Adds a record of a program; records have to be added in the order of the log.
+    pub fn insert_program(&mut self, program: &ids::ProgramId, offset: ids::Offset) {
+        let hash = ids::stable_hash(program.as_str());
+        self.newest().programs.entry(hash).or_insert(offset.0);
+    }
+
+    /// Returns the offset of the first record of a program that the log may still have; `None` if no
+    /// such record was read.
+    pub fn program_offset(
+        &self,
+        program: &ids::ProgramId,
+        now: core_time::Timestamp,
+    ) -> Option<ids::Offset> {
+        let hash = ids::stable_hash(program.as_str());
+        let first = self.generations.iter().find_map(|rows| rows.programs.get(&hash));
+        self.offset_if_incomplete(now).or(first.copied().map(ids::Offset))
+    }
+
     /// Returns the offset from which a partition has to be read again to find the record of a turn;
     /// `None` if no record of it was read that the log may still have.
     pub fn turn_offset(
--- a/crates/flamingotrail-gateway/src/tables/mod.rs
+++ b/crates/flamingotrail-gateway/src/tables/mod.rs
@@ -1,6 +1,9 @@
 //! The tables of a gateway: rows of plain data, keyed by typed ids.
 
 use flamingotrail_core::tables::timers as core_timers;
+use flamingotrail_core::time;
+
+use crate::ids;
 
 pub mod append_rate;
 pub mod calls;
@@ -59,3 +62,20 @@
     /// Inputs by the system that processes them.
     pub inbox: inbox::Inbox,
 }
+
+impl Tables {
+    /// Returns the row of `program` and marks it as used at `now`; creates it if it does not exist.
+    pub fn touch_program(
+        &mut self,
+        program: &ids::ProgramId,
+        now: time::Timestamp,
+    ) -> &mut programs::Program {
+        self.programs.touch(program, &self.log_index, now)
+    }
+
+    /// Whether a record or a request of `program` was processed here.
+    pub fn knows_program(&self, program: &ids::ProgramId, now: time::Timestamp) -> bool {
+        self.programs.rows.contains_key(program)
+            || self.log_index.program_offset(program, now).is_some()
+    }
+}
--- a/crates/flamingotrail-gateway/src/tables/partitions.rs
+++ b/crates/flamingotrail-gateway/src/tables/partitions.rs
@@ -25,12 +25,14 @@
     pub next: u64,
     /// Turns to find.
     pub turns: collections::BTreeSet<ids::TurnId>,
+    /// Programs whose accounts are derived again, with the offset of the next record of each.
+    pub programs: collections::BTreeMap<ids::ProgramId, u64>,
 }
 
 impl Replay {
     /// Whether nothing is left to find.
     fn is_done(&self) -> bool {
-        self.turns.is_empty()
+        self.turns.is_empty() && self.programs.is_empty()
     }
 }
 
@@ -76,6 +78,28 @@
         self.replay_from(offset).turns.insert(turn.clone());
     }
 
+    /// Requests that the records of `program` are read again from `offset` on, unless that is already
+    /// requested.
+    pub fn replay_program(&mut self, program: &ids::ProgramId, offset: ids::Offset) {
+        if !self.is_replaying_program(program) {
+            self.replay_from(offset).programs.insert(program.clone(), offset.0);
+        }
+    }
+
+    /// Cancels the request that the records of `program` are read again.
+    pub fn cancel_replay(&mut self, program: &ids::ProgramId) {
+        let Some(replay) = self.replay.as_mut() else { return };
+        replay.programs.remove(program);
+        if replay.is_done() {
+            self.replay = None;
+        }
+    }
+
+    /// Whether the records of `program` are being read again.
+    pub fn is_replaying_program(&self, program: &ids::ProgramId) -> bool {
+        self.replay.as_ref().is_some_and(|replay| replay.programs.contains_key(program))
+    }
+
     fn replay_from(&mut self, offset: ids::Offset) -> &mut Replay {
         let new = || Replay { next: offset.0, ..Replay::default() };
         let replay = self.replay.get_or_insert_with(new);
@@ -88,18 +112,27 @@
         self.replay.as_ref().is_some_and(|replay| replay.turns.contains(turn))
     }
 
-    /// Records that the records of `read` were read again, or are gone. Ends the replay if it has found
-    /// everything or has reached the records that were not applied yet.
-    pub fn advance_replay(&mut self, read: &ops::Range<u64>) {
+    /// Records that the records of `read` were read again, or are gone; returns the programs whose
+    /// records were all read. Ends the replay if it has found everything or has reached the records
+    /// that were not applied yet.
+    pub fn advance_replay(&mut self, read: &ops::Range<u64>) -> Vec<ids::ProgramId> {
         let applied = self.applied;
-        let Some(replay) = self.replay.as_mut() else { return };
+        let Some(replay) = self.replay.as_mut() else { return Vec::new() };
         // A read that began after the replay's next record was started before the newest request.
         if replay.next >= read.start {
             replay.next = replay.next.max(read.end);
         }
+        for next in replay.programs.values_mut().filter(|next| **next >= read.start) {
+            *next = read.end.max(*next);
+        }
+        let is_complete = |next: &u64| *next >= applied;
+        let complete = replay.programs.iter().filter(|(_, next)| is_complete(next));
+        let complete = complete.map(|(program, _)| program.clone()).collect();
+        replay.programs.retain(|_, next| !is_complete(next));
         if replay.is_done() || replay.next >= applied {
             self.replay = None;
         }
+        complete
     }
 
     /// Whether a read has to be started.
--- a/crates/flamingotrail-gateway/src/tables/programs.rs
+++ b/crates/flamingotrail-gateway/src/tables/programs.rs
@@ -11,6 +11,7 @@
 use crate::ids;
 use crate::journal;
 use crate::tables::calls;
+use crate::tables::log_index;
 
 /// An allowance may take the remaining budget divided by this number, unless its first turn needs
 /// more: a program's turns run on several gateways, each of which needs an allowance of its own.
@@ -41,6 +42,9 @@
 /// Budget of a program.
 #[derive(Debug, Default)]
 pub struct Program {
+    /// Whether the log has records of the program from before this row was created: its account holds
+    /// only once they were read again.
+    pub is_partial: bool,
     /// Tokens used by the allowances that are settled in the log.
     pub settled_tokens: u64,
     /// Sizes of the allowances that are open in the log.
@@ -231,6 +235,16 @@
         current.is_some_and(|allowance| !allowance.running.is_empty())
     }
 
+    /// Whether an allowance of this gateway has running turns.
+    pub fn has_running_turns(&self) -> bool {
+        self.allowances.values().any(|allowance| !allowance.running.is_empty())
+    }
+
+    /// Whether the log has allowances of this gateway that are not settled.
+    pub fn owes_settlement(&self) -> bool {
+        !self.allowances.is_empty() || !self.unsettled.is_empty()
+    }
+
     /// Moves the allowances that will have no further turns to the unsettled ones.
     fn close_idle(&mut self) {
         let (current, unsettled) = (self.current.as_ref(), &mut self.unsettled);
@@ -262,8 +276,16 @@
 
 impl Programs {
     /// Returns the row of `program` and marks it as used at `now`; creates it if it does not exist.
-    pub fn touch(&mut self, program: &ids::ProgramId, now: time::Timestamp) -> &mut Program {
-        let row = self.rows.entry(program.clone()).or_default();
+    pub fn touch(
+        &mut self,
+        program: &ids::ProgramId,
+        index: &log_index::LogIndex,
+        now: time::Timestamp,
+    ) -> &mut Program {
+        let row = self.rows.entry(program.clone()).or_insert_with(|| Program {
+            is_partial: index.program_offset(program, now).is_some(),
+            ..Program::default()
+        });
         row.last_used = now;
         row
     }
--- a/crates/flamingotrail-gateway/tests/decisions/main.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/main.rs
@@ -4,6 +4,7 @@
 mod calls;
 mod fixture;
 mod fleet;
+mod forgotten_programs;
 mod forgotten_turns;
 mod historyless;
 mod learning;
