Rewriting: records that are needed for longer than the log keeps them are written again

Callers would see 404 for each turn of a line that began more than 300 s ago, and a budget granted again, at a gateway that does not have all of it in memory.

Cause: the log drops a record a fixed time after it was stored, however long what it says is needed.

Change: the older turns of a chain are appended again when a turn that continues them ends, and the allowances of a program once a gateway has read its records, before the log drops them. Records name the time of day at which they were stored. An allowance takes no turns after a third of the spare time, so that its request is in the log until it is settled.

--- a/crates/flamingotrail-gateway/src/journal.rs
+++ b/crates/flamingotrail-gateway/src/journal.rs
@@ -1,5 +1,7 @@
 //! Records of the log. Every gateway applies the records of a partition in log order.
 
+use std::time;
+
 use bytes::Bytes;
 
 use crate::ids;
@@ -24,6 +26,15 @@
     pub tokens: u64,
 }
 
+/// An allowance that was granted and is not settled.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OpenAllowance {
+    /// Turn for which the allowance was requested; identifies the allowance.
+    pub turn: ids::TurnId,
+    /// Granted size in tokens.
+    pub tokens: u64,
+}
+
 /// A gateway's request for an allowance: a part of a program's budget that is reserved for the
 /// turns that this gateway runs.
 #[derive(Clone, Debug, PartialEq)]
@@ -40,6 +51,8 @@
     pub budget: u64,
     /// Closed allowances of the program; settled before the new allowance is granted.
     pub settled: Vec<SettledAllowance>,
+    /// Time since the record was stored, as far as known.
+    pub age: time::Duration,
 }
 
 /// A completed turn.
@@ -55,15 +68,22 @@
     pub input: Bytes,
     /// Data of the turn's events, each followed by a line feed.
     pub output: Bytes,
+    /// Time since the record was stored, as far as known.
+    pub age: time::Duration,
 }
 
-/// Settles closed allowances of a program.
+/// Settles closed allowances of a program, or carries along its allowances whose records the log will
+/// soon drop.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settle {
     /// Program that the allowances belong to.
     pub program: ids::ProgramId,
-    /// Allowances to settle.
+    /// Allowances to settle, or that are settled.
     pub settled: Vec<SettledAllowance>,
+    /// Allowances that were granted and are not settled.
+    pub open: Vec<OpenAllowance>,
+    /// Time since the record was stored, as far as known.
+    pub age: time::Duration,
 }
 
 /// Identifies a record; all copies of a record in the log have the same key.
@@ -84,7 +104,9 @@
             Record::Start(start) => Some(Key::Start(start.turn.clone())),
             Record::End(end) => Some(Key::End(end.turn.clone())),
             Record::Settle(settle) => {
-                settle.settled.first().map(|settled| Key::Settle(settled.turn.clone()))
+                let settled = settle.settled.iter().map(|settled| &settled.turn);
+                let mut turns = settled.chain(settle.open.iter().map(|open| &open.turn));
+                turns.next().cloned().map(Key::Settle)
             }
         }
     }
--- a/crates/flamingotrail-gateway/src/systems/budgets.rs
+++ b/crates/flamingotrail-gateway/src/systems/budgets.rs
@@ -102,6 +102,11 @@
     if settled.is_empty() {
         return;
     }
-    let record = journal::Record::Settle(journal::Settle { program: id.clone(), settled });
+    let record = journal::Record::Settle(journal::Settle {
+        program: id.clone(),
+        settled,
+        open: Vec::new(),
+        age: time::Duration::ZERO,
+    });
     relay::submit(world, tick, record);
 }
--- a/crates/flamingotrail-gateway/src/systems/completion.rs
+++ b/crates/flamingotrail-gateway/src/systems/completion.rs
@@ -12,6 +12,7 @@
 use crate::systems::measurements;
 use crate::systems::placement;
 use crate::systems::relay;
+use crate::systems::rewriting;
 use crate::tables::calls;
 use crate::tables::timers;
 use crate::world;
@@ -243,6 +244,7 @@
         endpoint: endpoint.clone(),
         input: call.arrival.body.clone(),
         output: joined(&call.streamed.output),
+        age: time::Duration::ZERO,
     };
     let detail = format_args!(
         "request={} program={} previous={} tokens={tokens}",
@@ -251,7 +253,11 @@
         history.previous.as_ref().map_or("none", |previous| previous.as_str()),
     );
     world.outputs.push(output::Output::Event(output::Event::new("turn_ended", detail)));
+    let previous = history.previous.clone();
     relay::submit(world, tick, journal::Record::End(end));
+    if let Some(previous) = previous {
+        rewriting::rewrite_old_turns(world, tick, &previous);
+    }
 }
 
 /// Joins the outputs of a stream's attempts, without a copy if there is only one.
--- a/crates/flamingotrail-gateway/src/systems/journal.rs
+++ b/crates/flamingotrail-gateway/src/systems/journal.rs
@@ -12,6 +12,7 @@
 use crate::systems::budgets;
 use crate::systems::log_io;
 use crate::systems::relay;
+use crate::systems::rewriting;
 use crate::systems::turns;
 use crate::tables;
 use crate::tables::calls;
@@ -308,8 +309,11 @@
 }
 
 fn apply_settle(world: &mut world::World, tick: &world::Tick, settle: &journal::Settle) {
+    let carry_at = rewriting::carry_at(world, tick, settle.age);
     let program = world.tables.touch_program(&settle.program, tick.now);
     settle.settled.iter().for_each(|settled| program.settle(settled));
+    settle.open.iter().for_each(|open| program.reopen(open));
+    program.carry_from(settle.settled.len() + settle.open.len(), carry_at);
 }
 
 /// Confirms a `Settle` record that is stored in the log.
@@ -320,11 +324,17 @@
 }
 
 fn apply_start(world: &mut world::World, tick: &world::Tick, start: &journal::Start) {
+    let carry_at = rewriting::carry_at(world, tick, start.age);
     let program = world.tables.touch_program(&start.program, tick.now);
     start.settled.iter().for_each(|settled| program.settle(settled));
+    let is_own = program.owns_allowance(&start.turn);
     let granted = program.grant(&start.turn, start.min_tokens, start.desired_tokens, start.budget);
+    program.carry_from(start.settled.len() + usize::from(granted.is_some()), carry_at);
     relay::confirm_record(world, tick, &journal::Key::Start(start.turn.clone()), granted);
     apply_allowance_decision(world, tick, start, granted);
+    if is_own {
+        rewriting::carry_allowances(world, tick, &start.program);
+    }
 }
 
 /// Applies the decision on one of this gateway's allowances: its size, or `None` if it was denied.
@@ -394,7 +404,8 @@
 /// Stores an ended turn that is in the log, and wakes the call that runs it.
 pub fn store_turn(world: &mut world::World, tick: &world::Tick, end: &journal::End) {
     let expires = tick.now.after(max_retention(world) + RETENTION_MARGIN);
-    world.tables.turns.insert(end, expires);
+    let rewrite_at = rewriting::rewrite_at(world, tick, end.age);
+    world.tables.turns.insert(end, expires, rewrite_at);
     if let Some(id) = world.tables.calls.by_turn.get(&end.turn) {
         world.tables.dirty.calls.insert(*id);
     }
--- a/crates/flamingotrail-gateway/src/systems/mod.rs
+++ b/crates/flamingotrail-gateway/src/systems/mod.rs
@@ -18,6 +18,7 @@
 pub mod placement;
 pub mod readiness;
 pub mod relay;
+pub mod rewriting;
 pub mod timers;
 pub mod turn_search;
 pub mod turns;
--- a/crates/flamingotrail-gateway/src/systems/relay.rs
+++ b/crates/flamingotrail-gateway/src/systems/relay.rs
@@ -11,6 +11,7 @@
 use crate::output;
 use crate::systems::budgets;
 use crate::systems::journal as journal_system;
+use crate::systems::rewriting;
 use crate::systems::turn_search;
 use crate::tables::calls;
 use crate::tables::partitions;
@@ -191,8 +192,8 @@
         }
     }
     // Without the oldest turns, the chain still tells that the turn exists.
-    let turn = tables.relay.peer_lookups.get(&ticket).map(|lookup| &lookup.turn);
-    let chain = turn.map(|turn| tables.turns.chain_records(turn)).unwrap_or_default();
+    let Some(lookup) = world.tables.relay.peer_lookups.get(&ticket) else { return };
+    let chain = rewriting::chain_records(world, tick, &lookup.turn);
     respond_to_lookup(world, ticket, input::LookupResponse { chain, is_authoritative: true });
 }
 
--- a/crates/flamingotrail-gateway/src/systems/turns.rs
+++ b/crates/flamingotrail-gateway/src/systems/turns.rs
@@ -1,6 +1,8 @@
 //! Advances turns: looks up the turns that they continue, reserves their part of the budget, and
 //! sends the end of a response once its turn is in the log.
 
+use std::time;
+
 use crate::ids;
 use crate::journal;
 use crate::output;
@@ -9,6 +11,7 @@
 use crate::systems::log_outage;
 use crate::systems::placement;
 use crate::systems::relay;
+use crate::systems::rewriting;
 use crate::systems::turn_search;
 use crate::tables;
 use crate::tables::calls;
@@ -104,8 +107,9 @@
     if !complete_budget(world, tick, id) {
         return;
     }
+    let is_log_unreachable = world.tables.partitions.is_unreachable;
+    let closes_at = rewriting::carry_at(world, tick, time::Duration::ZERO);
     let tables = &mut world.tables;
-    let is_log_unreachable = tables.partitions.is_unreachable;
     let Some(turn) = tables.calls.rows.get(&id).and_then(|call| call.turn.as_ref()) else { return };
     let (program, partition) = (turn.program.clone(), turn.partition);
     let is_account_known =
@@ -128,7 +132,7 @@
             if program.settled_tokens + turn.max_tokens > budget {
                 // What is settled is never returned, so the log would refuse it as well.
                 calls::Reservation::Denied
-            } else if let Some(decision) = program.reserve(request, turn.max_tokens) {
+            } else if let Some(decision) = program.reserve(request, turn.max_tokens, tick.now) {
                 decision
             } else {
                 let begins_program = turn.begins_program && turn.history.is_some();
@@ -137,13 +141,16 @@
                 let has_room = is_account_known && needed <= budget;
                 turn.waits_for_log = has_room && is_log_unreachable && !call.has_returned;
                 may_send = has_room && !turn.waits_for_log;
+                let desired_tokens =
+                    program.start_allowance(request, turn.max_tokens, budget, closes_at);
                 let start = journal::Start {
                     turn: request.clone(),
                     program: turn.program.clone(),
                     min_tokens: turn.max_tokens,
-                    desired_tokens: program.start_allowance(request, turn.max_tokens, budget),
+                    desired_tokens,
                     budget,
                     settled: program.unsettled_allowances(),
+                    age: time::Duration::ZERO,
                 };
                 new_start = Some(start);
                 calls::Reservation::Pending
@@ -160,8 +167,10 @@
         call.phase = calls::Phase::Reserving;
         tables.dirty.calls.insert(id);
     }
-    if let Some(start) = new_start {
-        relay::submit(world, tick, journal::Record::Start(start));
+    match new_start {
+        Some(start) => relay::submit(world, tick, journal::Record::Start(start)),
+        // A spent program that returns again and again is still one that has to be known.
+        None => rewriting::carry_allowances(world, tick, &program),
     }
 }
 
--- a/crates/flamingotrail-gateway/src/tables/log_index.rs
+++ b/crates/flamingotrail-gateway/src/tables/log_index.rs
@@ -14,7 +14,7 @@
 /// Minimum number of generations that cover the log's retention. Entries are removed a generation at a
 /// time.
 const GENERATIONS_PER_RETENTION: u32 = 4;
-/// Maximum number of entries; one takes about 24 bytes.
+/// Maximum number of entries; one takes about 33 bytes.
 const MAX_ENTRIES: usize = 1_000_000;
 
 /// Offsets by the hash of the id that a record belongs to. Ids with the same hash share an entry, so
--- a/crates/flamingotrail-gateway/src/tables/programs.rs
+++ b/crates/flamingotrail-gateway/src/tables/programs.rs
@@ -30,6 +30,9 @@
     pub used_tokens: u64,
     /// Running turns with their maximum numbers of tokens.
     pub running: collections::BTreeMap<ids::TurnId, u64>,
+    /// Time from which it takes no further turns, so that it is settled before the log drops the
+    /// request for it.
+    pub closes_at: time::Timestamp,
 }
 
 impl Allowance {
@@ -49,8 +52,12 @@
     pub settled_tokens: u64,
     /// Sizes of the allowances that are open in the log.
     pub open_allowances: collections::BTreeMap<ids::TurnId, u64>,
-    /// Allowances that are settled in the log; makes sure that each is counted once.
-    pub settled_allowances: collections::BTreeSet<ids::TurnId>,
+    /// Allowances that are settled in the log, with their used tokens; makes sure that each is counted
+    /// once.
+    pub settled_allowances: collections::BTreeMap<ids::TurnId, u64>,
+    /// Time from which the open and settled allowances have to be named by a new record, since the log
+    /// will drop the first of those that name them.
+    pub carry_at: Option<time::Timestamp>,
     /// This gateway's allowances, by the turn for which each was requested.
     pub allowances: collections::BTreeMap<ids::TurnId, Allowance>,
     /// Allowance that the next turn reserves its tokens from.
@@ -101,7 +108,7 @@
         if let Some(size) = self.open_allowances.get(id) {
             return Some(*size);
         }
-        if self.settled_allowances.contains(id) || !self.has_room(min_tokens, budget) {
+        if self.settled_allowances.contains_key(id) || !self.has_room(min_tokens, budget) {
             return None;
         }
         // Limits the size by the room in the log: the requesting gateway may not have known of the
@@ -116,16 +123,58 @@
     pub fn settle(&mut self, settled: &journal::SettledAllowance) {
         self.open_allowances.remove(&settled.turn);
         self.unsettled.remove(&settled.turn);
-        if self.settled_allowances.insert(settled.turn.clone()) {
+        if let collections::btree_map::Entry::Vacant(entry) =
+            self.settled_allowances.entry(settled.turn.clone())
+        {
+            entry.insert(settled.tokens);
             self.settled_tokens += settled.tokens;
         }
     }
 
+    /// Applies an open allowance that a record carries along.
+    pub fn reopen(&mut self, open: &journal::OpenAllowance) {
+        if !self.settled_allowances.contains_key(&open.turn) {
+            self.open_allowances.entry(open.turn.clone()).or_insert(open.tokens);
+        }
+    }
+
+    /// Records that `count` allowances are named by a record that need not be written again before
+    /// `at`.
+    pub fn carry_from(&mut self, count: usize, at: time::Timestamp) {
+        let is_all = count >= self.settled_allowances.len() + self.open_allowances.len();
+        self.carry_at =
+            Some(self.carry_at.map_or(at, |old| if is_all { old.max(at) } else { old.min(at) }));
+    }
+
+    /// Whether the allowances have to be named by a new record at `now`.
+    pub fn must_carry(&self, now: time::Timestamp) -> bool {
+        self.carry_at.is_some_and(|at| at <= now)
+    }
+
+    /// Returns the open allowances, as records name them.
+    pub fn open_records(&self) -> Vec<journal::OpenAllowance> {
+        let rows = self.open_allowances.iter();
+        rows.map(|(turn, tokens)| journal::OpenAllowance { turn: turn.clone(), tokens: *tokens })
+            .collect()
+    }
+
+    /// Returns the settled allowances, as records name them.
+    pub fn settled_records(&self) -> Vec<journal::SettledAllowance> {
+        let rows = self.settled_allowances.iter();
+        rows.map(|(turn, tokens)| journal::SettledAllowance { turn: turn.clone(), tokens: *tokens })
+            .collect()
+    }
+
     /// Reserves `tokens` of the current allowance for `turn`, and returns the log's decision on
     /// that allowance; `None` if the turn does not fit.
-    pub fn reserve(&mut self, turn: &ids::TurnId, tokens: u64) -> Option<calls::Reservation> {
+    pub fn reserve(
+        &mut self,
+        turn: &ids::TurnId,
+        tokens: u64,
+        now: time::Timestamp,
+    ) -> Option<calls::Reservation> {
         let allowance = self.allowances.get_mut(self.current.as_ref()?)?;
-        if !allowance.fits(tokens) {
+        if !allowance.fits(tokens) || allowance.closes_at <= now {
             return None;
         }
         allowance.running.insert(turn.clone(), tokens);
@@ -133,14 +182,21 @@
     }
 
     /// Starts a new current allowance for `turn`, and returns the size to request in the log.
-    pub fn start_allowance(&mut self, turn: &ids::TurnId, tokens: u64, budget: u64) -> u64 {
+    pub fn start_allowance(
+        &mut self,
+        turn: &ids::TurnId,
+        tokens: u64,
+        budget: u64,
+        closes_at: time::Timestamp,
+    ) -> u64 {
         self.close_current();
         let room = budget.saturating_sub(self.projected_tokens());
         let size =
             (room / ROOM_DIVISOR).min(tokens.saturating_mul(MAX_ALLOWANCE_TURNS)).max(tokens);
         let running = collections::BTreeMap::from([(turn.clone(), tokens)]);
         let state = calls::Reservation::Pending;
-        self.allowances.insert(turn.clone(), Allowance { size, state, used_tokens: 0, running });
+        let allowance = Allowance { size, state, used_tokens: 0, running, closes_at };
+        self.allowances.insert(turn.clone(), allowance);
         self.current = Some(turn.clone());
         size
     }
--- a/crates/flamingotrail-gateway/src/tables/turns.rs
+++ b/crates/flamingotrail-gateway/src/tables/turns.rs
@@ -2,6 +2,8 @@
 //! continue.
 
 use std::collections;
+use std::iter;
+use std::time as std_time;
 
 use bytes::Bytes;
 use flamingotrail_core::time;
@@ -22,6 +24,22 @@
     pub output: Bytes,
     /// Time until which the turn is kept.
     pub expires: time::Timestamp,
+    /// Time from which the turn's record has to be written again if the turn is continued.
+    pub rewrite_at: time::Timestamp,
+}
+
+impl Turn {
+    /// Returns the record of the turn, as new.
+    pub fn to_record(&self, id: &ids::TurnId) -> journal::End {
+        journal::End {
+            turn: id.clone(),
+            previous: self.previous.clone(),
+            endpoint: self.endpoint.clone(),
+            input: self.input.clone(),
+            output: self.output.clone(),
+            age: std_time::Duration::ZERO,
+        }
+    }
 }
 
 /// Table of completed turns.
@@ -48,10 +66,16 @@
 impl Turns {
     /// Stores a completed turn; it and the turns that it continues are kept at least until
     /// `expires`.
-    pub fn insert(&mut self, end: &journal::End, expires: time::Timestamp) {
+    pub fn insert(
+        &mut self,
+        end: &journal::End,
+        expires: time::Timestamp,
+        rewrite_at: time::Timestamp,
+    ) {
         self.extend_expiry(end.previous.as_ref(), expires);
         if let Some(row) = self.rows.get_mut(&end.turn) {
             row.expires = row.expires.max(expires);
+            row.rewrite_at = row.rewrite_at.max(rewrite_at);
             return;
         }
         self.bytes += end.input.len() + end.output.len();
@@ -61,6 +85,7 @@
             input: end.input.clone(),
             output: end.output.clone(),
             expires,
+            rewrite_at,
         };
         self.rows.insert(end.turn.clone(), row);
     }
@@ -96,24 +121,33 @@
         Ok(texts)
     }
 
-    /// Returns the stored records of the chain that ends with `turn`, the newest first.
-    pub fn chain_records(&self, turn: &ids::TurnId) -> Vec<journal::End> {
-        let mut ends: Vec<journal::End> = Vec::new();
-        let mut next = Some(turn.clone());
-        while let Some((id, row)) = next.and_then(|id| self.rows.get_key_value(&id)) {
-            if ends.len() == MAX_CHAIN_LENGTH {
-                break;
+    /// Returns the stored turns of the chain that ends with `turn`, the newest first.
+    pub fn stored_chain<'a>(
+        &'a self,
+        turn: &ids::TurnId,
+    ) -> impl Iterator<Item = (&'a ids::TurnId, &'a Turn)> {
+        let first = self.rows.get_key_value(turn);
+        iter::successors(first, |(_, row)| self.rows.get_key_value(row.previous.as_ref()?))
+            .take(MAX_CHAIN_LENGTH)
+    }
+
+    /// Returns the turns of the chain that ends with `turn` whose records have to be written again at
+    /// `now`; they count as written until `rewrite_at`.
+    pub fn take_old_records(
+        &mut self,
+        turn: &ids::TurnId,
+        now: time::Timestamp,
+        rewrite_at: time::Timestamp,
+    ) -> Vec<journal::End> {
+        let chain = self.stored_chain(turn);
+        let old = chain.filter(|(_, row)| row.rewrite_at <= now);
+        let records: Vec<journal::End> = old.map(|(id, row)| row.to_record(id)).collect();
+        for record in &records {
+            if let Some(row) = self.rows.get_mut(&record.turn) {
+                row.rewrite_at = rewrite_at;
             }
-            next = row.previous.clone();
-            ends.push(journal::End {
-                turn: id.clone(),
-                previous: row.previous.clone(),
-                endpoint: row.endpoint.clone(),
-                input: row.input.clone(),
-                output: row.output.clone(),
-            });
         }
-        ends
+        records
     }
 
     /// Removes the turns that have expired by `now`.
--- a/crates/flamingotrail-gateway/tests/decisions/fixture.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/fixture.rs
@@ -31,6 +31,10 @@
     pub stores_on_error: bool,
     /// Offsets of the oldest records that were not dropped, where some were.
     pub first: collections::BTreeMap<ids::Partition, u64>,
+    /// Current time; records that are older than the log's retention are dropped.
+    pub now: core_time::Timestamp,
+    /// When each record was stored.
+    pub stored_at: collections::BTreeMap<(ids::Partition, u64), core_time::Timestamp>,
     /// Maximum number of records of a read; `None` returns all.
     pub max_page_records: Option<usize>,
     pub appends: usize,
@@ -206,6 +210,7 @@
         endpoint: ids::EndpointId::new("engine-1"),
         input: Bytes::from(format!("input of {turn};")),
         output: Bytes::from("word\n"),
+        age: time::Duration::ZERO,
     })
 }
 
@@ -351,6 +356,7 @@
 
     /// Lets `log` execute all pending calls and those that result from them.
     pub fn complete_log_calls(&mut self, log: &mut MemoryLog) {
+        log.now = log.now.max(self.now);
         while !self.pending_log_calls.is_empty() {
             let calls = std::mem::take(&mut self.pending_log_calls);
             let inputs = calls.into_iter().map(|output| log.execute(output)).collect();
@@ -384,6 +390,16 @@
     }
 }
 
+fn with_age(record: &journal::Record, new_age: time::Duration) -> journal::Record {
+    let mut record = record.clone();
+    match &mut record {
+        journal::Record::Start(journal::Start { age, .. })
+        | journal::Record::End(journal::End { age, .. })
+        | journal::Record::Settle(journal::Settle { age, .. }) => *age = new_age,
+    }
+    record
+}
+
 impl MemoryLog {
     /// Adds a record.
     pub fn push(&mut self, record: journal::Record) {
@@ -403,6 +419,9 @@
                 self.appends += 1;
                 let row = self.records.entry(partition).or_default();
                 let offset = ids::Offset(row.len() as u64);
+                for (offset, _) in (offset.0..).zip(&records) {
+                    self.stored_at.insert((partition, offset), self.now);
+                }
                 if self.error.is_none() || self.stores_on_error {
                     row.extend(records);
                 }
@@ -412,10 +431,15 @@
             output::Output::Read { partition, from } => {
                 self.reads += 1;
                 let row = self.records.entry(partition).or_default();
-                let first = self.first.get(&partition).copied().unwrap_or(0);
+                let ages: Vec<time::Duration> = (0..row.len() as u64)
+                    .map(|offset| self.stored_at.get(&(partition, offset)))
+                    .map(|at| at.map_or(time::Duration::ZERO, |at| self.now.since(*at)))
+                    .collect();
+                let dropped = ages.iter().take_while(|age| **age > LOG_RETENTION).count() as u64;
+                let first = self.first.get(&partition).copied().unwrap_or(0).max(dropped);
                 let count = self.max_page_records.unwrap_or(usize::MAX);
-                let records =
-                    row.iter().skip(from.0 as usize).take(count).cloned().map(Some).collect();
+                let records = row.iter().zip(ages).skip(from.0 as usize).take(count);
+                let records = records.map(|(record, age)| Some(with_age(record, age))).collect();
                 let page = input::Page { from, end: ids::Offset(row.len() as u64), records };
                 let expired =
                     (from.0 < first).then_some(input::LogError::Expired(ids::Offset(first)));
--- a/crates/flamingotrail-gateway/tests/decisions/forgotten_programs.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/forgotten_programs.rs
@@ -98,6 +98,7 @@
         desired_tokens: TURN_TOKENS,
         budget,
         settled: Vec::new(),
+        age: time::Duration::ZERO,
     }));
 
     first.tick(vec![input::Input::RelayRequested { ticket: 1, record }]);
@@ -182,6 +183,60 @@
     assert!(log.reads - reads_before <= 3, "{}", log.reads - reads_before);
 }
 
+/// Runs a turn at `gateway` every 50 s for twice the log's retention; returns the number of turns.
+fn run_beyond_log_retention(
+    gateway: &mut fixture::Gateway,
+    budget: u64,
+    log: &mut fixture::MemoryLog,
+) -> u64 {
+    let interval = time::Duration::from_secs(50);
+    let count = 2 * fixture::LOG_RETENTION.as_secs() / interval.as_secs();
+    for call in 0..count {
+        gateway.run_turn(full_turn(call, "p", budget), FULL_TURN_EVENTS, log);
+        gateway.advance(interval, log);
+    }
+    count
+}
+
+// Guards against a budget that is granted again once the log has dropped the program's first records.
+#[test]
+fn budget_outlives_the_records_that_it_was_spent_by() {
+    let mut log = fixture::MemoryLog::default();
+    let mut first = fixture::Gateway::new("one");
+    let budget = 14 * TURN_TOKENS;
+    let turns = run_beyond_log_retention(&mut first, budget, &mut log);
+    let mut second = fixture::Gateway::new("two");
+    second.now = first.now;
+
+    for call in turns..turns + 4 {
+        second.receive(full_turn(call, "p", budget));
+        second.complete_log_calls(&mut log);
+        if second.refusal_reason(call).is_none() {
+            second.end_attempt(call, fixture::stream_outcome(FULL_TURN_EVENTS));
+            second.complete_log_calls(&mut log);
+        }
+    }
+
+    assert_eq!(first.finished.len() + second.finished.len(), 14);
+    assert_eq!(second.refusal_reason(turns + 3), Some(output::Reason::BudgetSpent));
+}
+
+// Guards against allowances that are carried along by records that don't need to.
+#[test]
+fn young_program_carries_no_allowances_along() {
+    let mut log = fixture::MemoryLog::default();
+    let mut gateway = fixture::Gateway::new("one");
+    for call in 0..20 {
+        gateway.run_turn(full_turn(call, "p", 80_000), FULL_TURN_EVENTS, &mut log);
+        gateway.advance(time::Duration::from_secs(2), &mut log);
+    }
+
+    let records = log.records.values().flatten();
+    let settles = records.filter(|record| matches!(record, journal::Record::Settle(_)));
+
+    assert_eq!(settles.count(), 0, "requests for allowances settle those before them");
+}
+
 /// A step of a random run: a turn of a program at one of the gateways.
 #[derive(Clone, Debug)]
 struct Step {
@@ -202,28 +257,32 @@
         pause_s: if pause_s < 40 { pause_s / 8 } else { 30 + pause_s },
         restarts: restart == 0,
     });
-    proptest::collection::vec(step, 1..60)
+    proptest::collection::vec(step, 1..120)
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig::with_cases(64))]
+    #![proptest_config(ProptestConfig::with_cases(256))]
 
     /// However turns are spread over gateways that forget, restart and read in small pages, no program
     /// gets more than its budget, and none is refused while its budget has room for a turn beside
     /// an allowance of each gateway.
     #[test]
     fn budgets_hold_at_gateways_that_forget(steps in steps(), page in 1_usize..9) {
+        const RETENTION_S: u64 = 60;
         const BUDGET: u64 = 6 * TURN_TOKENS;
         let mut log = fixture::MemoryLog { max_page_records: Some(page), ..Default::default() };
         let names = ["one", "two", "three"];
         let mut gateways = names.map(fixture::Gateway::new);
         let mut used = [0_u64; 2];
         let mut restarts = 0;
-        let mut left_s = fixture::LOG_RETENTION.as_secs();
+        let mut last_turn_s = [0_u64; 2];
+        let mut now_s = 0;
 
         for (call, step) in (0..).zip(&steps) {
-            let pause_s = step.pause_s.min(left_s);
-            left_s -= pause_s;
+            // A program returns within its retention.
+            let returns_by_s = last_turn_s.iter().min().expect("two") + RETENTION_S;
+            let pause_s = step.pause_s.min(returns_by_s.saturating_sub(now_s));
+            now_s += pause_s;
             for gateway in &mut gateways {
                 gateway.advance(time::Duration::from_secs(pause_s), &mut log);
             }
@@ -234,6 +293,7 @@
                 gateway.now = now;
                 restarts += 1;
             }
+            last_turn_s[usize::try_from(step.program).expect("small")] = now_s;
             let spent = &mut used[usize::try_from(step.program).expect("small")];
             gateway.receive(full_turn(call, &format!("p{}", step.program), BUDGET));
             gateway.complete_log_calls(&mut log);
--- a/crates/flamingotrail-gateway/tests/decisions/forgotten_turns.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/forgotten_turns.rs
@@ -6,6 +6,7 @@
 use crate::fixture;
 use flamingotrail_gateway::ids;
 use flamingotrail_gateway::input;
+use flamingotrail_gateway::journal;
 use flamingotrail_gateway::output;
 
 const BUDGET: u64 = 8_000;
@@ -176,6 +177,54 @@
     assert_eq!(gateway.lookup_responses.first().map(|response| response.chain.len()), Some(1));
 }
 
+// Guards against chains that lose their first turns once the log has dropped those records.
+#[test]
+fn chain_outlives_the_records_of_its_first_turns() {
+    let mut log = fixture::MemoryLog::default();
+    let mut first = fixture::Gateway::new("one");
+    let interval = time::Duration::from_secs(50);
+    let turns = 3 * fixture::LOG_RETENTION.as_secs() / interval.as_secs();
+    let mut previous = None;
+    for call in 0..turns {
+        let id = format!("t{call}");
+        let request = fixture::turn_request(call, &id, "p", previous.as_deref(), 80_000);
+        first.run_turn(request, 1, &mut log);
+        first.advance(interval, &mut log);
+        previous = Some(id);
+    }
+    let mut second = fixture::Gateway::new("two");
+    second.now = first.now;
+
+    second.receive(fixture::turn_request(1, "next", "p", previous.as_deref(), 80_000));
+    second.complete_log_calls(&mut log);
+
+    let body = String::from_utf8(second.sent_body(1)).expect("text");
+    assert!(body.starts_with("input of t0;word\ninput of t1;word\n"), "{body}");
+    let ends = log.records.values().flatten();
+    let ends = ends.filter(|record| matches!(record, journal::Record::End(_))).count();
+    // A record is written again after 117 s at the earliest: the chain of 18 turns grows over 900 s.
+    assert!(ends <= 18 + 18 * 8 / 2, "{ends} records for {turns} turns");
+}
+
+// Guards against rewriting the records of programs that end long before the log drops them.
+#[test]
+fn young_chain_is_written_once() {
+    let mut log = fixture::MemoryLog::default();
+    let mut gateway = fixture::Gateway::new("one");
+    let mut previous = None;
+    for call in 0..20 {
+        let id = format!("t{call}");
+        let request = fixture::turn_request(call, &id, "p", previous.as_deref(), 80_000);
+        gateway.run_turn(request, 1, &mut log);
+        gateway.advance(time::Duration::from_secs(5), &mut log);
+        previous = Some(id);
+    }
+
+    let ends = log.records.values().flatten();
+    let ends = ends.filter(|record| matches!(record, journal::Record::End(_)));
+    assert_eq!(ends.count(), 20);
+}
+
 // Guards against a limit of turns that is compared with a number of texts: the 2,050th turn of a line
 // was called unknown.
 #[test]
--- a/crates/flamingotrail-runtime/src/gateway/peers.rs
+++ b/crates/flamingotrail-runtime/src/gateway/peers.rs
@@ -121,7 +121,7 @@
             return (self.receive_notices(&incoming.body), Bytes::new());
         }
         let input = if incoming.request.method() == Method::POST && path == RECORDS_PATH {
-            match wire::decode_record(&incoming.body) {
+            match wire::decode_record(&incoming.body, wire::UnixTime::now()) {
                 Ok(record) => input::Input::RelayRequested { ticket, record: Box::new(record) },
                 Err(error) => {
                     log::warn!("event=relayed_record_invalid error={:?}", error.to_string());
@@ -203,7 +203,7 @@
 
     /// Responds to another gateway's lookup of a turn.
     pub fn respond_to_lookup(&self, ticket: u64, response: &input::LookupResponse) {
-        self.respond(ticket, wire::encode_lookup_response(response));
+        self.respond(ticket, wire::encode_lookup_response(response, wire::UnixTime::now()));
     }
 
     fn respond<E: std::fmt::Display>(&self, ticket: u64, response: Result<Vec<u8>, E>) {
@@ -225,7 +225,7 @@
         let Some(key) = record.key() else { return };
         let peers = self.clone();
         actix_rt::spawn(async move {
-            let response = match wire::encode_record(&record) {
+            let response = match wire::encode_record(&record, wire::UnixTime::now()) {
                 Ok(body) => {
                     let bytes =
                         peers.request(&peer, &address, "POST", RECORDS_PATH, body.into()).await;
@@ -272,7 +272,9 @@
         actix_rt::spawn(async move {
             let path = format!("{TURNS_PATH_PREFIX}{turn}");
             let bytes = peers.request(&peer, &address, "GET", &path, Bytes::new()).await;
-            let response = bytes.and_then(|bytes| ok_or_log(wire::decode_lookup_response(&bytes)));
+            let response = bytes.and_then(|bytes| {
+                ok_or_log(wire::decode_lookup_response(&bytes, wire::UnixTime::now()))
+            });
             peers.inputs.send(input::Input::LookupFinished { call, peer, response });
         });
     }
--- a/crates/flamingotrail-wire/src/gateway.rs
+++ b/crates/flamingotrail-wire/src/gateway.rs
@@ -24,6 +24,7 @@
         budget: u64,
         #[serde(default, skip_serializing_if = "Vec::is_empty")]
         settled: Vec<WireSettled>,
+        at_ms: Option<u64>,
     },
     End {
         turn: String,
@@ -33,31 +34,20 @@
         input: Vec<u8>,
         #[serde(with = "serde_bytes")]
         output: Vec<u8>,
+        at_ms: Option<u64>,
     },
     Settle {
         program: String,
         settled: Vec<WireSettled>,
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        open: Vec<WireOpen>,
+        at_ms: Option<u64>,
     },
 }
 
-/// The turn that identifies a closed allowance, and the tokens that the allowance used.
-#[derive(Debug, Deserialize, Serialize)]
-struct WireSettled(String, u64);
-
-impl From<&journal::SettledAllowance> for WireSettled {
-    fn from(settled: &journal::SettledAllowance) -> Self {
-        WireSettled(settled.turn.to_string(), settled.tokens)
-    }
-}
-
-impl From<WireSettled> for journal::SettledAllowance {
-    fn from(WireSettled(turn, tokens): WireSettled) -> Self {
-        journal::SettledAllowance { turn: ids::TurnId::new(&turn), tokens }
-    }
-}
-
-impl From<&journal::Record> for WireRecord {
-    fn from(record: &journal::Record) -> Self {
+impl WireRecord {
+    /// Returns the wire type of `record`, which is encoded at `now`.
+    fn new(record: &journal::Record, now: UnixTime) -> Self {
         match record {
             journal::Record::Start(start) => WireRecord::Start {
                 turn: start.turn.to_string(),
@@ -66,6 +56,7 @@
                 wanted: start.desired_tokens,
                 budget: start.budget,
                 settled: start.settled.iter().map(WireSettled::from).collect(),
+                at_ms: Some(now.before(start.age).0),
             },
             journal::Record::End(end) => WireRecord::End {
                 turn: end.turn.to_string(),
@@ -73,19 +64,21 @@
                 endpoint: end.endpoint.to_string(),
                 input: end.input.to_vec(),
                 output: end.output.to_vec(),
+                at_ms: Some(now.before(end.age).0),
             },
             journal::Record::Settle(settle) => WireRecord::Settle {
                 program: settle.program.to_string(),
                 settled: settle.settled.iter().map(WireSettled::from).collect(),
+                open: settle.open.iter().map(WireOpen::from).collect(),
+                at_ms: Some(now.before(settle.age).0),
             },
         }
     }
-}
 
-impl From<WireRecord> for journal::Record {
-    fn from(record: WireRecord) -> Self {
-        match record {
-            WireRecord::Start { turn, program, least, wanted, budget, settled } => {
+    /// Returns the record, which is decoded at `now`.
+    fn into_record(self, now: UnixTime) -> journal::Record {
+        match self {
+            WireRecord::Start { turn, program, least, wanted, budget, settled, at_ms } => {
                 journal::Record::Start(journal::Start {
                     turn: ids::TurnId::new(&turn),
                     program: ids::ProgramId::new(&program),
@@ -93,32 +86,102 @@
                     desired_tokens: wanted,
                     budget,
                     settled: settled.into_iter().map(journal::SettledAllowance::from).collect(),
+                    age: now.age_of(at_ms),
                 })
             }
-            WireRecord::End { turn, previous, endpoint, input, output } => {
+            WireRecord::End { turn, previous, endpoint, input, output, at_ms } => {
                 journal::Record::End(journal::End {
                     turn: ids::TurnId::new(&turn),
                     previous: previous.as_deref().map(ids::TurnId::new),
                     endpoint: ids::EndpointId::new(&endpoint),
                     input: input.into(),
                     output: output.into(),
+                    age: now.age_of(at_ms),
+                })
+            }
+            WireRecord::Settle { program, settled, open, at_ms } => {
+                journal::Record::Settle(journal::Settle {
+                    program: ids::ProgramId::new(&program),
+                    settled: settled.into_iter().map(journal::SettledAllowance::from).collect(),
+                    open: open.into_iter().map(journal::OpenAllowance::from).collect(),
+                    age: now.age_of(at_ms),
                 })
             }
-            WireRecord::Settle { program, settled } => journal::Record::Settle(journal::Settle {
-                program: ids::ProgramId::new(&program),
-                settled: settled.into_iter().map(journal::SettledAllowance::from).collect(),
-            }),
         }
     }
 }
 
-/// Encodes a record of the log.
+/// Time of day in milliseconds since the Unix epoch. Clocks of gateways differ by seconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UnixTime(pub u64);
+
+impl UnixTime {
+    /// Returns the time of day.
+    pub fn now() -> Self {
+        let since_epoch = time::UNIX_EPOCH.elapsed().unwrap_or(time::Duration::ZERO);
+        UnixTime(0).after(since_epoch)
+    }
+
+    fn after(self, duration: time::Duration) -> Self {
+        let ms = u64::try_from(duration.as_millis()).unwrap_or(u64::MAX);
+        UnixTime(self.0.saturating_add(ms))
+    }
+
+    fn before(self, duration: time::Duration) -> Self {
+        let ms = u64::try_from(duration.as_millis()).unwrap_or(u64::MAX);
+        UnixTime(self.0.saturating_sub(ms))
+    }
+
+    /// Returns the time since `at_ms`. A record without a time was written by an older version, and may
+    /// be as old as the log keeps records.
+    fn age_of(self, at_ms: Option<u64>) -> time::Duration {
+        let at_ms = at_ms.unwrap_or(0);
+        time::Duration::from_millis(self.0.saturating_sub(at_ms))
+    }
+}
+
+/// The turn that identifies an open allowance, and its size.
+#[derive(Debug, Deserialize, Serialize)]
+struct WireOpen(String, u64);
+
+impl From<&journal::OpenAllowance> for WireOpen {
+    fn from(open: &journal::OpenAllowance) -> Self {
+        WireOpen(open.turn.to_string(), open.tokens)
+    }
+}
+
+impl From<WireOpen> for journal::OpenAllowance {
+    fn from(WireOpen(turn, tokens): WireOpen) -> Self {
+        journal::OpenAllowance { turn: ids::TurnId::new(&turn), tokens }
+    }
+}
+
+/// The turn that identifies a closed allowance, and the tokens that the allowance used.
+#[derive(Debug, Deserialize, Serialize)]
+struct WireSettled(String, u64);
+
+impl From<&journal::SettledAllowance> for WireSettled {
+    fn from(settled: &journal::SettledAllowance) -> Self {
+        WireSettled(settled.turn.to_string(), settled.tokens)
+    }
+}
+
+impl From<WireSettled> for journal::SettledAllowance {
+    fn from(WireSettled(turn, tokens): WireSettled) -> Self {
+        journal::SettledAllowance { turn: ids::TurnId::new(&turn), tokens }
+    }
+}
+
+/// Encodes a record of the log, with the time of day at which it was stored.
 ///
 /// # Errors
 ///
 /// Returns an error if serialization fails.
-pub fn encode_record(record: &journal::Record) -> Result<Vec<u8>, rmp_serde::encode::Error> {
-    rmp_serde::to_vec_named(&WireRecord::from(record))
+pub fn encode_record(
+    record: &journal::Record,
+    now: UnixTime,
+) -> Result<Vec<u8>, rmp_serde::encode::Error> {
+    rmp_serde::to_vec_named(&WireRecord::new(record, now))
 }
 
 /// Decodes a record of the log.
@@ -127,8 +190,11 @@
 ///
 /// Returns an error if the bytes are not an encoded record, or if this version does not know its
 /// kind.
-pub fn decode_record(bytes: &[u8]) -> Result<journal::Record, rmp_serde::decode::Error> {
-    rmp_serde::from_slice::<WireRecord>(bytes).map(journal::Record::from)
+pub fn decode_record(
+    bytes: &[u8],
+    now: UnixTime,
+) -> Result<journal::Record, rmp_serde::decode::Error> {
+    rmp_serde::from_slice::<WireRecord>(bytes).map(|record| record.into_record(now))
 }
 
 /// A gateway's response to a request to append another gateway's record.
@@ -175,9 +241,10 @@
 /// Returns an error if serialization fails.
 pub fn encode_lookup_response(
     response: &input::LookupResponse,
+    now: UnixTime,
 ) -> Result<Vec<u8>, rmp_serde::encode::Error> {
     let records = response.chain.iter().map(|end| journal::Record::End(end.clone()));
-    let chain = records.map(|record| WireRecord::from(&record)).collect();
+    let chain = records.map(|record| WireRecord::new(&record, now)).collect();
     rmp_serde::to_vec_named(&WireLookupResponse { chain, sure: response.is_authoritative })
 }
 
@@ -189,11 +256,12 @@
 /// Returns an error if the bytes are not an encoded response.
 pub fn decode_lookup_response(
     bytes: &[u8],
+    now: UnixTime,
 ) -> Result<input::LookupResponse, rmp_serde::decode::Error> {
     let WireLookupResponse { chain, sure } = rmp_serde::from_slice(bytes)?;
     let chain = chain
         .into_iter()
-        .filter_map(|record| match journal::Record::from(record) {
+        .filter_map(|record| match record.into_record(now) {
             journal::Record::End(end) => Some(end),
             _ => None,
         })
