List of endpoints: odd keys name no endpoint, and end no reading

Operators elsewhere report processes that ended, or stopped following the list, after another writer had left an odd entry in it.

Cause here: not the entries' values. Deep nesting, numbers out of range and ports out of range were rejected one by one already (odd_entries..., which passes without the change). But a key was used as it came: with a space or a line break it became an endpoint, whose id is sent as a header; and the request for the next page of a list of over 500 entries named it unencoded, so that a gateway that started was never ready.

Evidence: odd_keys_of_the_list_name_no_endpoint and long_list_with_odd_keys_is_read_to_its_end, with gateway processes; both red without the change.

--- a/crates/flamingotrail-runtime/src/gateway/watch.rs
+++ b/crates/flamingotrail-runtime/src/gateway/watch.rs
@@ -61,7 +61,13 @@
     key: &str,
     value: &Bytes,
 ) {
-    let id = ids::EndpointId::new(key);
+    let id = match registry::decode_id(key) {
+        Ok(id) => id,
+        Err(error) => {
+            log::debug!("event=endpoint_entry_invalid error={:?}", error.to_string());
+            return;
+        }
+    };
     if value.is_empty() {
         entries.remove(&id);
         return;
--- a/crates/flamingotrail-standins/src/fleet/runner.rs
+++ b/crates/flamingotrail-standins/src/fleet/runner.rs
@@ -34,8 +34,13 @@
     /// Number of events after which a model runner breaks its next stream off, in the middle of the
     /// event that follows.
     break_after: Option<usize>,
+    /// Responds in place of the runner, if set.
+    responder: Option<Responder>,
 }
 
+/// Responds to a request; the second argument counts the requests so far.
+type Responder = sync::Arc<dyn Fn(&server::Request, usize) -> server::Response + Send + Sync>;
+
 /// Where a response never ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Endless {
@@ -107,6 +112,9 @@
         let runner = self.clone();
         server::serve(move |request| {
             runner.lock().requests.push(request.clone());
+            if let Some(response) = runner.respond_instead(request) {
+                return response;
+            }
             let id = request.header("request-id").unwrap_or_default();
             let endless = runner.lock().endless;
             if let Some(endless) = endless {
@@ -167,6 +175,9 @@
             state.requests.push(request.clone());
             (state.delay, state.drop_responses, state.duplicate_responses)
         };
+        if let Some(response) = self.respond_instead(request) {
+            return response;
+        }
         thread::sleep(delay);
         if drop_responses {
             return server::Response::Close;
@@ -194,7 +205,7 @@
             return server::Response::Close;
         };
         if self.lock().late_copies {
-            return server::Response::LateCopy(bytes);
+            return server::Response::Late(bytes.clone(), bytes);
         }
         if duplicate_responses {
             // A gateway that reuses the connection without a check takes the copy as the response
@@ -204,6 +215,22 @@
         server::Response::Bytes(bytes)
     }
 
+    /// Makes the runner respond with `responder`, which also gets the number of requests so far.
+    pub fn respond_with(
+        &self,
+        responder: impl Fn(&server::Request, usize) -> server::Response + Send + Sync + 'static,
+    ) {
+        self.lock().responder = Some(sync::Arc::new(responder));
+    }
+
+    fn respond_instead(&self, request: &server::Request) -> Option<server::Response> {
+        let (responder, count) = {
+            let state = self.lock();
+            (state.responder.clone()?, state.requests.len())
+        };
+        Some(responder(request, count))
+    }
+
     /// Sets whether a plain runner sends each response twice.
     pub fn set_duplicate_responses(&self, enabled: bool) {
         self.lock().duplicate_responses = enabled;
--- a/crates/flamingotrail-standins/src/fleet/server.rs
+++ b/crates/flamingotrail-standins/src/fleet/server.rs
@@ -51,9 +51,9 @@
 pub enum Response {
     /// Writes the bytes and keeps the connection open.
     Bytes(Vec<u8>),
-    /// Writes the bytes and keeps the connection open. Writes them again before the next response on
-    /// the connection.
-    LateCopy(Vec<u8>),
+    /// Writes the first bytes and keeps the connection open. Writes the second ones before the next
+    /// response on the connection.
+    Late(Vec<u8>, Vec<u8>),
     /// Writes the chunks with a delay before each and keeps the connection open.
     DelayedChunks(Vec<Vec<u8>>, time::Duration),
     /// Writes the first bytes, then the second ones again and again until the peer closes the
@@ -61,6 +61,8 @@
     Endless(Vec<u8>, Vec<u8>),
     /// Writes the bytes and closes the connection.
     Truncated(Vec<u8>),
+    /// Writes the bytes and resets the connection.
+    Reset(Vec<u8>),
     /// Closes the connection without a response.
     Close,
 }
@@ -101,18 +103,18 @@
 fn serve_connection(stream: net::TcpStream, handler: &dyn Fn(&Request) -> Response) {
     let Ok(mut out) = stream.try_clone() else { return };
     let mut reader = io::BufReader::new(stream);
-    let mut late_copy = Vec::new();
+    let mut late = Vec::new();
     while let Ok(Some(request)) = read_request(&mut reader) {
         let response = handler(&request);
-        if out.write_all(&std::mem::take(&mut late_copy)).is_err() {
+        if out.write_all(&std::mem::take(&mut late)).is_err() {
             return;
         }
         match response {
-            Response::LateCopy(bytes) => {
+            Response::Late(bytes, next) => {
                 if out.write_all(&bytes).is_err() {
                     return;
                 }
-                late_copy = bytes;
+                late = next;
             }
             Response::Bytes(bytes) => {
                 if out.write_all(&bytes).is_err() {
@@ -138,11 +140,25 @@
                 }
                 return;
             }
+            Response::Reset(bytes) => {
+                reset_after(&mut out, &bytes);
+                return;
+            }
             Response::Close => return,
         }
     }
 }
 
+fn reset_after(out: &mut net::TcpStream, bytes: &[u8]) {
+    let written = out.write_all(bytes);
+    // Lets the peer read the bytes, which a reset would drop.
+    thread::sleep(time::Duration::from_millis(100));
+    let no_wait = Some(time::Duration::ZERO);
+    if written.is_err() || rustix::net::sockopt::set_socket_linger(&*out, no_wait).is_err() {
+        eprintln!("event=connection_not_reset");
+    }
+}
+
 fn write_endlessly(out: &mut net::TcpStream, start: &[u8], repeated: &[u8]) {
     const BLOCK_BYTES: usize = 64 * 1024;
     let block = repeated.repeat(BLOCK_BYTES.div_ceil(repeated.len().max(1)));
@@ -163,6 +179,9 @@
     }
     let mut words = line.split_whitespace();
     let (Some(method), Some(target)) = (words.next(), words.next()) else { return Ok(None) };
+    if !words.next().is_some_and(|version| version.starts_with("HTTP/1.")) {
+        return Ok(None);
+    }
     let mut request = Request {
         method: method.to_owned(),
         target: target.to_owned(),
--- a/crates/flamingotrail-standins/src/fleet/store.rs
+++ b/crates/flamingotrail-standins/src/fleet/store.rs
@@ -17,6 +17,9 @@
 /// Time between two checks for a new record.
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(5);
 
+/// Maximum number of keys in a page of the newest records.
+const PAGE_ITEMS: usize = 500;
+
 #[derive(Default)]
 struct State {
     /// Records by topic and partition.
@@ -95,7 +98,7 @@
         match request.path() {
             "/v1/log-append" => self.append(topic, partition, &request.body),
             "/v1/log-read" => self.read(&topic, partition, request),
-            "/v1/log-newest" => self.newest(&topic),
+            "/v1/log-newest" => self.newest(&topic, request.query("after")),
             _ => server::response(404, &[], b"{}"),
         }
     }
@@ -145,7 +148,8 @@
         }
     }
 
-    fn newest(&self, topic: &str) -> server::Response {
+    fn newest(&self, topic: &str, after: Option<&str>) -> server::Response {
+        let after = after.map(|key| percent_encoding::percent_decode_str(key).decode_utf8_lossy());
         let state = self.lock();
         let records = state.partitions.get(&(topic.to_owned(), 0)).map_or(&[][..], Vec::as_slice);
         let mut newest = collections::BTreeMap::new();
@@ -154,16 +158,22 @@
             let key = String::from_utf8_lossy(&record[1..=length]).into_owned();
             newest.insert(key, (offset, &record[1 + length..]));
         }
-        let items: Vec<serde_json::Value> = newest
+        let rows: Vec<_> = newest
             .into_iter()
             .filter(|(_, (_, value))| !value.is_empty())
+            .filter(|(key, _)| after.as_deref().is_none_or(|after| key.as_str() > after))
+            .collect();
+        let items: Vec<serde_json::Value> = rows
+            .iter()
+            .take(PAGE_ITEMS)
             .map(|(key, (offset, value))| {
                 let value = base64::engine::general_purpose::STANDARD.encode(value);
                 serde_json::json!({ "key": key, "value": value, "offset": offset })
             })
             .collect();
+        let has_more = rows.len() > items.len();
         let response =
-            serde_json::json!({ "items": items, "has_more": false, "end": records.len() });
+            serde_json::json!({ "items": items, "has_more": has_more, "end": records.len() });
         server::response(200, &[], response.to_string().as_bytes())
     }
 }
--- a/crates/flamingotrail-standins/tests/operators.rs
+++ b/crates/flamingotrail-standins/tests/operators.rs
@@ -9,6 +9,8 @@
 
 use flamingotrail_standins::fleet::caller;
 use flamingotrail_standins::fleet::gateways;
+use flamingotrail_standins::fleet::platform;
+use flamingotrail_standins::fleet::runner;
 use flamingotrail_standins::fleet::small;
 
 /// A fleet with one gateway.
@@ -189,3 +191,98 @@
 
     fleet.assert_serves();
 }
+
+/// Values of list entries by another writer, none of which names an endpoint to use.
+fn odd_entries(address: net::SocketAddr) -> Vec<String> {
+    let nested = "[".repeat(100_000);
+    let closed = format!("{nested}{}", "]".repeat(100_000));
+    let entry = |slots: &str, address: &str, extra: &str| {
+        format!(
+            "{{\"service\":\"plain\",\"address\":\"{address}\",\"zone\":\"north-a\",\"slots\":{slots},\
+             \"state\":\"ready\",\"sequence\":1{extra}}}"
+        )
+    };
+    let address = address.to_string();
+    vec![
+        nested.clone(),
+        closed.clone(),
+        "{\"a\":".repeat(100_000),
+        entry("8", &address, &format!(",\"a\":{nested}")),
+        entry(&closed, &address, ""),
+        entry("1e400", &address, ""),
+        entry("99999999999999999999999", &address, ""),
+        entry("-1", &address, ""),
+        entry("8", &address, ",\"born\":99999999999999999999999"),
+        entry("8", &address, ",\"cold_remaining_ms\":1e400"),
+        entry("8", "127.0.0.1:99999", ""),
+        entry("8", "127.0.0.1:-1", ""),
+        entry("8", "127.0.0.1", ""),
+        entry("8", "", ""),
+        "\u{0}".to_owned(),
+        "null".to_owned(),
+    ]
+}
+
+/// Checks that a running gateway and one that starts now serve, follow the list when it changes, and
+/// send nothing to `foreign`, which only odd entries name.
+fn assert_follows_list(fleet: &Fleet, foreign: &runner::Runner) {
+    let started_later = fleet.small.start_gateway("two");
+    thread::sleep(time::Duration::from_millis(1_500));
+    fleet.assert_serves();
+    let later = runner::Runner::new();
+    let address = later.serve_plain().expect("no free port");
+    fleet.small.store.set("keyed.servers", "p-2", &platform::runner_entry("plain", address));
+    fleet.small.store.set("keyed.servers", "p-1", "");
+    thread::sleep(time::Duration::from_millis(1_500));
+
+    for gateway in [&fleet.gateway, &started_later] {
+        let headers = [("Request-Id", "last"), ("Deadline-Ms", "3000")];
+        let response = caller::call(gateway.caller_address, "GET", "/look/1", &headers, "");
+        assert_eq!(response.expect("a response").status, 200);
+    }
+
+    assert_eq!(later.requests().len(), 2, "both gateways follow the list");
+    assert!(foreign.requests().is_empty(), "an odd entry names no endpoint");
+}
+
+// Guards against one odd entry of another writer that ends the processes that read the list, or keeps
+// them from following it.
+#[test]
+fn odd_entries_of_the_list_name_no_endpoint() {
+    let fleet = start_fleet("odd-entries");
+    let foreign = runner::Runner::new();
+    let address = foreign.serve_plain().expect("no free port");
+    for (number, entry) in odd_entries(address).iter().enumerate() {
+        fleet.small.store.set("keyed.servers", &format!("odd-{number}"), entry);
+    }
+
+    assert_follows_list(&fleet, &foreign);
+}
+
+// Guards against keys of another writer that become headers of requests.
+#[test]
+fn odd_keys_of_the_list_name_no_endpoint() {
+    let fleet = start_fleet("odd-keys");
+    let foreign = runner::Runner::new();
+    let address = foreign.serve_plain().expect("no free port");
+    for key in ["", " ", "p 9", "p-9\r\nInjected: 1", "p-\u{fc}", "p-9\u{7f}"] {
+        fleet.small.store.set("keyed.servers", key, &platform::runner_entry("plain", address));
+    }
+
+    assert_follows_list(&fleet, &foreign);
+}
+
+// Guards against a list of more than a page whose keys make the request for the next one invalid: a
+// gateway that starts then is never ready.
+#[test]
+fn long_list_with_odd_keys_is_read_to_its_end() {
+    let small = small::start("long-list").expect("no free port");
+    for number in 0..600 {
+        small.store.set("keyed.servers", &format!("a&b=c %2{number:03} d"), "{}");
+    }
+
+    let gateway = small.start_gateway("one");
+
+    let fleet = Fleet { small, gateway };
+    fleet.assert_serves();
+}
