Connections: a response without a name proves nothing on a connection in use again

Operators elsewhere report runners that wrote an earlier refusal once more on a kept connection: callers were told that a request had not run which had, or it ran at a second runner.

Cause here: a response without a request id was taken for the response to the current request. After such a response the connection is not used again, but one whose responses all had named their requests is, and a refusal without a name on it was believed.

Evidence: unnamed_refusal_after_another_response_proves_nothing, with gateway processes: a request that may run once ran twice; red without the change. The same report with a name in the refusal, and the report of heads that end early, could not be shown: refusal_written_once_more... and response_that_ends_inside_its_head... pass without the change.

Change: on a connection in use again, a response that names no request counts as none, so the request may have run.

--- a/crates/flamingotrail-runtime/src/gateway/attempts.rs
+++ b/crates/flamingotrail-runtime/src/gateway/attempts.rs
@@ -141,6 +141,13 @@
             response = connection.read_head().await?;
         }
         if !responses::names_request(&response) {
+            if !connection.is_first_exchange() {
+                // All responses so far named their requests, so this is no response to this one: it
+                // says nothing of whether the request runs.
+                return Err(connection::ConnectionError::Malformed(
+                    "a response on a connection in use names no request",
+                ));
+            }
             // A late copy of this response could not be told from the response to a later request.
             connection.close_after_response();
         }
--- /dev/null
+++ b/crates/flamingotrail-standins/tests/answers.rs
@@ -0,0 +1,149 @@
+//! Responses that end early, end with their connection, or come once more, at gateway processes on
+//! loopback. `docs/incidents/operators.md` says for each whether it can happen here.
+
+use std::thread;
+use std::time;
+
+use flamingotrail_standins::fleet::caller;
+use flamingotrail_standins::fleet::gateways;
+use flamingotrail_standins::fleet::platform;
+use flamingotrail_standins::fleet::runner;
+use flamingotrail_standins::fleet::server;
+use flamingotrail_standins::fleet::small;
+
+/// A fleet with one gateway.
+struct Fleet {
+    small: small::Fleet,
+    gateway: gateways::Gateway,
+}
+
+fn start_fleet(name: &str) -> Fleet {
+    let small = small::start(name).expect("no free port");
+    let gateway = small.start_gateway("one");
+    Fleet { small, gateway }
+}
+
+impl Fleet {
+    fn call(&self, path: &str, id: &str, previous: Option<&str>) -> caller::Response {
+        let mut headers = vec![
+            ("Request-Id", id),
+            ("Program-Id", id),
+            ("Token-Usage", "100,24"),
+            ("Deadline-Ms", "3000"),
+        ];
+        headers.extend(previous.map(|previous| ("Previous-Turn", previous)));
+        let method = if path.starts_with("/look/") { "GET" } else { "POST" };
+        caller::call(self.gateway.caller_address, method, path, &headers, "").expect("no response")
+    }
+}
+
+fn id_of(request: &server::Request) -> &str {
+    request.header("request-id").unwrap_or_default()
+}
+
+/// The head of a signed response without a length, up to its last header.
+fn open_head(request: &server::Request, content_type: &str) -> String {
+    let id = id_of(request);
+    format!(
+        "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: s.{id}\r\n\
+         Content-Type: {content_type}\r\n"
+    )
+}
+
+fn plain_response(request: &server::Request) -> String {
+    let body = format!("done {}", id_of(request));
+    let length = body.len();
+    format!("{}Content-Length: {length}\r\n\r\n{body}", open_head(request, "text/plain"))
+}
+
+/// A refusal that says that the request did not run; names the request only if `names_request`.
+fn refusal(request: &server::Request, names_request: bool) -> String {
+    let id = id_of(request);
+    let name = if names_request { format!("Request-Id: {id}\r\n") } else { String::new() };
+    format!("HTTP/1.1 503 Full\r\n{name}Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+}
+
+/// Events 1 to `count` of a stream without a length.
+fn open_stream(request: &server::Request, count: usize) -> String {
+    let events = (1..=count).map(|number| format!("id: {number}\ndata: w{number}\n\n"));
+    let events: String = events.collect();
+    format!("{}\r\n{events}", open_head(request, "text/event-stream"))
+}
+
+// Guards against a head that ends early being taken for a whole one: callers got an empty or short
+// body as a success.
+#[test]
+fn response_that_ends_inside_its_head_is_no_success() {
+    let fleet = start_fleet("cut-head");
+    fleet.small.plain.respond_with(|request, count| {
+        let response = plain_response(request);
+        let head = response.find("\r\n\r\n").expect("a head") + 4;
+        server::Response::Truncated(response.as_bytes()[..count % head].to_vec())
+    });
+    fleet.small.model.respond_with(|request, count| {
+        let response = open_stream(request, small::EVENTS_PER_RESPONSE);
+        let head = response.find("\r\n\r\n").expect("a head") + 4;
+        server::Response::Truncated(response.as_bytes()[..count % head].to_vec())
+    });
+
+    for number in 0..140 {
+        for path in ["/look/1", "/book/1", "/chat/1", "/resume/1"] {
+            let response = fleet.call(path, &format!("r{number}"), None);
+
+            assert_ne!(response.status, 200, "{path}: {}", response.text);
+        }
+    }
+}
+
+// Guards against a refusal that is written once more on a connection in use again: the caller is told
+// that its request did not run.
+#[test]
+fn refusal_written_once_more_refuses_no_other_request() {
+    for names_request in [true, false] {
+        let fleet = start_fleet(&format!("late-refusal-{names_request}"));
+        fleet.small.plain.respond_with(move |request, count| {
+            if count % 2 == 1 {
+                let refusal = refusal(request, names_request).into_bytes();
+                return server::Response::Late(refusal.clone(), refusal);
+            }
+            server::Response::Bytes(plain_response(request).into_bytes())
+        });
+
+        for number in 0..8 {
+            let response = fleet.call("/book/1", &format!("r{number}"), None);
+
+            let has_run = number % 2 == 1;
+            assert!(response.status != 503 || !has_run, "{number}: {}", response.text);
+            // Whose a refusal without a name is can't be told on a connection in use again.
+            let is_told = has_run || response.status == 503 || !names_request;
+            assert!(is_told, "{number}: {}", response.text);
+        }
+    }
+}
+
+// Guards against a refusal that does not say whose it is, on a connection in use again: the caller is
+// told that its request did not run, or it runs at a second runner.
+#[test]
+fn unnamed_refusal_after_another_response_proves_nothing() {
+    let fleet = start_fleet("unnamed-refusal");
+    let other = runner::Runner::new();
+    for runner in [&fleet.small.plain, &other] {
+        runner.respond_with(|request, _| {
+            let refusal = refusal(request, false).into_bytes();
+            server::Response::Late(plain_response(request).into_bytes(), refusal)
+        });
+    }
+    let address = other.serve_plain().expect("no free port");
+    fleet.small.store.set("keyed.servers", "p-2", &platform::runner_entry("plain", address));
+    thread::sleep(time::Duration::from_millis(1_500));
+
+    for number in 0..12 {
+        let id = format!("r{number}");
+        let response = fleet.call("/book/1", &id, None);
+
+        let requests = [fleet.small.plain.requests(), other.requests()].concat();
+        let runs = requests.iter().filter(|request| id_of(request) == id).count();
+        assert_eq!(runs, 1, "{id} runs once: {}", response.text);
+        assert_ne!(response.status, 503, "{id} has run: {}", response.text);
+    }
+}
