Streams: comments are no events, and a stream without any has been broken off

Callers would see a stream cut off as too long, and their program charged for tokens that nobody generated, if an engine sends comments to keep the connection open; and an empty turn recorded as whole if an engine ends a stream without a length before its first event.

Cause: whatever a blank line ended counted as an event; and the end of the connection ended a stream that had none.

Evidence: comments_of_a_stream_are_no_events and stream_that_is_broken_off_does_not_look_complete, with gateway processes; both red without the change.

Change: what has no data is forwarded but not counted. A stream that ends with its connection before its first event counts as broken off.

--- a/crates/flamingotrail-runtime/src/gateway/attempts.rs
+++ b/crates/flamingotrail-runtime/src/gateway/attempts.rs
@@ -209,6 +209,7 @@
         progress: &mut StreamProgress,
     ) -> Result<input::Outcome, connection::ConnectionError> {
         progress.is_streaming = true;
+        let ends_with_connection = head.ends_with_connection;
         let mut parser = sse::EventParser::new();
         let mut head = Some(head);
         let mut buffered = self.buffers.begin();
@@ -223,6 +224,16 @@
                 .push(&bytes)
                 .map_err(|_| connection::ConnectionError::Malformed("event is too long"))?;
             for event in events {
+                if event.data.is_empty() {
+                    // A comment or a stray blank line, which keeps the connection open.
+                    if head.is_none() {
+                        self.calls.push_stream_part(
+                            dispatch.call,
+                            pending_calls::ResponsePart::StreamData(event.raw),
+                        );
+                    }
+                    continue;
+                }
                 if dispatch.max_events.is_some_and(|max| progress.event_count >= max) {
                     return Err(connection::ConnectionError::Malformed(
                         "the stream has more events than the request allows",
@@ -250,6 +261,12 @@
         if parser.has_partial_event() {
             return Err(connection::ConnectionError::Malformed("stream ended within an event"));
         }
+        if ends_with_connection && progress.event_count == 0 {
+            // An engine that crashes before its first event closes its connection as well.
+            return Err(connection::ConnectionError::Malformed(
+                "stream ended before its first event",
+            ));
+        }
         if let Some(head) = head.take() {
             self.calls
                 .push_stream_part(dispatch.call, pending_calls::ResponsePart::StreamHead(head));
--- a/crates/flamingotrail-runtime/tests/pending_calls.rs
+++ b/crates/flamingotrail-runtime/tests/pending_calls.rs
@@ -40,8 +40,12 @@
 ) -> mpsc::UnboundedReceiver<pending_calls::ResponsePart> {
     let rx = calls.insert(CALL, rc::Rc::new(Request::new()));
     assert!(calls.begin_attempt(dispatch).is_some());
-    let head =
-        connection::ResponseHead { status: 200, headers: Vec::new(), closes_connection: false };
+    let head = connection::ResponseHead {
+        status: 200,
+        headers: Vec::new(),
+        closes_connection: false,
+        ..Default::default()
+    };
     calls.push_stream_part(CALL, pending_calls::ResponsePart::StreamHead(head));
     for _ in 0..events {
         calls.push_stream_part(
--- a/crates/flamingotrail-standins/tests/answers.rs
+++ b/crates/flamingotrail-standins/tests/answers.rs
@@ -147,3 +147,118 @@
         assert_ne!(response.status, 503, "{id} has run: {}", response.text);
     }
 }
+
+// Guards against a response without a length or chunks that is cut, or never ends.
+#[test]
+fn response_may_end_with_its_connection() {
+    let fleet = start_fleet("open-end");
+    fleet.small.plain.respond_with(|request, _| {
+        let head = open_head(request, "text/plain");
+        server::Response::Truncated(format!("{head}\r\ndone {}", id_of(request)).into_bytes())
+    });
+    fleet.small.model.respond_with(|request, _| {
+        let stream = open_stream(request, small::EVENTS_PER_RESPONSE);
+        server::Response::Truncated(stream.into_bytes())
+    });
+
+    let tools = ["/look/1", "/book/1"].map(|path| fleet.call(path, "tool", None));
+    let first = fleet.call("/chat/1", "a", None);
+    let second = fleet.call("/chat/1", "b", Some("a"));
+
+    for tool in tools {
+        assert!(tool.status == 200 && tool.text.ends_with("done tool"), "{}", tool.text);
+    }
+    for turn in [first, second] {
+        assert!(turn.status == 200 && turn.is_complete(), "{}", turn.text);
+        assert_eq!(turn.text.matches("data: w").count(), small::EVENTS_PER_RESPONSE);
+    }
+    let bodies = fleet.small.model.bodies();
+    assert_eq!(bodies.last().map(String::as_str), Some("w1\nw2\nw3\n"), "{bodies:?}");
+}
+
+// Guards against a stream without a length that counts as whole though it ended inside an event, or
+// before its first one, or was reset.
+#[test]
+fn stream_that_is_broken_off_does_not_look_complete() {
+    type Break = fn(&server::Request) -> server::Response;
+    let breaks: [(&str, Break); 4] = [
+        ("inside-event", |request| {
+            let stream = format!("{}id: 3\ndata: w", open_stream(request, 2));
+            server::Response::Truncated(stream.into_bytes())
+        }),
+        ("before-blank-line", |request| {
+            let stream = format!("{}id: 3\ndata: w3\n", open_stream(request, 2));
+            server::Response::Truncated(stream.into_bytes())
+        }),
+        ("no-event", |request| server::Response::Truncated(open_stream(request, 0).into_bytes())),
+        ("reset", |request| server::Response::Reset(open_stream(request, 2).into_bytes())),
+    ];
+    for (name, response) in breaks {
+        let fleet = start_fleet(&format!("broken-{name}"));
+        fleet.small.model.respond_with(move |request, _| response(request));
+
+        for path in ["/chat/1", "/ask/1"] {
+            let id = format!("{name}{path}").replace('/', "-");
+            let turn = fleet.call(path, &id, None);
+            let next = fleet.call("/chat/1", "next", Some(&id));
+
+            assert!(turn.status != 200 || !turn.is_complete(), "{name} {path}: {}", turn.text);
+            assert_eq!(next.status, 404, "{name} {path}: {}", next.text);
+        }
+    }
+}
+
+// Guards against a response without a length that counts as whole though its connection was reset.
+#[test]
+fn response_that_is_reset_is_no_success() {
+    let fleet = start_fleet("reset");
+    fleet.small.plain.respond_with(|request, _| {
+        let head = open_head(request, "text/plain");
+        server::Response::Reset(format!("{head}\r\ndone").into_bytes())
+    });
+
+    let response = fleet.call("/book/1", "a", None);
+
+    assert_ne!(response.status, 200, "{}", response.text);
+}
+
+// Guards against a resumable stream that is not continued after it ended inside an event, with its
+// connection.
+#[test]
+fn resumable_stream_without_a_length_is_continued() {
+    let fleet = start_fleet("open-resume");
+    fleet.small.model.respond_with(|request, _| match request.header("last-event-id") {
+        Some("2") => {
+            let head = open_head(request, "text/event-stream");
+            server::Response::Truncated(format!("{head}\r\nid: 3\ndata: w3\n\n").into_bytes())
+        }
+        _ => {
+            let stream = format!("{}id: 3\ndata: w", open_stream(request, 2));
+            server::Response::Truncated(stream.into_bytes())
+        }
+    });
+
+    let response = fleet.call("/resume/1", "a", None);
+
+    assert!(response.status == 200 && response.is_complete(), "{}", response.text);
+    assert_eq!(response.text.matches("data: w").count(), 3);
+}
+
+// Guards against comments and stray blank lines of a stream that count as events: the stream was cut
+// as too long, and its program charged for them.
+#[test]
+fn comments_of_a_stream_are_no_events() {
+    let fleet = start_fleet("comments");
+    fleet.small.model.respond_with(|request, _| {
+        let events: String = (1..=3)
+            .map(|number| format!(": ping\n\n\n: ping\n\nid: {number}\ndata: w{number}\n\n"))
+            .collect();
+        let head = open_head(request, "text/event-stream");
+        server::Response::Truncated(format!("{head}\r\n{events}").into_bytes())
+    });
+
+    let first = fleet.call("/chat/1", "a", None);
+
+    assert!(first.status == 200 && first.is_complete(), "{}", first.text);
+    assert_eq!(first.text.matches("data: w").count(), 3);
+}
