Budgets: turns reserve whole events

Callers would see ten turns at once of at most 4 tokens get 72 tokens of a budget of 40, with 8 tokens an event: tokens are counted by events, and each turn reserved its maximum.

Evidence: small_turns_at_once_reserve_whole_events: 72 of 40 tokens without the change.

Change: a turn's maximum is rounded up to whole events when it is admitted, but not beyond a budget that has room for the maximum itself.

Result: the test passes for maximums of 4, 9 and 100 tokens; a turn as large as its budget still runs.

--- a/crates/flamingotrail-gateway/src/systems/admission.rs
+++ b/crates/flamingotrail-gateway/src/systems/admission.rs
@@ -73,7 +73,8 @@
         return Err(Box::new((arrival, unavailable)));
     };
     let timeout = arrival.timeout.unwrap_or(route.timeout).min(route.timeout);
-    let turn = build_turn(world, tick, &arrival, route);
+    let engine = world.tables.routes.engine(service);
+    let turn = build_turn(world, tick, &arrival, route, engine);
     let keeps_history = turn.as_ref().is_some_and(|turn| turn.history.is_some());
     let max_input = world.settings.max_record_bytes / INPUT_SIZE_DIVISOR;
     if keeps_history && arrival.body.len() > max_input {
@@ -94,7 +95,7 @@
         priority: route.priority,
         target_latency: route.target_latency,
         max_attempts: route.max_attempts,
-        engine: world.tables.routes.engine(service).cloned(),
+        engine: engine.cloned(),
         service: service.clone(),
         deadline: arrival.received.after(timeout),
         has_returned: log_outage::has_returned(timeout, route.timeout),
@@ -145,6 +146,7 @@
     tick: &world::Tick,
     arrival: &input::Arrival,
     route: &input::Route,
+    engine: Option<&input::Engine>,
 ) -> Option<calls::Turn> {
     if !route.kind.is_stream() {
         return None;
@@ -170,6 +172,7 @@
     // A turn that names no maximum may use all of its budget.
     let usage = arrival.usage.filter(|usage| usage.max_output > 0);
     let max_tokens = usage.map(|usage| usage.max_output).or(budget).unwrap_or(0);
+    let max_tokens = round_to_events(max_tokens, budget, engine);
     // A turn without a program counts as a program of its own.
     let program =
         header.map_or_else(|| ids::ProgramId::new(arrival.id.as_str()), |header| header.id.clone());
@@ -186,3 +189,11 @@
         is_charged: false,
     })
 }
+
+/// Rounds the maximum number of tokens of a turn up to whole events, by which tokens are counted; but
+/// not beyond a budget that has room for the maximum itself.
+fn round_to_events(max_tokens: u64, budget: Option<u64>, engine: Option<&input::Engine>) -> u64 {
+    let tokens_per_event = engine.map_or(1, |engine| engine.tokens_per_event.max(1));
+    let rounded = max_tokens.next_multiple_of(tokens_per_event);
+    rounded.min(budget.unwrap_or(rounded)).max(max_tokens)
+}
--- a/crates/flamingotrail-gateway/tests/decisions/budgets.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/budgets.rs
@@ -165,6 +165,54 @@
     assert_eq!(settled.map(|settled| settled.tokens), Some(2 * fixture::TOKENS_PER_EVENT));
 }
 
+/// Runs `count` turns of at most `max_tokens` at once, each of as many events as that takes; returns the
+/// tokens that callers get.
+fn run_small_turns_at_once(count: u64, max_tokens: u64, budget: u64) -> u64 {
+    let mut log = fixture::MemoryLog::default();
+    let mut gateway = fixture::Gateway::new("one");
+    for call in 0..count {
+        let mut request = fixture::turn_request(call, &format!("t{call}"), "p", None, budget);
+        request.usage = Some(input::Usage { prompt: 100, max_output: max_tokens });
+        gateway.receive(request);
+    }
+    gateway.complete_log_calls(&mut log);
+    let events = max_tokens.div_ceil(fixture::TOKENS_PER_EVENT);
+    for call in 0..count {
+        if gateway.refusal_reason(call).is_none() {
+            gateway.end_attempt(call, fixture::stream_outcome(events));
+            gateway.complete_log_calls(&mut log);
+        }
+    }
+    let finished = u64::try_from(gateway.finished.len()).expect("few");
+    finished * events * fixture::TOKENS_PER_EVENT
+}
+
+// Guards against turns that reserve fewer tokens than their events count for: many small turns at once
+// got twice their budget.
+#[test]
+fn small_turns_at_once_reserve_whole_events() {
+    for (max_tokens, budget) in [(4, 40), (9, 90), (100, 1_000)] {
+        let tokens = run_small_turns_at_once(10, max_tokens, budget);
+
+        assert!(tokens <= budget + max_tokens, "{tokens} of {budget} tokens");
+        assert!(tokens + 2 * max_tokens > budget / 2, "only {tokens} of {budget} tokens");
+    }
+}
+
+// Guards against a turn that is refused because whole events take more than a budget that is no multiple
+// of them.
+#[test]
+fn turn_of_the_whole_budget_runs() {
+    let mut log = fixture::MemoryLog::default();
+    let mut gateway = fixture::Gateway::new("one");
+    let mut request = fixture::turn_request(1, "a", "p", None, 81);
+    request.usage = Some(input::Usage { prompt: 100, max_output: 81 });
+
+    gateway.run_turn(request, 10, &mut log);
+
+    assert!(gateway.has_finished(1), "{:?}", gateway.refusal_reason(1));
+}
+
 fn turn_id(number: u8) -> ids::TurnId {
     ids::TurnId::new(format!("t{number}"))
 }
