Turns: a turn larger than a record is stored in parts

Cause: a turn's input and output were one record, of which only the input was limited.

Evidence: long_turns.rs on a log that rejects what is too long; without the parts, two of these tests fail (shown by taking the limit out of turn_records::submit), the third is about the order of parts.

Change: a turn whose texts take more than half of a record is stored as parts, then an end that says how many there are. They may be stored in any order, twice, and by other gateways; the turn counts as stored once all are, and is found again from the first. Versions without parts skip these records.

Result: the tests pass.

--- a/crates/flamingotrail-gateway/src/journal.rs
+++ b/crates/flamingotrail-gateway/src/journal.rs
@@ -13,6 +13,11 @@
     Start(Start),
     /// Stores a completed turn; stored in the turn's partition.
     End(End),
+    /// Stores a part of the texts of a turn that is too long for one record; stored in the turn's
+    /// partition.
+    Part(Part),
+    /// Stores a completed turn whose texts are in `Part` records; stored in the turn's partition.
+    LongEnd(LongEnd),
     /// Settles closed allowances; stored in the program's partition.
     Settle(Settle),
 }
@@ -72,6 +77,53 @@
     pub age: time::Duration,
 }
 
+/// A part of the texts of a long turn: of its input, followed by its output.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Part {
+    /// Id of the turn.
+    pub turn: ids::TurnId,
+    /// Position among the turn's parts, from 0.
+    pub number: u32,
+    /// The text.
+    pub text: Bytes,
+}
+
+/// A completed turn whose texts are in parts. Its parts may be stored before or after it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LongEnd {
+    /// The turn, without its texts.
+    pub end: End,
+    /// Size of the input in bytes.
+    pub input_bytes: u64,
+    /// Number of parts.
+    pub parts: u32,
+}
+
+impl LongEnd {
+    /// Joins the texts of all `parts`, in order, to the turn's record.
+    pub fn join(&self, parts: &[Bytes]) -> End {
+        let mut input = Bytes::from(parts.concat());
+        let input_bytes = usize::try_from(self.input_bytes).unwrap_or(usize::MAX);
+        let output = input.split_off(input_bytes.min(input.len()));
+        End { input, output, ..self.end.clone() }
+    }
+}
+
+impl End {
+    /// Splits the record of a turn into parts of at most `max_bytes` and a record without texts.
+    pub fn split(&self, max_bytes: usize) -> (Vec<Part>, LongEnd) {
+        let texts = Bytes::from([&self.input[..], &self.output[..]].concat());
+        let chunks = texts.chunks(max_bytes.max(1)).map(|chunk| texts.slice_ref(chunk));
+        let parts: Vec<Part> = (0..)
+            .zip(chunks)
+            .map(|(number, text)| Part { turn: self.turn.clone(), number, text })
+            .collect();
+        let end = End { input: Bytes::new(), output: Bytes::new(), ..self.clone() };
+        let count = u32::try_from(parts.len()).unwrap_or(u32::MAX);
+        (parts, LongEnd { end, input_bytes: self.input.len() as u64, parts: count })
+    }
+}
+
 /// Settles closed allowances of a program, or carries along its allowances whose records the log will
 /// soon drop.
 #[derive(Clone, Debug, PartialEq)]
@@ -91,8 +143,10 @@
 pub enum Key {
     /// A `Start` record, by the turn for which it requests the allowance.
     Start(ids::TurnId),
-    /// An `End` record, by its turn.
+    /// An `End` or `LongEnd` record, by its turn.
     End(ids::TurnId),
+    /// A `Part` record, by its turn and its number.
+    Part(ids::TurnId, u32),
     /// A `Settle` record, by the first of its allowances.
     Settle(ids::TurnId),
 }
@@ -103,6 +157,8 @@
         match self {
             Record::Start(start) => Some(Key::Start(start.turn.clone())),
             Record::End(end) => Some(Key::End(end.turn.clone())),
+            Record::LongEnd(long) => Some(Key::End(long.end.turn.clone())),
+            Record::Part(part) => Some(Key::Part(part.turn.clone(), part.number)),
             Record::Settle(settle) => {
                 let settled = settle.settled.iter().map(|settled| &settled.turn);
                 let mut turns = settled.chain(settle.open.iter().map(|open| &open.turn));
@@ -116,6 +172,8 @@
         match self {
             Record::Start(start) => ids::Partition::of_program(&start.program, count),
             Record::End(end) => ids::Partition::of_turn(&end.turn, count),
+            Record::LongEnd(long) => ids::Partition::of_turn(&long.end.turn, count),
+            Record::Part(part) => ids::Partition::of_turn(&part.turn, count),
             Record::Settle(settle) => ids::Partition::of_program(&settle.program, count),
         }
     }
@@ -123,7 +181,8 @@
     /// Returns the size of the record's texts in bytes.
     pub fn text_bytes(&self) -> usize {
         match self {
-            Record::Start(_) | Record::Settle(_) => 0,
+            Record::Start(_) | Record::Settle(_) | Record::LongEnd(_) => 0,
+            Record::Part(part) => part.text.len(),
             Record::End(end) => end.input.len() + end.output.len(),
         }
     }
--- a/crates/flamingotrail-gateway/src/systems/completion.rs
+++ b/crates/flamingotrail-gateway/src/systems/completion.rs
@@ -11,8 +11,8 @@
 use crate::systems::log_outage;
 use crate::systems::measurements;
 use crate::systems::placement;
-use crate::systems::relay;
 use crate::systems::rewriting;
+use crate::systems::turn_records;
 use crate::tables::calls;
 use crate::tables::timers;
 use crate::world;
@@ -254,7 +254,7 @@
     );
     world.outputs.push(output::Output::Event(output::Event::new("turn_ended", detail)));
     let previous = history.previous.clone();
-    relay::submit(world, tick, journal::Record::End(end));
+    turn_records::submit(world, tick, end);
     if let Some(previous) = previous {
         rewriting::rewrite_old_turns(world, tick, &previous);
     }
--- a/crates/flamingotrail-gateway/src/systems/journal.rs
+++ b/crates/flamingotrail-gateway/src/systems/journal.rs
@@ -13,6 +13,7 @@
 use crate::systems::log_io;
 use crate::systems::relay;
 use crate::systems::rewriting;
+use crate::systems::turn_records;
 use crate::systems::turns;
 use crate::tables;
 use crate::tables::calls;
@@ -88,6 +89,8 @@
         match record {
             journal::Record::Start(_) => {}
             journal::Record::End(end) => apply_end(world, tick, end),
+            journal::Record::Part(part) => apply_part(world, tick, part),
+            journal::Record::LongEnd(long) => apply_long_end(world, tick, long),
             journal::Record::Settle(_) => confirm_settlement(world, tick, record),
         }
     }
@@ -164,10 +167,20 @@
         journal::Record::Settle(settle) if is_due(&settle.program) => {
             apply_settle(world, tick, settle);
         }
-        journal::Record::End(end) if replay.turns.remove(&end.turn) => {
+        journal::Record::End(end) if replay.turns.contains(&end.turn) => {
             store_turn(world, tick, end);
         }
-        _ => {}
+        journal::Record::Part(part) if replay.turns.contains(&part.turn) => {
+            turn_records::store_part(world, tick, part);
+        }
+        journal::Record::LongEnd(long) if replay.turns.contains(&long.end.turn) => {
+            turn_records::store_long_end(world, tick, long);
+        }
+        _ => return,
+    }
+    let tables = &mut world.tables;
+    if let Some(replay) = tables.partitions.row(partition).replay.as_mut() {
+        replay.turns.retain(|turn| !tables.turns.rows.contains_key(turn));
     }
 }
 
@@ -297,6 +310,14 @@
             tables.log_index.insert_turn(&end.turn, offset);
             apply_end(world, tick, end);
         }
+        journal::Record::Part(part) => {
+            tables.log_index.insert_turn(&part.turn, offset);
+            apply_part(world, tick, part);
+        }
+        journal::Record::LongEnd(long) => {
+            tables.log_index.insert_turn(&long.end.turn, offset);
+            apply_long_end(world, tick, long);
+        }
         journal::Record::Settle(settle) => {
             let is_partial = tables.touch_program(&settle.program, tick.now).is_partial;
             tables.log_index.insert_program(&settle.program, offset);
@@ -401,9 +422,20 @@
     store_turn(world, tick, end);
 }
 
+fn apply_part(world: &mut world::World, tick: &world::Tick, part: &journal::Part) {
+    let key = journal::Key::Part(part.turn.clone(), part.number);
+    relay::confirm_record(world, tick, &key, None);
+    turn_records::store_part(world, tick, part);
+}
+
+fn apply_long_end(world: &mut world::World, tick: &world::Tick, long: &journal::LongEnd) {
+    relay::confirm_record(world, tick, &journal::Key::End(long.end.turn.clone()), None);
+    turn_records::store_long_end(world, tick, long);
+}
+
 /// Stores an ended turn that is in the log, and wakes the call that runs it.
 pub fn store_turn(world: &mut world::World, tick: &world::Tick, end: &journal::End) {
-    let expires = tick.now.after(max_retention(world) + RETENTION_MARGIN);
+    let expires = turn_expiry(world, tick);
     let rewrite_at = rewriting::rewrite_at(world, tick, end.age);
     world.tables.turns.insert(end, expires, rewrite_at);
     if let Some(id) = world.tables.calls.by_turn.get(&end.turn) {
@@ -411,6 +443,11 @@
     }
 }
 
+/// Returns the time until which a turn that is read now is kept in memory.
+pub fn turn_expiry(world: &world::World, tick: &world::Tick) -> core_time::Timestamp {
+    tick.now.after(max_retention(world) + RETENTION_MARGIN)
+}
+
 /// Returns the longest retention of all configured routes.
 pub fn max_retention(world: &world::World) -> time::Duration {
     let current = world.tables.routes.current.as_ref();
--- a/crates/flamingotrail-gateway/src/systems/mod.rs
+++ b/crates/flamingotrail-gateway/src/systems/mod.rs
@@ -20,5 +20,6 @@
 pub mod relay;
 pub mod rewriting;
 pub mod timers;
+pub mod turn_records;
 pub mod turn_search;
 pub mod turns;
--- a/crates/flamingotrail-gateway/src/systems/relay.rs
+++ b/crates/flamingotrail-gateway/src/systems/relay.rs
@@ -12,6 +12,7 @@
 use crate::systems::budgets;
 use crate::systems::journal as journal_system;
 use crate::systems::rewriting;
+use crate::systems::turn_records;
 use crate::systems::turn_search;
 use crate::tables::calls;
 use crate::tables::partitions;
@@ -287,6 +288,8 @@
             journal_system::apply_allowance_decision(world, tick, start, size);
         }
         journal::Record::End(end) => journal_system::store_turn(world, tick, end),
+        journal::Record::Part(part) => turn_records::store_part(world, tick, part),
+        journal::Record::LongEnd(long) => turn_records::store_long_end(world, tick, long),
         journal::Record::Settle(_) => {}
     }
 }
--- a/crates/flamingotrail-gateway/src/systems/rewriting.rs
+++ b/crates/flamingotrail-gateway/src/systems/rewriting.rs
@@ -13,6 +13,7 @@
 use crate::output;
 use crate::systems::journal as journal_system;
 use crate::systems::relay;
+use crate::systems::turn_records;
 use crate::world;
 
 /// A turn's record is written again after this part of the time that the log keeps it beyond its
@@ -63,7 +64,7 @@
     let detail = format_args!("turn={turn} turns={}", records.len());
     world.outputs.push(output::Output::Event(output::Event::new("turns_rewritten", detail)));
     for record in records {
-        relay::submit(world, tick, journal::Record::End(record));
+        turn_records::submit(world, tick, record);
     }
 }
 
--- a/crates/flamingotrail-gateway/src/tables/log_index.rs
+++ b/crates/flamingotrail-gateway/src/tables/log_index.rs
@@ -23,6 +23,7 @@
 struct Generation {
     /// When the first entry was added at the earliest.
     began: core_time::Timestamp,
+    /// Offset of each turn's first record.
     turns: collections::BTreeMap<u64, u64>,
     /// Offset of each program's first record.
     programs: collections::BTreeMap<u64, u64>,
@@ -44,9 +45,10 @@
 }
 
 impl LogIndex {
-    /// Adds the record of a turn.
+    /// Adds a record of a turn; records have to be added in the order of the log.
     pub fn insert_turn(&mut self, turn: &ids::TurnId, offset: ids::Offset) {
-        self.newest().turns.insert(ids::stable_hash(turn.as_str()), offset.0);
+        let hash = ids::stable_hash(turn.as_str());
+        self.newest().turns.entry(hash).or_insert(offset.0);
     }
 
     /// Adds a record of a program; records have to be added in the order of the log.
@@ -64,19 +66,19 @@
     ) -> Option<ids::Offset> {
         let hash = ids::stable_hash(program.as_str());
         let first = self.generations.iter().find_map(|rows| rows.programs.get(&hash));
-        self.offset_if_incomplete(now).or(first.copied().map(ids::Offset))
+        self.offset_if_incomplete(now).or_else(|| first.copied().map(ids::Offset))
     }
 
-    /// Returns the offset from which a partition has to be read again to find the record of a turn;
-    /// `None` if no record of it was read that the log may still have.
+    /// Returns the offset of the first record of a turn that the log may still have; `None` if no such
+    /// record was read.
     pub fn turn_offset(
         &self,
         turn: &ids::TurnId,
         now: core_time::Timestamp,
     ) -> Option<ids::Offset> {
         let hash = ids::stable_hash(turn.as_str());
-        let newest = self.generations.iter().rev().find_map(|rows| rows.turns.get(&hash));
-        newest.copied().map(ids::Offset).or_else(|| self.offset_if_incomplete(now))
+        let first = self.generations.iter().find_map(|rows| rows.turns.get(&hash));
+        first.copied().map(ids::Offset).or_else(|| self.offset_if_incomplete(now))
     }
 
     /// Removes the entries of records that the log no longer has, and the oldest ones if there are
--- a/crates/flamingotrail-gateway/src/tables/turns.rs
+++ b/crates/flamingotrail-gateway/src/tables/turns.rs
@@ -42,6 +42,24 @@
     }
 }
 
+/// A long turn of which not all records were applied yet.
+#[derive(Debug, Default)]
+struct LongTurn {
+    end: Option<journal::LongEnd>,
+    parts: collections::BTreeMap<u32, Bytes>,
+    expires: time::Timestamp,
+}
+
+impl LongTurn {
+    /// Returns the record of the whole turn if all of its records were applied.
+    fn join(&self) -> Option<journal::End> {
+        let long = self.end.as_ref()?;
+        let parts: Option<Vec<Bytes>> =
+            (0..long.parts).map(|number| self.parts.get(&number).cloned()).collect();
+        Some(long.join(&parts?))
+    }
+}
+
 /// Table of completed turns.
 #[derive(Debug, Default)]
 pub struct Turns {
@@ -49,6 +67,8 @@
     pub rows: collections::BTreeMap<ids::TurnId, Turn>,
     /// Total size of all inputs and outputs in bytes.
     pub bytes: usize,
+    /// Long turns that are incomplete, by id.
+    incomplete: collections::BTreeMap<ids::TurnId, LongTurn>,
 }
 
 /// Maximum number of turns in a chain; turns with the same id can form a cycle.
@@ -90,6 +110,38 @@
         self.rows.insert(end.turn.clone(), row);
     }
 
+    /// Adds a part of a long turn, which is kept until `expires`; returns the record of the whole turn
+    /// if this was the last one that was missing.
+    pub fn add_part(
+        &mut self,
+        part: &journal::Part,
+        expires: time::Timestamp,
+    ) -> Option<journal::End> {
+        let long = self.incomplete.entry(part.turn.clone()).or_default();
+        long.parts.insert(part.number, part.text.clone());
+        long.expires = expires;
+        self.take_joined(&part.turn)
+    }
+
+    /// Adds the end of a long turn, which is kept until `expires`; returns the record of the whole
+    /// turn if all of its parts are known.
+    pub fn add_long_end(
+        &mut self,
+        end: &journal::LongEnd,
+        expires: time::Timestamp,
+    ) -> Option<journal::End> {
+        let long = self.incomplete.entry(end.end.turn.clone()).or_default();
+        long.end = Some(end.clone());
+        long.expires = expires;
+        self.take_joined(&end.end.turn)
+    }
+
+    fn take_joined(&mut self, turn: &ids::TurnId) -> Option<journal::End> {
+        let joined = self.incomplete.get(turn)?.join()?;
+        self.incomplete.remove(turn);
+        Some(joined)
+    }
+
     fn extend_expiry(&mut self, turn: Option<&ids::TurnId>, expires: time::Timestamp) {
         let mut next = turn.cloned();
         for _ in 0..MAX_CHAIN_LENGTH {
@@ -152,6 +204,7 @@
 
     /// Removes the turns that have expired by `now`.
     pub fn expire(&mut self, now: time::Timestamp) {
+        self.incomplete.retain(|_, long| long.expires > now);
         let bytes = &mut self.bytes;
         self.rows.retain(|_, row| {
             let keep = row.expires > now;
--- a/crates/flamingotrail-gateway/tests/decisions/fixture.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/fixture.rs
@@ -18,6 +18,8 @@
 /// Tokens per event of the engines.
 pub const TOKENS_PER_EVENT: u64 = 8;
 
+/// Maximum size of a record.
+pub const MAX_RECORD_BYTES: usize = 10_000;
 /// Time after which the log drops a record.
 pub const LOG_RETENTION: time::Duration = time::Duration::from_secs(300);
 
@@ -35,6 +37,8 @@
     pub now: core_time::Timestamp,
     /// When each record was stored.
     pub stored_at: collections::BTreeMap<(ids::Partition, u64), core_time::Timestamp>,
+    /// Maximum size of a record's texts; `None` is that of the settings.
+    pub max_text_bytes: Option<usize>,
     /// Maximum number of records of a read; `None` returns all.
     pub max_page_records: Option<usize>,
     pub appends: usize,
@@ -249,7 +253,7 @@
         let settings = settings::Settings {
             partitions: PARTITIONS,
             max_appends_per_s: 1000.0,
-            max_record_bytes: 10_000,
+            max_record_bytes: MAX_RECORD_BYTES,
             max_append_bytes: 100_000,
             log_retention: LOG_RETENTION,
             grace_period: time::Duration::from_secs(8),
@@ -395,7 +399,9 @@
     match &mut record {
         journal::Record::Start(journal::Start { age, .. })
         | journal::Record::End(journal::End { age, .. })
+        | journal::Record::LongEnd(journal::LongEnd { end: journal::End { age, .. }, .. })
         | journal::Record::Settle(journal::Settle { age, .. }) => *age = new_age,
+        journal::Record::Part(_) => {}
     }
     record
 }
@@ -417,6 +423,12 @@
         match output {
             output::Output::Append { partition, records } => {
                 self.appends += 1;
+                let sizes = records.iter().map(journal::Record::text_bytes);
+                let max_bytes = self.max_text_bytes.unwrap_or(MAX_RECORD_BYTES);
+                if sizes.max().is_some_and(|bytes| bytes > max_bytes) {
+                    let result = Err(input::LogError::Refused);
+                    return input::Input::Appended { partition, result };
+                }
                 let row = self.records.entry(partition).or_default();
                 let offset = ids::Offset(row.len() as u64);
                 for (offset, _) in (offset.0..).zip(&records) {
--- a/crates/flamingotrail-gateway/tests/decisions/main.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/main.rs
@@ -11,6 +11,7 @@
 mod leaving;
 mod limits;
 mod log_index;
+mod long_turns;
 mod notices;
 mod outages;
 mod peers;
--- a/crates/flamingotrail-gateway/tests/decisions/resumption.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/resumption.rs
@@ -52,7 +52,9 @@
     let settled = records.flat_map(|record| match record {
         journal::Record::Settle(settle) => settle.settled.clone(),
         journal::Record::Start(start) => start.settled.clone(),
-        journal::Record::End(_) => Vec::new(),
+        journal::Record::End(_) | journal::Record::Part(_) | journal::Record::LongEnd(_) => {
+            Vec::new()
+        }
     });
     settled.map(|settled| settled.tokens).sum()
 }
--- a/crates/flamingotrail-wire/src/gateway.rs
+++ b/crates/flamingotrail-wire/src/gateway.rs
@@ -36,6 +36,21 @@
         output: Vec<u8>,
         at_ms: Option<u64>,
     },
+    /// A kind of its own, so that versions without parts take no long turn for one without texts.
+    LongEnd {
+        turn: String,
+        previous: Option<String>,
+        endpoint: String,
+        input_bytes: u64,
+        parts: u32,
+        at_ms: Option<u64>,
+    },
+    Part {
+        turn: String,
+        number: u32,
+        #[serde(with = "serde_bytes")]
+        text: Vec<u8>,
+    },
     Settle {
         program: String,
         settled: Vec<WireSettled>,
@@ -66,6 +81,19 @@
                 output: end.output.to_vec(),
                 at_ms: Some(now.before(end.age).0),
             },
+            journal::Record::LongEnd(long) => WireRecord::LongEnd {
+                turn: long.end.turn.to_string(),
+                previous: long.end.previous.as_ref().map(ToString::to_string),
+                endpoint: long.end.endpoint.to_string(),
+                input_bytes: long.input_bytes,
+                parts: long.parts,
+                at_ms: Some(now.before(long.end.age).0),
+            },
+            journal::Record::Part(part) => WireRecord::Part {
+                turn: part.turn.to_string(),
+                number: part.number,
+                text: part.text.to_vec(),
+            },
             journal::Record::Settle(settle) => WireRecord::Settle {
                 program: settle.program.to_string(),
                 settled: settle.settled.iter().map(WireSettled::from).collect(),
@@ -99,6 +127,22 @@
                     age: now.age_of(at_ms),
                 })
             }
+            WireRecord::LongEnd { turn, previous, endpoint, input_bytes, parts, at_ms } => {
+                let end = journal::End {
+                    turn: ids::TurnId::new(&turn),
+                    previous: previous.as_deref().map(ids::TurnId::new),
+                    endpoint: ids::EndpointId::new(&endpoint),
+                    input: Default::default(),
+                    output: Default::default(),
+                    age: now.age_of(at_ms),
+                };
+                journal::Record::LongEnd(journal::LongEnd { end, input_bytes, parts })
+            }
+            WireRecord::Part { turn, number, text } => journal::Record::Part(journal::Part {
+                turn: ids::TurnId::new(&turn),
+                number,
+                text: text.into(),
+            }),
             WireRecord::Settle { program, settled, open, at_ms } => {
                 journal::Record::Settle(journal::Settle {
                     program: ids::ProgramId::new(&program),
--- a/crates/flamingotrail-wire/tests/gateway_messages.rs
+++ b/crates/flamingotrail-wire/tests/gateway_messages.rs
@@ -84,3 +84,27 @@
     assert_eq!(settle.settled.len(), 1);
     assert!(settle.age > time::Duration::from_secs(300));
 }
+
+#[test]
+fn long_turn_is_decoded_as_it_was_encoded() {
+    let end = journal::End {
+        turn: ids::TurnId::new("a"),
+        previous: Some(ids::TurnId::new("b")),
+        endpoint: ids::EndpointId::new("e1"),
+        input: vec![1; 30].into(),
+        output: vec![2; 70].into(),
+        age: time::Duration::from_secs(3),
+    };
+    let (parts, long) = end.split(40);
+    let now = wire::UnixTime(1_800_000_000_000);
+    let records = parts.into_iter().map(journal::Record::Part);
+    let records: Vec<_> = records.chain([journal::Record::LongEnd(long)]).collect();
+
+    let decoded = records.iter().map(|record| {
+        let bytes = wire::encode_record(record, now).expect("encoded");
+        wire::decode_record(&bytes, now).expect("decoded")
+    });
+
+    assert_eq!(decoded.collect::<Vec<_>>(), records);
+    assert_eq!(records.len(), 4);
+}
