Log: a record that the store rejects holds up no other

Cause: a rejection counted as a failure that passes. The batch went back to the head of its partition's queue and was sent again without end; the failures made the log count as lost at times, and the record was relayed to other gateways, whose queues it held up as well.

Evidence: two tests of long_turns.rs, red without the handling of rejections.

Change: after a rejection (400, 413) the records of the batch are appended one by one; one that is rejected alone is dropped and logged, and its call ends with what is true of it: lost if it may have run, too large if not. A gateway that appends for another one tells it that the record is not stored. A rejection is an answer of the store, and no sign of an outage.

--- a/crates/flamingotrail-gateway/src/input.rs
+++ b/crates/flamingotrail-gateway/src/input.rs
@@ -314,6 +314,8 @@
     Refused,
     /// The log is over its rate limit; the operation had no effect.
     Busy,
+    /// The log does not accept the operation, now or later; it had no effect.
+    Rejected,
     /// The log did not respond: the operation may have taken effect, or may still do so.
     Unknown,
     /// The requested records were deleted; contains the offset of the oldest record that is kept.
--- a/crates/flamingotrail-gateway/src/systems/journal.rs
+++ b/crates/flamingotrail-gateway/src/systems/journal.rs
@@ -11,6 +11,7 @@
 use crate::output;
 use crate::systems::budgets;
 use crate::systems::log_io;
+use crate::systems::rejections;
 use crate::systems::relay;
 use crate::systems::rewriting;
 use crate::systems::turn_records;
@@ -58,6 +59,11 @@
     world.tables.dirty.partitions.insert(partition);
     let offset = match result {
         Ok(offset) => offset.0,
+        Err(input::LogError::Rejected) => {
+            handle_success(world, tick, partition);
+            rejections::handle_rejected_append(world, tick, partition, records);
+            return;
+        }
         Err(error) => {
             // Records are idempotent, so a batch that may have been appended is appended again.
             for record in records.into_iter().rev() {
--- a/crates/flamingotrail-gateway/src/systems/log_io.rs
+++ b/crates/flamingotrail-gateway/src/systems/log_io.rs
@@ -73,7 +73,9 @@
 fn start_append(world: &mut world::World, tick: &world::Tick, partition: ids::Partition) {
     let max_bytes = world.settings.max_append_bytes / TEXT_SIZE_DIVISOR;
     let row = world.tables.partitions.row(partition);
-    row.appending = next_batch(&mut row.queue, max_bytes);
+    let max_records = if row.single_appends > 0 { 1 } else { MAX_APPEND_RECORDS };
+    row.single_appends = row.single_appends.saturating_sub(1);
+    row.appending = next_batch(&mut row.queue, max_records, max_bytes);
     row.queued_since = tick.now;
     let records = row.appending.clone();
     world.outputs.push(output::Output::Append { partition, records });
@@ -93,13 +95,14 @@
 /// Removes the records of the next append from `queue`: at least one, up to both limits.
 fn next_batch(
     queue: &mut std::collections::VecDeque<journal::Record>,
+    max_records: usize,
     max_bytes: usize,
 ) -> Vec<journal::Record> {
     let mut bytes = 0;
     let mut batch = Vec::new();
     while let Some(record) = queue.front() {
         bytes += record.text_bytes();
-        if batch.len() == MAX_APPEND_RECORDS || (bytes > max_bytes && !batch.is_empty()) {
+        if batch.len() == max_records || (bytes > max_bytes && !batch.is_empty()) {
             break;
         }
         batch.extend(queue.pop_front());
--- a/crates/flamingotrail-gateway/src/systems/mod.rs
+++ b/crates/flamingotrail-gateway/src/systems/mod.rs
@@ -17,6 +17,7 @@
 pub mod peer_probes;
 pub mod placement;
 pub mod readiness;
+pub mod rejections;
 pub mod relay;
 pub mod rewriting;
 pub mod timers;
--- a/crates/flamingotrail-gateway/src/systems/relay.rs
+++ b/crates/flamingotrail-gateway/src/systems/relay.rs
@@ -140,16 +140,34 @@
         world.tables.append_rate.record_delay(tick.now.since(pending.submitted_at), tick.now);
         world.tables.timers.clear(&timers::Timer::RelayRetry(key.clone()));
     }
-    let relayed = relay.peer_records.iter().filter(|(_, peer_key)| *peer_key == key);
-    let tickets: Vec<u64> = relayed.map(|(ticket, _)| *ticket).collect();
-    for ticket in tickets {
-        world.tables.relay.peer_records.remove(&ticket);
+    for ticket in take_tickets(&mut world.tables.relay, key) {
         world.tables.timers.clear(&timers::Timer::PeerRequestTimeout(ticket));
         let response = input::RelayResponse { logged: true, size };
         world.emit(output::Output::RespondToRelay(ticket, response));
     }
 }
 
+/// Forgets a record that the log does not accept, and tells the gateways that relayed it.
+pub fn reject_record(world: &mut world::World, key: &journal::Key) {
+    let relay = &mut world.tables.relay;
+    if relay.pending_records.remove(key).is_some() {
+        world.tables.timers.clear(&timers::Timer::RelayRetry(key.clone()));
+    }
+    for ticket in take_tickets(&mut world.tables.relay, key) {
+        world.tables.timers.clear(&timers::Timer::PeerRequestTimeout(ticket));
+        let response = input::RelayResponse { logged: false, size: None };
+        world.emit(output::Output::RespondToRelay(ticket, response));
+    }
+}
+
+/// Removes the requests of other gateways to append a record, and returns their tickets.
+fn take_tickets(relay: &mut relay::Relay, key: &journal::Key) -> Vec<u64> {
+    let tickets: Vec<u64> =
+        relay.peer_records.iter().filter(|(_, own)| *own == key).map(|(id, _)| *id).collect();
+    relay.peer_records.retain(|_, own| own != key);
+    tickets
+}
+
 /// Queues another gateway's record for an append, unless the log is unreachable from here too.
 fn append_for_peer(
     world: &mut world::World,
--- a/crates/flamingotrail-gateway/src/tables/partitions.rs
+++ b/crates/flamingotrail-gateway/src/tables/partitions.rs
@@ -49,6 +49,8 @@
     pub queue: collections::VecDeque<journal::Record>,
     /// Records of the append in progress.
     pub appending: Vec<journal::Record>,
+    /// Number of queued records to append one by one, since the log has rejected them together.
+    pub single_appends: usize,
     /// Whether a read is in progress.
     pub reading: bool,
     /// Number of reads started so far; numbers the reads from 1.
--- a/crates/flamingotrail-gateway/tests/decisions/fixture.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/fixture.rs
@@ -426,7 +426,7 @@
                 let sizes = records.iter().map(journal::Record::text_bytes);
                 let max_bytes = self.max_text_bytes.unwrap_or(MAX_RECORD_BYTES);
                 if sizes.max().is_some_and(|bytes| bytes > max_bytes) {
-                    let result = Err(input::LogError::Refused);
+                    let result = Err(input::LogError::Rejected);
                     return input::Input::Appended { partition, result };
                 }
                 let row = self.records.entry(partition).or_default();
--- a/crates/flamingotrail-gateway/tests/decisions/long_turns.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/long_turns.rs
@@ -1,4 +1,4 @@
-//! Turns that are too long for one record of the log.
+//! Turns that are too long for one record of the log, and records that the log does not accept.
 
 use std::time;
 
@@ -110,3 +110,50 @@
     assert_eq!(refused_early, Some(output::Reason::NoSuchTurn), "it was never answered whole");
     assert_eq!(gateway.sent_body(2).len(), 12_000 + "input of c;".len());
 }
+
+// Guards against a record that the log does not accept and that is sent again and again: the records
+// behind it in its partition waited for good.
+#[test]
+fn rejected_record_does_not_hold_up_its_partition() {
+    let mut log = fixture::MemoryLog { max_text_bytes: Some(1_000), ..Default::default() };
+    let mut gateway = fixture::Gateway::new("one");
+    let partition = |id: &str| ids::Partition::of_turn(&ids::TurnId::new(id), fixture::PARTITIONS);
+    let neighbours = (0..).map(|number| format!("t{number}"));
+    let neighbours: Vec<String> =
+        neighbours.filter(|id| partition(id) == partition("long")).take(3).collect();
+    gateway.receive(fixture::turn_request(9, "long", "p", None, BUDGET));
+    for (call, id) in (0..).zip(&neighbours) {
+        gateway.receive(fixture::turn_request(call, id, "p", None, BUDGET));
+    }
+    gateway.complete_log_calls(&mut log);
+    let mut outcomes = vec![];
+    for (call, bytes) in [(0, 100), (9, 4_000), (1, 100), (2, 100)] {
+        let call = ids::CallId(call);
+        let outcome = long_outcome(bytes);
+        outcomes.push(input::Input::Outcome { call, attempt: 1, outcome });
+    }
+    let appends_before = log.appends;
+
+    gateway.tick(outcomes);
+    gateway.advance(time::Duration::from_secs(2), &mut log);
+
+    assert!((0..3).all(|call| gateway.has_finished(call)), "{:?}", gateway.finished);
+    assert_eq!(gateway.refusal_reason(9), Some(output::Reason::Lost));
+    let appends = log.appends - appends_before;
+    assert!(appends <= 8, "{appends} appends: each record again once, and settlements");
+}
+
+// Guards against other gateways that retry a rejected record of this one.
+#[test]
+fn rejected_record_of_another_gateway_is_dropped() {
+    let mut log = fixture::MemoryLog { max_text_bytes: Some(10), ..Default::default() };
+    let mut gateway = fixture::Gateway::new("one");
+    let record = Box::new(fixture::end_record("a", None));
+
+    gateway.tick(vec![input::Input::RelayRequested { ticket: 1, record }]);
+    gateway.complete_log_calls(&mut log);
+    gateway.advance(time::Duration::from_secs(2), &mut log);
+
+    assert_eq!(gateway.relay_responses, [input::RelayResponse { logged: false, size: None }]);
+    assert_eq!(log.appends, 1);
+}
