Crashes: a request that crashes endpoints is kept from them, at all gateways

Cause: nothing remembered a request that was lost with its endpoint. Failures are counted for each endpoint, and a request that comes again has a new id.

Change: a request is known by a hash of its target and body. It has crashed an endpoint if it was lost with its connection and the list then drops that endpoint or shows a later start. Gateways tell each other; after three endpoints it is refused as not run, for 120 s at first. Losses at the same time count once, endpoints that leave do not count, and a success clears the request, so that popular requests are not hit when many endpoints fail or a gateway is cut off.

--- a/crates/flamingotrail-gateway/src/ids.rs
+++ b/crates/flamingotrail-gateway/src/ids.rs
@@ -29,6 +29,31 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Partition(pub u16);
 
+/// Identifies requests with the same target and body, whatever their ids.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Fingerprint(pub u128);
+
+impl Fingerprint {
+    /// Returns the fingerprint of a request with these fields.
+    pub fn of(fields: &[&[u8]]) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        for field in fields {
+            // The length keeps fields apart.
+            hasher.update(&(field.len() as u64).to_be_bytes());
+            hasher.update(field);
+        }
+        let mut bytes = [0; 16];
+        bytes.copy_from_slice(&hasher.finalize().as_bytes()[..16]);
+        Fingerprint(u128::from_be_bytes(bytes))
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
 /// Position of a record within its partition.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Offset(pub u64);
--- a/crates/flamingotrail-gateway/src/input.rs
+++ b/crates/flamingotrail-gateway/src/input.rs
@@ -80,6 +80,13 @@
         /// Correlates the request with its response.
         ticket: u64,
     },
+    /// Another gateway has learned of endpoints that were crashed by a request, or was asked for them.
+    PeerCrashes(Vec<PeerCrash>),
+    /// Another gateway asks for the crashes that this one knows.
+    CrashesRequested {
+        /// Correlates the request with its response.
+        ticket: u64,
+    },
     /// A probe of another gateway has ended.
     PeerProbed {
         /// Gateway that was probed.
@@ -153,6 +160,8 @@
     pub host: String,
     /// Requested path, for route selection.
     pub path: String,
+    /// Method and query of the request.
+    pub method_and_query: String,
     /// When the first byte of the request was received.
     pub received: core_time::Timestamp,
     /// Time that the caller allows for the request; `None` if it sent no limit.
@@ -171,6 +180,20 @@
     pub body: Bytes,
 }
 
+impl Arrival {
+    /// Returns the fingerprint of the request, which is the same if its caller sends it again.
+    pub fn fingerprint(&self) -> ids::Fingerprint {
+        let previous = self.previous.as_ref().map_or("", |previous| previous.as_str());
+        ids::Fingerprint::of(&[
+            self.host.as_bytes(),
+            self.path.as_bytes(),
+            self.method_and_query.as_bytes(),
+            previous.as_bytes(),
+            &self.body,
+        ])
+    }
+}
+
 /// The event after which a caller resumes a stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ResumePoint {
@@ -296,6 +319,17 @@
     pub age: time::Duration,
 }
 
+/// The crash of an endpoint by a request, as gateways tell each other.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PeerCrash {
+    /// The request.
+    pub fingerprint: ids::Fingerprint,
+    /// The endpoint.
+    pub endpoint: ids::EndpointId,
+    /// Time since the request was lost.
+    pub age: time::Duration,
+}
+
 /// Load that an endpoint reports.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Load {
--- a/crates/flamingotrail-gateway/src/output.rs
+++ b/crates/flamingotrail-gateway/src/output.rs
@@ -77,6 +77,25 @@
     },
     /// Responds to the `Input::NoticesRequested` that has this ticket.
     RespondToNotices(u64, Vec<input::PeerNotice>),
+    /// Tells another gateway of endpoints that were crashed by a request, without confirmation.
+    TellCrashes {
+        /// Gateway to tell.
+        peer: ids::InstanceName,
+        /// Address of that gateway.
+        address: String,
+        /// The crashes.
+        crashes: Vec<input::PeerCrash>,
+    },
+    /// Asks another gateway for the crashes that it knows; results in at most one
+    /// `Input::PeerCrashes`.
+    AskCrashes {
+        /// Gateway to ask.
+        peer: ids::InstanceName,
+        /// Address of that gateway.
+        address: String,
+    },
+    /// Responds to the `Input::CrashesRequested` that has this ticket.
+    RespondToCrashes(u64, Vec<input::PeerCrash>),
     /// Probes another gateway; results in one `Input::PeerProbed`.
     ProbePeer {
         /// Gateway to probe.
@@ -167,6 +186,8 @@
     BudgetSpent,
     /// Nothing can serve the call at the moment; it did not run and will not run.
     Unavailable,
+    /// Requests like this one have crashed endpoints; it did not run and will not run.
+    Quarantined,
     /// The deadline has passed; the call may have run.
     TimedOut,
     /// The endpoint's response was lost; the call may have run.
@@ -183,6 +204,7 @@
             Reason::InvalidResume => "invalid_resume",
             Reason::BudgetSpent => "budget_spent",
             Reason::Unavailable => "unavailable",
+            Reason::Quarantined => "quarantined",
             Reason::TimedOut => "timed_out",
             Reason::Lost => "lost",
         }
--- a/crates/flamingotrail-gateway/src/schedule.rs
+++ b/crates/flamingotrail-gateway/src/schedule.rs
@@ -17,6 +17,7 @@
     System { name: "timers", run: systems::timers::run },
     System { name: "configuration", run: systems::configuration::run },
     System { name: "membership", run: systems::membership::run },
+    System { name: "crashes", run: systems::crashes::run },
     System { name: "measurements", run: systems::measurements::run },
     System { name: "peer_probes", run: systems::peer_probes::run },
     System { name: "journal", run: systems::journal::run },
--- a/crates/flamingotrail-gateway/src/systems/admission.rs
+++ b/crates/flamingotrail-gateway/src/systems/admission.rs
@@ -6,6 +6,7 @@
 use crate::ids;
 use crate::input;
 use crate::output;
+use crate::systems::crashes;
 use crate::systems::log_outage;
 use crate::tables::calls;
 use crate::tables::programs;
@@ -29,7 +30,12 @@
 
 fn admit(world: &mut world::World, tick: &world::Tick, arrival: input::Arrival) {
     let id = arrival.call;
-    let call = match build_call(world, tick, arrival) {
+    let quarantine = crashes::refusal(world, tick, &arrival);
+    let call = match quarantine {
+        Some(refusal) => Err(Box::new((arrival, refusal))),
+        None => build_call(world, tick, arrival),
+    };
+    let call = match call {
         Ok(call) => call,
         Err(refused) => {
             let (arrival, refusal) = *refused;
--- a/crates/flamingotrail-gateway/src/systems/completion.rs
+++ b/crates/flamingotrail-gateway/src/systems/completion.rs
@@ -8,6 +8,7 @@
 use crate::journal;
 use crate::output;
 use crate::systems::budgets;
+use crate::systems::crashes;
 use crate::systems::log_outage;
 use crate::systems::measurements;
 use crate::systems::placement;
@@ -60,6 +61,7 @@
     record_events(call, &outcome);
     update_endpoint_health(world, tick, &running, &outcome);
     measurements::record_attempt(world, tick, id, &running, &outcome);
+    crashes::record_outcome(world, tick, id, &running, &outcome);
     log_attempt(world, tick, id, &running, &outcome);
     let Some(call) = world.tables.calls.rows.get(&id) else { return };
     if call.phase == calls::Phase::Closed {
--- a/crates/flamingotrail-gateway/src/systems/membership.rs
+++ b/crates/flamingotrail-gateway/src/systems/membership.rs
@@ -71,6 +71,7 @@
     for id in missing {
         if !keep {
             endpoints.rows.remove(&id);
+            world.tables.dirty.ended_endpoints.insert(id.clone());
         } else if let Some(row) = endpoints.rows.get_mut(&id) {
             row.lapsed = true;
         }
@@ -86,6 +87,7 @@
     if let Some(started_at_ms) = listed.started_at_ms {
         if world.tables.notices.record_start(&id, started_at_ms) {
             world.tables.endpoints.rows.remove(&id);
+            world.tables.dirty.ended_endpoints.insert(id.clone());
             world.emit_event("endpoint_restarted", format_args!("endpoint={id}"));
         }
     }
@@ -113,11 +115,12 @@
     if endpoints.unreadable_since.is_some() || tick.now < endpoints.keep_lapsed_until {
         return;
     }
-    let count_before = endpoints.rows.len();
-    endpoints.rows.retain(|_, row| !row.lapsed);
-    let removed = count_before - endpoints.rows.len();
-    if removed > 0 {
-        world.emit_event("endpoints_lapsed", format_args!("dropped={removed}"));
+    let removed = endpoints.rows.extract_if(.., |_, row| row.lapsed).map(|(id, _)| id);
+    let removed: Vec<ids::EndpointId> = removed.collect();
+    if !removed.is_empty() {
+        let count = removed.len();
+        world.tables.dirty.ended_endpoints.extend(removed);
+        world.emit_event("endpoints_lapsed", format_args!("dropped={count}"));
     }
 }
 
--- a/crates/flamingotrail-gateway/src/systems/mod.rs
+++ b/crates/flamingotrail-gateway/src/systems/mod.rs
@@ -4,6 +4,7 @@
 pub mod budgets;
 pub mod completion;
 pub mod configuration;
+pub mod crashes;
 pub mod deadlines;
 pub mod expiry;
 pub mod ingest;
--- a/crates/flamingotrail-gateway/src/tables/dirty.rs
+++ b/crates/flamingotrail-gateway/src/tables/dirty.rs
@@ -24,6 +24,8 @@
     pub timed_out_peer_requests: collections::BTreeSet<u64>,
     /// Partitions with records to append or read.
     pub partitions: collections::BTreeSet<ids::Partition>,
+    /// Endpoints that have ended, or were started again.
+    pub ended_endpoints: collections::BTreeSet<ids::EndpointId>,
     /// Programs with closed allowances to settle.
     pub unsettled_programs: collections::BTreeSet<ids::ProgramId>,
     /// Whether the rate limit may allow further appends.
@@ -55,6 +57,7 @@
             && self.peer_lookups.is_empty()
             && self.timed_out_peer_requests.is_empty()
             && self.partitions.is_empty()
+            && self.ended_endpoints.is_empty()
             && self.unsettled_programs.is_empty()
             && !self.append_rate
             && !self.expiry
--- a/crates/flamingotrail-gateway/src/tables/inbox.rs
+++ b/crates/flamingotrail-gateway/src/tables/inbox.rs
@@ -21,6 +21,10 @@
     pub endpoint_checks: Vec<(ids::EndpointId, Option<input::Notice>)>,
     /// Notices that other gateways have told.
     pub peer_notices: Vec<input::PeerNotice>,
+    /// Crashes of endpoints that other gateways have told.
+    pub peer_crashes: Vec<input::PeerCrash>,
+    /// Other gateways' requests for crashes, by ticket.
+    pub crash_requests: Vec<u64>,
     /// Calls whose caller has disconnected.
     pub disconnected: Vec<ids::CallId>,
     /// Outcomes of attempts, with the attempt's sequence number within the call.
@@ -56,6 +60,8 @@
             && self.notice_requests.is_empty()
             && self.endpoint_checks.is_empty()
             && self.peer_notices.is_empty()
+            && self.peer_crashes.is_empty()
+            && self.crash_requests.is_empty()
             && self.disconnected.is_empty()
             && self.outcomes.is_empty()
             && self.delivered.is_empty()
--- a/crates/flamingotrail-gateway/src/tables/mod.rs
+++ b/crates/flamingotrail-gateway/src/tables/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod append_rate;
 pub mod calls;
+pub mod crashes;
 pub mod dirty;
 pub mod endpoints;
 pub mod inbox;
@@ -37,6 +38,8 @@
     pub ways: ways::Ways,
     /// What endpoints announce of themselves.
     pub notices: notices::Notices,
+    /// Requests that endpoints did not survive.
+    pub crashes: crashes::Crashes,
     /// When callers are asked to return.
     pub returns: returns::Returns,
     /// Active calls.
--- a/crates/flamingotrail-gateway/tests/decisions/fixture.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/fixture.rs
@@ -56,6 +56,9 @@
     pub aborted: Vec<ids::CallId>,
     pub cancelled: Vec<ids::CallId>,
     pub relayed_records: Vec<(String, journal::Record)>,
+    pub told_crashes: Vec<(ids::InstanceName, Vec<input::PeerCrash>)>,
+    pub crash_responses: Vec<Vec<input::PeerCrash>>,
+    pub asked_crashes: Vec<ids::InstanceName>,
     pub lookup_responses: Vec<input::LookupResponse>,
     pub relay_responses: Vec<input::RelayResponse>,
     pub asked: Vec<ids::InstanceName>,
@@ -165,6 +168,7 @@
         id: ids::TurnId::new(id),
         host: "desk.example".to_owned(),
         path: path.to_owned(),
+        method_and_query: "POST ".to_owned(),
         received: core_time::Timestamp::ZERO,
         timeout: Some(time::Duration::from_secs(4)),
         program: None,
@@ -268,6 +272,9 @@
             aborted: Vec::new(),
             cancelled: Vec::new(),
             relayed_records: Vec::new(),
+            told_crashes: Vec::new(),
+            crash_responses: Vec::new(),
+            asked_crashes: Vec::new(),
             lookup_responses: Vec::new(),
             relay_responses: Vec::new(),
             asked: Vec::new(),
@@ -298,6 +305,11 @@
                 output::Output::RespondToLookup(_, response) => {
                     self.lookup_responses.push(response);
                 }
+                output::Output::TellCrashes { peer, crashes, .. } => {
+                    self.told_crashes.push((peer, crashes));
+                }
+                output::Output::AskCrashes { peer, .. } => self.asked_crashes.push(peer),
+                output::Output::RespondToCrashes(_, crashes) => self.crash_responses.push(crashes),
                 output::Output::RespondToRelay(_, response) => self.relay_responses.push(response),
                 output::Output::TellNotices { peer, notices, .. } => {
                     self.told.push((peer, notices));
--- a/crates/flamingotrail-gateway/tests/decisions/main.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/main.rs
@@ -2,6 +2,7 @@
 
 mod budgets;
 mod calls;
+mod crashes;
 mod fixture;
 mod fleet;
 mod forgotten_programs;
--- a/crates/flamingotrail-runtime/src/gateway/callers.rs
+++ b/crates/flamingotrail-runtime/src/gateway/callers.rs
@@ -278,7 +278,9 @@
         output::Reason::InvalidResume => StatusCode::BAD_REQUEST,
         output::Reason::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
         output::Reason::BudgetSpent => StatusCode::PAYMENT_REQUIRED,
-        output::Reason::Unavailable => StatusCode::SERVICE_UNAVAILABLE,
+        output::Reason::Unavailable | output::Reason::Quarantined => {
+            StatusCode::SERVICE_UNAVAILABLE
+        }
         output::Reason::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         output::Reason::Lost => StatusCode::BAD_GATEWAY,
     }
--- a/crates/flamingotrail-runtime/src/gateway/executor.rs
+++ b/crates/flamingotrail-runtime/src/gateway/executor.rs
@@ -98,6 +98,13 @@
             output::Output::RespondToNotices(ticket, notices) => {
                 self.peers.respond_to_notices(ticket, &notices);
             }
+            output::Output::TellCrashes { peer, address, crashes } => {
+                self.peers.tell_crashes(peer, address, &crashes);
+            }
+            output::Output::AskCrashes { peer, address } => self.peers.ask_crashes(peer, address),
+            output::Output::RespondToCrashes(ticket, crashes) => {
+                self.peers.respond_to_crashes(ticket, &crashes);
+            }
             output::Output::ProbePeer { peer, address } => self.peers.probe(peer, address),
             output::Output::RemovePeer(peer) => self.remove_peer(peer),
             output::Output::RespondToRelay(ticket, response) => {
--- a/crates/flamingotrail-runtime/src/gateway/peers.rs
+++ b/crates/flamingotrail-runtime/src/gateway/peers.rs
@@ -36,6 +36,8 @@
 const TURNS_PATH_PREFIX: &str = "/v1/turns/";
 /// Path for announcements of endpoints.
 const NOTICES_PATH: &str = "/v1/notices";
+/// Path for crashes of endpoints by requests.
+const CRASHES_PATH: &str = "/v1/crashes";
 /// Path of probes.
 const PROBE_PATH: &str = "/v1/alive";
 /// Timeout for a response of another gateway: a round trip between regions, and the time that the
@@ -120,6 +122,9 @@
         if path == NOTICES_PATH && incoming.request.method() == Method::POST {
             return (self.receive_notices(&incoming.body), Bytes::new());
         }
+        if path == CRASHES_PATH && incoming.request.method() == Method::POST {
+            return (self.receive_crashes(&incoming.body), Bytes::new());
+        }
         let input = if incoming.request.method() == Method::POST && path == RECORDS_PATH {
             match wire::decode_record(&incoming.body, wire::UnixTime::now()) {
                 Ok(record) => input::Input::RelayRequested { ticket, record: Box::new(record) },
@@ -130,6 +135,8 @@
             }
         } else if path == NOTICES_PATH {
             input::Input::NoticesRequested { ticket }
+        } else if path == CRASHES_PATH {
+            input::Input::CrashesRequested { ticket }
         } else if let Some(turn) = path.strip_prefix(TURNS_PATH_PREFIX) {
             input::Input::LookupRequested { ticket, turn: ids::TurnId::new(turn) }
         } else {
@@ -159,6 +166,45 @@
         }
     }
 
+    fn receive_crashes(&self, body: &[u8]) -> StatusCode {
+        let Some(crashes) = ok_or_log(wire::decode_crashes(body)) else {
+            return StatusCode::BAD_REQUEST;
+        };
+        self.inputs.send(input::Input::PeerCrashes(crashes));
+        StatusCode::OK
+    }
+
+    /// Responds to another gateway's request for crashes of endpoints by requests.
+    pub fn respond_to_crashes(&self, ticket: u64, crashes: &[input::PeerCrash]) {
+        self.respond(ticket, wire::encode_crashes(crashes));
+    }
+
+    /// Asks another gateway for crashes of endpoints by requests.
+    pub fn ask_crashes(&self, peer: ids::InstanceName, address: String) {
+        let peers = self.clone();
+        actix_rt::spawn(async move {
+            let bytes = peers.request(&peer, &address, "GET", CRASHES_PATH, Bytes::new()).await;
+            if let Some(crashes) = bytes.and_then(|bytes| ok_or_log(wire::decode_crashes(&bytes))) {
+                peers.inputs.send(input::Input::PeerCrashes(crashes));
+            }
+        });
+    }
+
+    /// Tells another gateway of crashes of endpoints by requests.
+    pub fn tell_crashes(
+        &self,
+        peer: ids::InstanceName,
+        address: String,
+        crashes: &[input::PeerCrash],
+    ) {
+        let Some(body) = ok_or_log(wire::encode_crashes(crashes)) else { return };
+        let peers = self.clone();
+        actix_rt::spawn(async move {
+            // A gateway that is not reached learns of the request by itself.
+            peers.request(&peer, &address, "POST", CRASHES_PATH, body.into()).await;
+        });
+    }
+
     /// Responds to another gateway's request for announcements of endpoints.
     pub fn respond_to_notices(&self, ticket: u64, notices: &[input::PeerNotice]) {
         self.respond(ticket, wire::encode_notices(notices));
--- a/crates/flamingotrail-wire/src/gateway.rs
+++ b/crates/flamingotrail-wire/src/gateway.rs
@@ -401,3 +401,50 @@
     let notices: Vec<WireNotice> = rmp_serde::from_slice(bytes)?;
     Ok(notices.into_iter().map(input::PeerNotice::from).collect())
 }
+
+/// The crash of an endpoint by a request, as a gateway tells the others.
+#[derive(Debug, Deserialize, Serialize)]
+struct WireCrash {
+    fingerprint: u128,
+    endpoint: String,
+    age_ms: u64,
+}
+
+impl From<&input::PeerCrash> for WireCrash {
+    fn from(crash: &input::PeerCrash) -> Self {
+        WireCrash {
+            fingerprint: crash.fingerprint.0,
+            endpoint: crash.endpoint.to_string(),
+            age_ms: u64::try_from(crash.age.as_millis()).unwrap_or(u64::MAX),
+        }
+    }
+}
+
+impl From<WireCrash> for input::PeerCrash {
+    fn from(wire: WireCrash) -> Self {
+        input::PeerCrash {
+            fingerprint: ids::Fingerprint(wire.fingerprint),
+            endpoint: ids::EndpointId::new(&wire.endpoint),
+            age: time::Duration::from_millis(wire.age_ms),
+        }
+    }
+}
+
+/// Encodes the crashes that a gateway tells another.
+///
+/// # Errors
+///
+/// Returns an error if serialization fails.
+pub fn encode_crashes(crashes: &[input::PeerCrash]) -> Result<Vec<u8>, rmp_serde::encode::Error> {
+    rmp_serde::to_vec_named(&crashes.iter().map(WireCrash::from).collect::<Vec<_>>())
+}
+
+/// Decodes the crashes that a gateway was told.
+///
+/// # Errors
+///
+/// Returns an error if the bytes are not encoded crashes.
+pub fn decode_crashes(bytes: &[u8]) -> Result<Vec<input::PeerCrash>, rmp_serde::decode::Error> {
+    let crashes: Vec<WireCrash> = rmp_serde::from_slice(bytes)?;
+    Ok(crashes.into_iter().map(input::PeerCrash::from).collect())
+}
--- a/crates/flamingotrail-wire/tests/gateway_messages.rs
+++ b/crates/flamingotrail-wire/tests/gateway_messages.rs
@@ -108,3 +108,16 @@
     assert_eq!(decoded.collect::<Vec<_>>(), records);
     assert_eq!(records.len(), 4);
 }
+
+#[test]
+fn crashes_are_decoded_as_they_were_encoded() {
+    let crash = input::PeerCrash {
+        fingerprint: ids::Fingerprint(u128::MAX - 5),
+        endpoint: ids::EndpointId::new("e1"),
+        age: time::Duration::from_millis(40),
+    };
+
+    let bytes = wire::encode_crashes(std::slice::from_ref(&crash)).expect("encoded");
+
+    assert_eq!(wire::decode_crashes(&bytes).expect("decoded"), [crash]);
+}
