Turns: an input larger than a record is stored in parts, too

Callers would see 413, which ends a program, for turns of more than 131 KB, though the configuration allows bodies of 4 MiB.

--- a/crates/flamingotrail-gateway/src/systems/admission.rs
+++ b/crates/flamingotrail-gateway/src/systems/admission.rs
@@ -17,10 +17,6 @@
 /// Delay before a retry when this gateway cannot serve a call but another one may.
 pub const DEFAULT_RETRY_AFTER: time::Duration = time::Duration::from_millis(100);
 
-/// A turn's input may take the maximum record size divided by this number; the rest of the record
-/// is for its output.
-const INPUT_SIZE_DIVISOR: usize = 2;
-
 /// Admits the requests in the inbox.
 pub fn run(world: &mut world::World, tick: &world::Tick) {
     for arrival in std::mem::take(&mut world.tables.inbox.arrivals) {
@@ -82,11 +78,6 @@
     let engine = world.tables.routes.engine(service);
     let turn = build_turn(world, tick, &arrival, route, engine);
     let keeps_history = turn.as_ref().is_some_and(|turn| turn.history.is_some());
-    let max_input = world.settings.max_record_bytes / INPUT_SIZE_DIVISOR;
-    if keeps_history && arrival.body.len() > max_input {
-        let too_large = output::Refusal { reason: output::Reason::TooLarge, retry_after: None };
-        return Err(Box::new((arrival, too_large)));
-    }
     let resume_after = match resume_point(&arrival, route, keeps_history) {
         Ok(resume_after) => resume_after,
         Err(refusal) => return Err(Box::new((arrival, refusal))),
--- a/crates/flamingotrail-gateway/tests/decisions/long_turns.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/long_turns.rs
@@ -65,6 +65,28 @@
     }
 }
 
+// Guards against a turn that is refused, or never ends, because its input alone takes more than half of
+// a record, or several.
+#[test]
+fn turn_whose_input_is_larger_than_a_record_is_stored_in_parts() {
+    for bytes in [6_000, 10_000, 40_000] {
+        let mut log = fixture::MemoryLog::default();
+        let mut first = fixture::Gateway::new("one");
+        let mut request = fixture::turn_request(1, "a", "p", None, BUDGET);
+        request.body = vec![b'x'; bytes].into();
+        run_long_turn(&mut first, request, 100, &mut log);
+        let mut second = fixture::Gateway::new("two");
+
+        second.receive(fixture::turn_request(2, "b", "p", Some("a"), BUDGET));
+        second.complete_log_calls(&mut log);
+
+        assert!(first.has_finished(1), "{:?}", first.refusal_reason(1));
+        let body = second.sent_body(2);
+        assert_eq!(body.len(), bytes + 100 + "input of b;".len());
+        assert!(body[..bytes].iter().all(|byte| *byte == b'x'));
+    }
+}
+
 // Guards against a long turn that is found only as long as memory has it, and against parts that are
 // searched from its end on.
 #[test]
