Crashes: what counts does not depend on the order in which crashes are confirmed

A request that came each second would have counted fewer crashes than it caused: the list drops several endpoints at once, and a crash that was confirmed after a later one did not count. And gateways that each tell of another endpoint, when many fail at once, would have quarantined a popular request together.

Change: a crash counts if its run did not overlap with that of another counted one, wherever and whenever it was confirmed. Messages name how long a run took. What one gateway tells in one message was compared there: the clock of a gateway that has just started can't tell the times apart.

Evidence: crashes_count_in_any_order_of_their_confirmation and crashes_at_the_same_time_at_several_gateways_count_once.

--- a/crates/flamingotrail-gateway/src/input.rs
+++ b/crates/flamingotrail-gateway/src/input.rs
@@ -328,6 +328,8 @@
     pub endpoint: ids::EndpointId,
     /// Time since the request was lost.
     pub age: time::Duration,
+    /// Time between the sending of the request and its loss.
+    pub took: time::Duration,
 }
 
 /// Load that an endpoint reports.
--- a/crates/flamingotrail-gateway/src/systems/crashes.rs
+++ b/crates/flamingotrail-gateway/src/systems/crashes.rs
@@ -15,8 +15,8 @@
 
 /// Applies the messages of other gateways, and the ends of endpoints.
 pub fn run(world: &mut world::World, tick: &world::Tick) {
-    for crash in std::mem::take(&mut world.tables.inbox.peer_crashes) {
-        if world.tables.crashes.record_crash(&crash, tick.now) {
+    for told in std::mem::take(&mut world.tables.inbox.peer_crashes) {
+        for crash in world.tables.crashes.record_crashes(&told, tick.now) {
             emit_crash(world, &crash, "peer");
         }
     }
@@ -87,7 +87,7 @@
 }
 
 fn emit_crash(world: &mut world::World, crash: &input::PeerCrash, source: &str) {
-    let input::PeerCrash { fingerprint, endpoint, age } = crash;
+    let input::PeerCrash { fingerprint, endpoint, age, .. } = crash;
     let age_ms = age.as_millis();
     world.emit_event(
         "endpoint_crashed_by_request",
--- a/crates/flamingotrail-gateway/src/systems/ingest.rs
+++ b/crates/flamingotrail-gateway/src/systems/ingest.rs
@@ -40,7 +40,7 @@
             }
             input::Input::PeerNotices(notices) => inbox.peer_notices.extend(notices),
             input::Input::NoticesRequested { ticket } => inbox.notice_requests.push(ticket),
-            input::Input::PeerCrashes(crashes) => inbox.peer_crashes.extend(crashes),
+            input::Input::PeerCrashes(crashes) => inbox.peer_crashes.push(crashes),
             input::Input::CrashesRequested { ticket } => inbox.crash_requests.push(ticket),
             input::Input::PeerProbed { peer, has_responded } => {
                 inbox.probe_results.push((peer, has_responded));
--- a/crates/flamingotrail-gateway/src/tables/crashes.rs
+++ b/crates/flamingotrail-gateway/src/tables/crashes.rs
@@ -21,6 +21,8 @@
 /// Time within which an endpoint that has lost a request has to end, to count as crashed by it: the list
 /// drops a silent endpoint after seconds.
 const MAX_CONFIRM_TIME: time::Duration = time::Duration::from_secs(15);
+/// How much later one gateway may hear of another's crash than it says.
+const TIME_DIFFERENCE: time::Duration = time::Duration::from_millis(300);
 /// Time after its last crash for which a request is remembered.
 const MEMORY: time::Duration = time::Duration::from_secs(3_600);
 /// Maximum numbers of suspicions and of requests; the oldest ones are forgotten.
@@ -35,17 +37,39 @@
     lost_at: core_time::Timestamp,
 }
 
+/// The time from the sending of a request to the loss of its connection.
+#[derive(Clone, Copy, Debug)]
+struct Run {
+    sent_at: core_time::Timestamp,
+    lost_at: core_time::Timestamp,
+}
+
+impl Run {
+    /// Whether two runs were under way at the same time, as far as gateways can tell.
+    fn overlaps(&self, other: &Run) -> bool {
+        self.sent_at <= other.lost_at.after(TIME_DIFFERENCE)
+            && other.sent_at <= self.lost_at.after(TIME_DIFFERENCE)
+    }
+}
+
 /// A request that has crashed endpoints.
 #[derive(Clone, Debug, Default)]
 struct Suspect {
-    endpoints: collections::BTreeSet<ids::EndpointId>,
+    endpoints: collections::BTreeMap<ids::EndpointId, Run>,
     last_crash: core_time::Timestamp,
     quarantined_until: core_time::Timestamp,
 }
 
 impl Suspect {
-    fn add(&mut self, endpoint: ids::EndpointId, at: core_time::Timestamp) {
-        self.endpoints.insert(endpoint);
+    /// Whether a crash counts: endpoints that fail at the same time were not crashed one by one.
+    fn accepts(&self, endpoint: &ids::EndpointId, run: &Run) -> bool {
+        !self.endpoints.contains_key(endpoint)
+            && !self.endpoints.values().any(|known| known.overlaps(run))
+    }
+
+    fn add(&mut self, endpoint: ids::EndpointId, run: Run) {
+        let at = run.lost_at;
+        self.endpoints.insert(endpoint, run);
         self.last_crash = self.last_crash.max(at);
         if let Some(more) = self.endpoints.len().checked_sub(MAX_CRASHES) {
             let doublings = u32::try_from(more.min(8)).unwrap_or(8);
@@ -91,9 +115,9 @@
         self.suspects.remove(&fingerprint);
     }
 
-    /// Records that `endpoint` has ended; returns the requests that have crashed it. Of those that were
-    /// lost with it, a request counts that was sent after its previous crash: many are lost at once
-    /// when endpoints fail for other reasons, and come again.
+    /// Records that `endpoint` has ended; returns the requests that have crashed it. Of the requests
+    /// that were lost with it, those count that were not lost elsewhere at the same time: many are
+    /// when endpoints fail for other reasons, and they come again.
     pub fn record_end(
         &mut self,
         endpoint: &ids::EndpointId,
@@ -104,30 +128,33 @@
             .filter(|suspicion| now.since(suspicion.lost_at) < MAX_CONFIRM_TIME)
             .partition(|suspicion| suspicion.endpoint == *endpoint);
         self.suspicions = others.into();
-        let mut crashes = Vec::new();
-        for Suspicion { fingerprint, sent_at, lost_at, .. } in of_endpoint {
-            let last_crash = self.suspects.get(&fingerprint).map(|suspect| suspect.last_crash);
-            if last_crash.is_some_and(|at| sent_at <= at) {
-                continue;
-            }
-            let age = now.since(lost_at);
-            let crash = input::PeerCrash { fingerprint, endpoint: endpoint.clone(), age };
-            if self.record_crash(&crash, now) {
-                crashes.push(crash);
-            }
-        }
-        crashes
+        let crashes = of_endpoint.into_iter().map(|suspicion| input::PeerCrash {
+            fingerprint: suspicion.fingerprint,
+            endpoint: endpoint.clone(),
+            age: now.since(suspicion.lost_at),
+            took: suspicion.lost_at.since(suspicion.sent_at),
+        });
+        crashes.flat_map(|crash| self.record_crashes(&[crash], now)).collect()
     }
 
-    /// Records the crash of an endpoint; returns whether it was not known.
-    pub fn record_crash(&mut self, crash: &input::PeerCrash, now: core_time::Timestamp) -> bool {
+    /// Records crashes that one gateway tells of; returns those that count and were not known. The
+    /// gateway has compared them with each other.
+    pub fn record_crashes(
+        &mut self,
+        crashes: &[input::PeerCrash],
+        now: core_time::Timestamp,
+    ) -> Vec<input::PeerCrash> {
         self.forget_old(now);
-        let suspect = self.suspects.entry(crash.fingerprint).or_default();
-        if suspect.endpoints.contains(&crash.endpoint) {
-            return false;
+        let new = crashes.iter().filter(|crash| {
+            let suspect = self.suspects.get(&crash.fingerprint);
+            suspect.is_none_or(|suspect| suspect.accepts(&crash.endpoint, &run_of(crash, now)))
+        });
+        let new: Vec<input::PeerCrash> = new.cloned().collect();
+        for crash in &new {
+            let suspect = self.suspects.entry(crash.fingerprint).or_default();
+            suspect.add(crash.endpoint.clone(), run_of(crash, now));
         }
-        suspect.add(crash.endpoint.clone(), now.before(crash.age));
-        true
+        new
     }
 
     /// Returns the time until which a request is quarantined. Once that has passed, the next request
@@ -156,12 +183,12 @@
     /// Returns all crashes, for a gateway that knows none.
     pub fn all(&self, now: core_time::Timestamp) -> Vec<input::PeerCrash> {
         let rows = self.suspects.iter().flat_map(|(fingerprint, suspect)| {
-            let age = now.since(suspect.last_crash);
-            let crash = move |endpoint: &ids::EndpointId| {
-                let (fingerprint, endpoint) = (*fingerprint, endpoint.clone());
-                input::PeerCrash { fingerprint, endpoint, age }
-            };
-            suspect.endpoints.iter().map(crash)
+            suspect.endpoints.iter().map(|(endpoint, run)| input::PeerCrash {
+                fingerprint: *fingerprint,
+                endpoint: endpoint.clone(),
+                age: now.since(run.lost_at),
+                took: run.lost_at.since(run.sent_at),
+            })
         });
         rows.collect()
     }
@@ -175,3 +202,8 @@
         }
     }
 }
+
+fn run_of(crash: &input::PeerCrash, now: core_time::Timestamp) -> Run {
+    let lost_at = now.before(crash.age);
+    Run { sent_at: lost_at.before(crash.took), lost_at }
+}
--- a/crates/flamingotrail-gateway/src/tables/inbox.rs
+++ b/crates/flamingotrail-gateway/src/tables/inbox.rs
@@ -21,8 +21,8 @@
     pub endpoint_checks: Vec<(ids::EndpointId, Option<input::Notice>)>,
     /// Notices that other gateways have told.
     pub peer_notices: Vec<input::PeerNotice>,
-    /// Crashes of endpoints that other gateways have told.
-    pub peer_crashes: Vec<input::PeerCrash>,
+    /// Crashes of endpoints that other gateways have told, by message.
+    pub peer_crashes: Vec<Vec<input::PeerCrash>>,
     /// Other gateways' requests for crashes, by ticket.
     pub crash_requests: Vec<u64>,
     /// Calls whose caller has disconnected.
--- a/crates/flamingotrail-gateway/tests/decisions/crashes.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/crashes.rs
@@ -221,6 +221,48 @@
     assert!(!restarted.send_poison(1));
 }
 
+fn crash(fingerprint: u128, endpoint: &str, age: time::Duration) -> input::PeerCrash {
+    input::PeerCrash {
+        fingerprint: ids::Fingerprint(fingerprint),
+        endpoint: ids::EndpointId::new(endpoint),
+        age,
+        took: time::Duration::from_millis(20),
+    }
+}
+
+// Guards against crashes that are not counted because they are confirmed in another order, or together.
+#[test]
+fn crashes_count_in_any_order_of_their_confirmation() {
+    let mut table = crashes::Crashes::default();
+    let at = |ms: u64| core_time::Timestamp::from_micros(ms * 1_000);
+    let fingerprint = ids::Fingerprint(1);
+    let names = ["e-c", "e-a", "e-b"];
+    for (number, name) in (1..).zip(names) {
+        let sent_at = at(number * 1_000);
+        let lost_at = at(number * 1_000 + 20);
+        table.record_loss(fingerprint, &ids::EndpointId::new(name), sent_at, lost_at);
+    }
+
+    for name in ["e-a", "e-b", "e-c"] {
+        table.record_end(&ids::EndpointId::new(name), at(7_000));
+    }
+
+    assert!(table.admit(fingerprint, at(7_000)).is_err());
+}
+
+// Guards against a popular request that is quarantined because many endpoints fail at once, and each
+// gateway tells of another one.
+#[test]
+fn crashes_at_the_same_time_at_several_gateways_count_once() {
+    let mut table = crashes::Crashes::default();
+    let now = core_time::Timestamp::from_micros(10_000_000);
+    for (endpoint, age_ms) in [("e-1", 4_000), ("e-2", 4_100), ("e-3", 3_900), ("e-4", 4_200)] {
+        table.record_crashes(&[crash(1, endpoint, time::Duration::from_millis(age_ms))], now);
+    }
+
+    assert!(table.admit(ids::Fingerprint(1), now).is_ok());
+}
+
 // Guards against tables that grow with each request that is lost.
 #[test]
 fn number_of_remembered_requests_is_bounded() {
@@ -230,9 +272,8 @@
         let now = core_time::Timestamp::from_micros(u64::from(number));
         let fingerprint = ids::Fingerprint(u128::from(number));
         table.record_loss(fingerprint, &endpoint, now, now);
-        let age = time::Duration::ZERO;
-        let other = input::PeerCrash { fingerprint, endpoint: endpoint.clone(), age };
-        table.record_crash(&other, now);
+        let other = crash(number.into(), "e-1", time::Duration::ZERO);
+        table.record_crashes(&[other], now);
     }
 
     let now = core_time::Timestamp::from_micros(5_000);
--- a/crates/flamingotrail-wire/src/gateway.rs
+++ b/crates/flamingotrail-wire/src/gateway.rs
@@ -408,6 +408,7 @@
     fingerprint: u128,
     endpoint: String,
     age_ms: u64,
+    took_ms: u64,
 }
 
 impl From<&input::PeerCrash> for WireCrash {
@@ -416,6 +417,7 @@
             fingerprint: crash.fingerprint.0,
             endpoint: crash.endpoint.to_string(),
             age_ms: u64::try_from(crash.age.as_millis()).unwrap_or(u64::MAX),
+            took_ms: u64::try_from(crash.took.as_millis()).unwrap_or(u64::MAX),
         }
     }
 }
@@ -426,6 +428,7 @@
             fingerprint: ids::Fingerprint(wire.fingerprint),
             endpoint: ids::EndpointId::new(&wire.endpoint),
             age: time::Duration::from_millis(wire.age_ms),
+            took: time::Duration::from_millis(wire.took_ms),
         }
     }
 }
--- a/crates/flamingotrail-wire/tests/gateway_messages.rs
+++ b/crates/flamingotrail-wire/tests/gateway_messages.rs
@@ -115,6 +115,7 @@
         fingerprint: ids::Fingerprint(u128::MAX - 5),
         endpoint: ids::EndpointId::new("e1"),
         age: time::Duration::from_millis(40),
+        took: time::Duration::from_millis(30),
     };
 
     let bytes = wire::encode_crashes(std::slice::from_ref(&crash)).expect("encoded");
