Wire: the time of day is read where the linter sees it

The time at which records were stored was read by way of the epoch's elapsed time, which the linter's rule against the time of day does not catch.

--- a/crates/flamingotrail-wire/src/gateway.rs
+++ b/crates/flamingotrail-wire/src/gateway.rs
@@ -160,15 +160,14 @@
 pub struct UnixTime(pub u64);
 
 impl UnixTime {
-    /// Returns the time of day.
+    /// Returns the time of day; a clock before the epoch makes records look old.
+    #[allow(
+        clippy::disallowed_methods,
+        reason = "the ages of records outlive processes, and may be wrong by tens of seconds"
+    )]
     pub fn now() -> Self {
-        let since_epoch = time::UNIX_EPOCH.elapsed().unwrap_or(time::Duration::ZERO);
-        UnixTime(0).after(since_epoch)
-    }
-
-    fn after(self, duration: time::Duration) -> Self {
-        let ms = u64::try_from(duration.as_millis()).unwrap_or(u64::MAX);
-        UnixTime(self.0.saturating_add(ms))
+        let since_epoch = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
+        UnixTime(since_epoch.map_or(0, |time| u64::try_from(time.as_millis()).unwrap_or(u64::MAX)))
     }
 
     fn before(self, duration: time::Duration) -> Self {
