--- a/crates/flamingotrail-gateway/src/systems/crashes.rs
+++ b/crates/flamingotrail-gateway/src/systems/crashes.rs
@@ -10,9 +10,6 @@
 use crate::tables::calls;
 use crate::world;
 
-/// Number of gateways that one asks after its start: one of them may just have started, too.
-const ASKED_PEERS: usize = 3;
-
 /// Applies the messages of other gateways, and the ends of endpoints.
 pub fn run(world: &mut world::World, tick: &world::Tick) {
     for told in std::mem::take(&mut world.tables.inbox.peer_crashes) {
@@ -108,10 +105,8 @@
 }
 
 fn ask_peers(world: &mut world::World) {
-    let own = &world.identity;
-    let mut peers: Vec<_> = world.tables.peers.rows.iter().collect();
-    peers.sort_by_key(|(_, peer)| (peer.region != own.region, peer.domain != own.domain));
-    let asks = peers.into_iter().take(ASKED_PEERS).map(|(name, peer)| output::Output::AskCrashes {
+    let peers = world.tables.peers.asked_at_start(&world.identity);
+    let asks = peers.map(|(name, peer)| output::Output::AskCrashes {
         peer: name.clone(),
         address: peer.address.clone(),
     });
--- a/crates/flamingotrail-gateway/src/systems/notices.rs
+++ b/crates/flamingotrail-gateway/src/systems/notices.rs
@@ -15,8 +15,6 @@
 /// Time that a message between gateways may take. What it says counts as older by this time, so that
 /// it never overrides what is really newer.
 const MAX_MESSAGE_DELAY: time::Duration = time::Duration::from_millis(500);
-/// Number of gateways that one asks after its start: one of them may just have started, too.
-const ASKED_PEERS: usize = 3;
 /// Minimum time between two messages to a gateway; announcements may change with each response.
 const TELL_INTERVAL: time::Duration = time::Duration::from_millis(1_000);
 
@@ -139,10 +137,8 @@
 
 /// Asks the nearest other gateways for the announcements that they know.
 fn ask_peers(world: &mut world::World) {
-    let own = &world.identity;
-    let mut peers: Vec<_> = world.tables.peers.rows.iter().collect();
-    peers.sort_by_key(|(_, peer)| (peer.region != own.region, peer.domain != own.domain));
-    let asks = peers.into_iter().take(ASKED_PEERS).map(|(name, peer)| output::Output::AskNotices {
+    let peers = world.tables.peers.asked_at_start(&world.identity);
+    let asks = peers.map(|(name, peer)| output::Output::AskNotices {
         peer: name.clone(),
         address: peer.address.clone(),
     });
--- a/crates/flamingotrail-gateway/src/tables/peers.rs
+++ b/crates/flamingotrail-gateway/src/tables/peers.rs
@@ -7,7 +7,10 @@
 use flamingotrail_core::time as core_time;
 
 use crate::ids;
+use crate::settings;
 
+/// Number of gateways that one asks after its start.
+const ASKED_PEERS: usize = 3;
 /// Time for which a gateway that did not respond is avoided.
 const FAILURE_BACKOFF: time::Duration = time::Duration::from_secs(2);
 
@@ -83,6 +86,17 @@
         watched
     }
 
+    /// Returns the gateways that one asks after its start, the nearest to `own` first: one of them may
+    /// just have started, too.
+    pub fn asked_at_start(
+        &self,
+        own: &settings::Identity,
+    ) -> impl Iterator<Item = (&ids::InstanceName, &Peer)> {
+        let mut peers: Vec<_> = self.rows.iter().collect();
+        peers.sort_by_key(|(_, peer)| (peer.region != own.region, peer.domain != own.domain));
+        peers.into_iter().take(ASKED_PEERS)
+    }
+
     /// Returns the gateways that are not avoided, in an order that depends on `key` and is the same
     /// in every process (rendezvous hashing).
     pub fn ranked(
