--- a/crates/flamingotrail-gateway/src/systems/journal.rs
+++ b/crates/flamingotrail-gateway/src/systems/journal.rs
@@ -1,6 +1,5 @@
 //! Applies the records of the log in order, and handles the results of appends and reads.
 
-use std::ops;
 use std::time;
 
 use flamingotrail_core::time as core_time;
@@ -13,10 +12,10 @@
 use crate::systems::log_io;
 use crate::systems::rejections;
 use crate::systems::relay;
+use crate::systems::replay;
 use crate::systems::rewriting;
 use crate::systems::turn_records;
 use crate::systems::turns;
-use crate::tables;
 use crate::tables::calls;
 use crate::tables::timers;
 use crate::world;
@@ -116,7 +115,7 @@
         Ok(page) => page,
         Err(input::LogError::Expired(first)) if first > row.next_read_offset() => {
             row.applied = row.applied.max(first.0);
-            advance_replay(&mut world.tables, partition, &(0..first.0));
+            replay::advance(&mut world.tables, partition, &(0..first.0));
             world.emit_event("log_expired", format_args!("partition={partition} first={first}"));
             wake_searches(world);
             return;
@@ -141,9 +140,9 @@
     let (again, new): (Vec<_>, Vec<_>) =
         read.clone().zip(&page.records).partition(|(offset, _)| *offset < already_applied);
     for (offset, record) in again {
-        replay(world, tick, partition, read.start, offset, record.as_ref());
+        replay::apply(world, tick, partition, read.start, offset, record.as_ref());
     }
-    advance_replay(&mut world.tables, partition, &read);
+    replay::advance(&mut world.tables, partition, &read);
     for (offset, record) in new {
         if let Some(record) = record {
             apply(world, tick, ids::Offset(offset), record);
@@ -152,54 +151,6 @@
     wake_searches(world);
 }
 
-/// Applies a record that was applied before if the replay of its partition waits for it. The read of
-/// the record began at `read_start`.
-fn replay(
-    world: &mut world::World,
-    tick: &world::Tick,
-    partition: ids::Partition,
-    read_start: u64,
-    offset: u64,
-    record: Option<&journal::Record>,
-) {
-    let row = world.tables.partitions.row(partition);
-    let (Some(replay), Some(record)) = (row.replay.as_mut(), record) else { return };
-    let is_due = |program: &ids::ProgramId| {
-        let next = replay.programs.get(program).copied();
-        next.is_some_and(|next| (read_start..=offset).contains(&next))
-    };
-    match record {
-        journal::Record::Start(start) if is_due(&start.program) => apply_start(world, tick, start),
-        journal::Record::Settle(settle) if is_due(&settle.program) => {
-            apply_settle(world, tick, settle);
-        }
-        journal::Record::End(end) if replay.turns.contains(&end.turn) => {
-            store_turn(world, tick, end);
-        }
-        journal::Record::Part(part) if replay.turns.contains(&part.turn) => {
-            turn_records::store_part(world, tick, part);
-        }
-        journal::Record::LongEnd(long) if replay.turns.contains(&long.end.turn) => {
-            turn_records::store_long_end(world, tick, long);
-        }
-        _ => return,
-    }
-    let tables = &mut world.tables;
-    if let Some(replay) = tables.partitions.row(partition).replay.as_mut() {
-        replay.turns.retain(|turn| !tables.turns.rows.contains_key(turn));
-    }
-}
-
-/// Advances the replay of a partition; the accounts of programs whose records were all read hold
-/// from now on.
-fn advance_replay(tables: &mut tables::Tables, partition: ids::Partition, read: &ops::Range<u64>) {
-    for program in tables.partitions.row(partition).advance_replay(read) {
-        if let Some(row) = tables.programs.rows.get_mut(&program) {
-            row.is_partial = false;
-        }
-    }
-}
-
 /// Marks the searches for turns, whose results may have been read.
 fn wake_searches(world: &mut world::World) {
     let resolving: Vec<ids::CallId> = world
@@ -335,7 +286,8 @@
     }
 }
 
-fn apply_settle(world: &mut world::World, tick: &world::Tick, settle: &journal::Settle) {
+/// Applies a `Settle` record to its program's account.
+pub fn apply_settle(world: &mut world::World, tick: &world::Tick, settle: &journal::Settle) {
     let carry_at = rewriting::carry_at(world, tick, settle.age);
     let program = world.tables.touch_program(&settle.program, tick.now);
     settle.settled.iter().for_each(|settled| program.settle(settled));
@@ -350,7 +302,8 @@
     }
 }
 
-fn apply_start(world: &mut world::World, tick: &world::Tick, start: &journal::Start) {
+/// Applies a `Start` record to its program's account, which decides on it.
+pub fn apply_start(world: &mut world::World, tick: &world::Tick, start: &journal::Start) {
     let carry_at = rewriting::carry_at(world, tick, start.age);
     let program = world.tables.touch_program(&start.program, tick.now);
     start.settled.iter().for_each(|settled| program.settle(settled));
--- a/crates/flamingotrail-gateway/src/systems/mod.rs
+++ b/crates/flamingotrail-gateway/src/systems/mod.rs
@@ -20,6 +20,7 @@
 pub mod readiness;
 pub mod rejections;
 pub mod relay;
+pub mod replay;
 pub mod rewriting;
 pub mod timers;
 pub mod turn_records;
