--- a/crates/flamingotrail-gateway/src/systems/admission.rs
+++ b/crates/flamingotrail-gateway/src/systems/admission.rs
@@ -191,6 +191,6 @@
 /// not beyond a budget that has room for the maximum itself.
 fn round_to_events(max_tokens: u64, budget: Option<u64>, engine: Option<&input::Engine>) -> u64 {
     let tokens_per_event = engine.map_or(1, |engine| engine.tokens_per_event.max(1));
-    let rounded = max_tokens.next_multiple_of(tokens_per_event);
+    let rounded = max_tokens.checked_next_multiple_of(tokens_per_event).unwrap_or(max_tokens);
     rounded.min(budget.unwrap_or(rounded)).max(max_tokens)
 }
