--- a/crates/flamingotrail-standins/src/fleet/gateways.rs
+++ b/crates/flamingotrail-standins/src/fleet/gateways.rs
@@ -13,6 +13,8 @@
 
 /// Maximum time to wait for a gateway to become ready or to exit.
 const WAIT_TIMEOUT: time::Duration = time::Duration::from_secs(15);
+/// Time after which the platform's store drops a record, unless a test sets another one.
+const DEFAULT_RETENTION: time::Duration = time::Duration::from_secs(300);
 /// Time between two polls of a condition.
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(20);
 
@@ -40,6 +42,22 @@
     name: &str,
     store: net::SocketAddr,
 ) -> io::Result<Gateway> {
+    start_with_retention(program, folder, name, store, DEFAULT_RETENTION)
+}
+
+/// Starts the gateway `program` with a store that drops records after `retention`.
+///
+/// # Errors
+///
+/// Returns an error if no port is free, a file can't be written, or the program can't be started.
+pub fn start_with_retention(
+    program: &path::Path,
+    folder: &path::Path,
+    name: &str,
+    store: net::SocketAddr,
+    retention: time::Duration,
+) -> io::Result<Gateway> {
+    let retention_s = retention.as_secs();
     let [caller_address, readiness] = [processes::free_address()?, processes::free_address()?];
     let [link, metrics_address] = [processes::free_address()?, processes::free_address()?];
     fs::create_dir_all(folder)?;
@@ -53,7 +71,7 @@
              internal_ports:\n  - {link_port}\n  - {link_port}\nheartbeat_ms: 1200\n\
              bounds:\n  drain_ms: 3000\n  grace_s: 8\n\
              platform:\n  address: {store}\n  writes_per_s: 800\n  parts: 4\n  record_bytes: 262144\n  \
-             call_bytes: 2097152\n"
+             call_bytes: 2097152\n  retention_s: {retention_s}\n"
         ),
     )?;
     let mut command = process::Command::new(program);
--- a/crates/flamingotrail-standins/src/fleet/platform.rs
+++ b/crates/flamingotrail-standins/src/fleet/platform.rs
@@ -30,8 +30,14 @@
 /// without and `/resume/` for those that can be resumed, the routes `/look/` and `/book/` for tool
 /// calls, and `extra` additional routes `/extra-1/`, `/extra-2/` and so on.
 pub fn configuration(version: u64, extra: u64) -> String {
+    configuration_with_retention(version, extra, 60)
+}
+
+/// Returns the same configuration, in which the history of turns is kept for `retention_s` seconds.
+pub fn configuration_with_retention(version: u64, extra: u64, retention_s: u64) -> String {
+    let history = format!(",\"retain\":true,\"retention_s\":{retention_s}");
     let mut routes = vec![
-        route("chat", "streaming", "model", ",\"retain\":true,\"retention_s\":60.0"),
+        route("chat", "streaming", "model", &history),
         route("ask", "streaming", "model", ""),
         route("resume", "streaming", "model", ",\"resumable\":true"),
         route("look", "safe", "plain", ""),
--- a/crates/flamingotrail-standins/src/fleet/small.rs
+++ b/crates/flamingotrail-standins/src/fleet/small.rs
@@ -51,6 +51,11 @@
     Ok(Fleet { store, store_address, model, plain, folder })
 }
 
+/// Path of the gateway program.
+pub fn program() -> path::PathBuf {
+    path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../target/release/flamingotraild")
+}
+
 impl Fleet {
     /// Starts a gateway and waits until it is ready.
     ///
@@ -58,9 +63,7 @@
     ///
     /// Panics if it can't be started or does not become ready.
     pub fn start_gateway(&self, name: &str) -> gateways::Gateway {
-        let program =
-            path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../target/release/flamingotraild");
-        let gateway = gateways::start(&program, &self.folder, name, self.store_address)
+        let gateway = gateways::start(&program(), &self.folder, name, self.store_address)
             .unwrap_or_else(|error| panic!("{error}; scripts/test builds the program"));
         assert!(gateway.wait_until_ready(), "the gateway did not become ready");
         gateway
--- a/crates/flamingotrail-standins/src/fleet/store.rs
+++ b/crates/flamingotrail-standins/src/fleet/store.rs
@@ -24,11 +24,23 @@
 struct State {
     /// Records by topic and partition.
     partitions: collections::BTreeMap<(String, u16), Vec<Vec<u8>>>,
+    /// When the records of topics without keys were stored, if they are dropped after a while.
+    stored_at: collections::BTreeMap<(String, u16), Vec<time::Instant>>,
+    retention: Option<time::Duration>,
     is_unavailable: bool,
     drop_responses: bool,
     append_count: usize,
 }
 
+impl State {
+    /// Returns the offset of the oldest record that was not dropped.
+    fn first_offset(&self, topic: &str, partition: u16) -> usize {
+        let times = self.stored_at.get(&(topic.to_owned(), partition));
+        let Some((times, retention)) = times.zip(self.retention) else { return 0 };
+        times.iter().take_while(|at| at.elapsed() > retention).count()
+    }
+}
+
 /// The store; clones share their state.
 #[derive(Clone, Default)]
 pub struct Store {
@@ -51,6 +63,11 @@
         server::serve(move |request| store.handle(request))
     }
 
+    /// Makes the store drop records of topics without keys after `retention`.
+    pub fn set_retention(&self, retention: time::Duration) {
+        self.lock().retention = Some(retention);
+    }
+
     /// Sets whether the store rejects all calls with status 503.
     pub fn set_unavailable(&self, unavailable: bool) {
         self.lock().is_unavailable = unavailable;
@@ -106,7 +123,7 @@
     fn append(&self, topic: String, partition: u16, mut body: &[u8]) -> server::Response {
         let mut state = self.lock();
         let is_keyed = topic.starts_with("keyed.");
-        let records = state.partitions.entry((topic, partition)).or_default();
+        let records = state.partitions.entry((topic.clone(), partition)).or_default();
         let offset = records.len();
         while let Some((length, rest)) = body.split_first_chunk::<4>() {
             let length = u32::from_be_bytes(*length) as usize;
@@ -115,6 +132,8 @@
         }
         let end = records.len();
         if !is_keyed {
+            let times = state.stored_at.entry((topic, partition)).or_default();
+            times.resize(end, time::Instant::now());
             state.append_count += 1;
             if state.drop_responses {
                 return server::Response::Close;
@@ -134,9 +153,13 @@
             let state = self.lock();
             let records = state.partitions.get(&(topic.to_owned(), partition));
             let records = records.map_or(&[][..], Vec::as_slice);
+            let first = state.first_offset(topic, partition);
+            if from < first {
+                return server::response(410, &[], format!("{{\"first\":{first}}}").as_bytes());
+            }
             if records.len() > from || start.elapsed() >= wait {
                 let mut body = (records.len() as u64).to_be_bytes().to_vec();
-                body.extend_from_slice(&0_u64.to_be_bytes());
+                body.extend_from_slice(&(first as u64).to_be_bytes());
                 for record in records.iter().skip(from) {
                     body.extend_from_slice(&(record.len() as u32).to_be_bytes());
                     body.extend_from_slice(record);
