Rewriting: a chain is written again as a whole

Callers would see 503 for each further turn of a line that began with many turns in quick succession and went on slowly, at a gateway that does not have all of it in memory.

Cause: wrote a few old records at the end of each turn and left the others to later turns. Few turns follow in a slow line, and the log drops what none of them has written again.

That they delay other records is open again (docs/incidents/dropped-records.md). The header of handle_read says what it does.

--- a/crates/flamingotrail-gateway/src/systems/journal.rs
+++ b/crates/flamingotrail-gateway/src/systems/journal.rs
@@ -101,7 +101,7 @@
     }
 }
 
-/// Applies the records of a page that this gateway has not applied yet.
+/// Applies the records of a page that this gateway has not applied yet, and those that it reads again.
 fn handle_read(
     world: &mut world::World,
     tick: &world::Tick,
--- a/crates/flamingotrail-gateway/src/systems/rewriting.rs
+++ b/crates/flamingotrail-gateway/src/systems/rewriting.rs
@@ -54,12 +54,8 @@
     (spare / spare_divisor).max(log_retention / MIN_AGE_DIVISOR)
 }
 
-/// Writes old records of the chain that ends with `turn` again. An outage of the log leaves that to a
-/// later turn.
+/// Writes the old records of the chain that ends with `turn` again.
 pub fn rewrite_old_turns(world: &mut world::World, tick: &world::Tick, turn: &ids::TurnId) {
-    if world.tables.partitions.is_unreachable {
-        return;
-    }
     let rewrite_at = rewrite_at(world, tick, time::Duration::ZERO);
     let records = world.tables.turns.take_old_records(turn, tick.now, rewrite_at);
     if records.is_empty() {
--- a/crates/flamingotrail-gateway/src/tables/turns.rs
+++ b/crates/flamingotrail-gateway/src/tables/turns.rs
@@ -74,11 +74,6 @@
 /// Maximum number of turns in a chain; turns with the same id can form a cycle.
 const MAX_CHAIN_LENGTH: usize = 4096;
 
-/// Number of old records of a chain that are written again at once, and the number by which the others
-/// are divided to get how many more.
-const MIN_REWRITTEN: usize = 8;
-const REWRITTEN_DIVISOR: usize = 8;
-
 /// Why a chain of turns can't be returned.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ChainError<'a> {
@@ -188,9 +183,8 @@
             .take(MAX_CHAIN_LENGTH)
     }
 
-    /// Returns the oldest turns of the chain that ends with `turn` whose records have to be written
-    /// again at `now`; they count as written until `rewrite_at`. The others follow when later turns
-    /// end, so that a long chain does not delay the records of other turns.
+    /// Returns the turns of the chain that ends with `turn` whose records have to be written again at
+    /// `now`; they count as written until `rewrite_at`.
     pub fn take_old_records(
         &mut self,
         turn: &ids::TurnId,
@@ -198,10 +192,8 @@
         rewrite_at: time::Timestamp,
     ) -> Vec<journal::End> {
         let chain = self.stored_chain(turn);
-        let old: Vec<_> = chain.filter(|(_, row)| row.rewrite_at <= now).collect();
-        let count = MIN_REWRITTEN + old.len() / REWRITTEN_DIVISOR;
-        let oldest = old.iter().rev().take(count);
-        let records: Vec<journal::End> = oldest.map(|(id, row)| row.to_record(id)).collect();
+        let old = chain.filter(|(_, row)| row.rewrite_at <= now);
+        let records: Vec<journal::End> = old.map(|(id, row)| row.to_record(id)).collect();
         for record in &records {
             if let Some(row) = self.rows.get_mut(&record.turn) {
                 row.rewrite_at = rewrite_at;
