--- a/crates/flamingotrail-gateway/src/ids.rs
+++ b/crates/flamingotrail-gateway/src/ids.rs
@@ -21,6 +21,38 @@
     EndpointId
 );
 
+flamingotrail_core::name_type!(
+    /// Name of a workspace.
+    WorkspaceName
+);
+
+/// Digest of a caller's key. The key itself is not known to the decisions, so that it can't get into
+/// records, messages or log lines.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct KeyDigest([u8; 32]);
+
+impl KeyDigest {
+    /// Returns the digest of `key`.
+    pub fn of(key: &[u8]) -> Self {
+        KeyDigest(*blake3::hash(key).as_bytes())
+    }
+}
+
+impl fmt::Debug for KeyDigest {
+    /// Shows the beginning of the digest, which is enough to tell keys apart.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+impl fmt::Display for KeyDigest {
+    /// Shows the beginning of the digest, which is enough to tell keys apart.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        const SHOWN_BYTES: usize = 4;
+        self.0.iter().take(SHOWN_BYTES).try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
 /// Identifies an active call within this gateway process.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct CallId(pub u64);
--- a/crates/flamingotrail-gateway/src/input.rs
+++ b/crates/flamingotrail-gateway/src/input.rs
@@ -166,6 +166,10 @@
     pub received: core_time::Timestamp,
     /// Time that the caller allows for the request; `None` if it sent no limit.
     pub timeout: Option<time::Duration>,
+    /// What the caller presented to identify its workspace.
+    pub credential: Credential,
+    /// Hash of the object that the request concerns; endpoints that have handled it lately are faster.
+    pub affinity: Option<u64>,
     /// Program that the request is part of.
     pub program: Option<ProgramHeader>,
     /// Token counts that the caller declared.
@@ -194,6 +198,18 @@
     }
 }
 
+/// What a caller presents to identify its workspace.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Credential {
+    /// Nothing.
+    #[default]
+    Absent,
+    /// A key.
+    Key(ids::KeyDigest),
+    /// Something that can't be a key.
+    Malformed,
+}
+
 /// The event after which a caller resumes a stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ResumePoint {
@@ -341,6 +357,8 @@
     pub waiting: u32,
     /// Maximum number of requests that run concurrently.
     pub slots: u32,
+    /// How long work takes at the moment, in percent of the usual time; `None` if not reported.
+    pub slowdown_percent: Option<u32>,
 }
 
 /// Reason why an append or read failed.
@@ -378,6 +396,36 @@
     pub routes: Vec<Route>,
     /// Configured services by name.
     pub services: collections::BTreeMap<ids::ServiceName, Service>,
+    /// Workspaces of the callers; `None` if callers need no key.
+    pub workspaces: Option<Workspaces>,
+}
+
+/// The configured workspaces.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Workspaces {
+    /// Workspaces by name.
+    pub rows: collections::BTreeMap<ids::WorkspaceName, Workspace>,
+    /// Workspace of each key.
+    pub by_key: collections::BTreeMap<ids::KeyDigest, ids::WorkspaceName>,
+}
+
+/// A workspace: a customer who shares the deployment with others.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Workspace {
+    /// Priority class, which goes before that of a route; 0 is the highest. `None` leaves the order to
+    /// the routes.
+    pub priority: Option<u8>,
+    /// Maximum rate of its calls; `None` if it is not limited.
+    pub allowance: Option<RateAllowance>,
+}
+
+/// Maximum rate of a workspace's calls, over all gateways together.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct RateAllowance {
+    /// Calls per second.
+    pub per_s: f64,
+    /// Calls that may exceed the rate at once.
+    pub burst: f64,
 }
 
 /// Execution semantics of a route's requests.
@@ -431,6 +479,10 @@
     pub max_attempts: u32,
     /// How long turns are kept; `None` if this system does not store them.
     pub retention: Option<time::Duration>,
+    /// Whether callers need no key.
+    pub is_public: bool,
+    /// Whether endpoints that have lately handled the same object are faster.
+    pub is_sticky: bool,
 }
 
 /// A service that a group of endpoints provides.
@@ -447,6 +499,9 @@
 pub struct Engine {
     /// Number of tokens in each event of a stream.
     pub tokens_per_event: u64,
+    /// Memory of an engine in tokens, for running requests and cached prompt parts; `None` if not
+    /// configured.
+    pub memory_tokens: Option<u64>,
 }
 
 /// A snapshot of the platform's endpoint list.
--- a/crates/flamingotrail-gateway/src/output.rs
+++ b/crates/flamingotrail-gateway/src/output.rs
@@ -146,6 +146,11 @@
     pub timeout: time::Duration,
     /// Scheduling priority for engines, 0 being the highest; `None` for plain services.
     pub urgency: Option<u8>,
+    /// Workspace of the caller, which the endpoint is told.
+    pub workspace: Option<ids::WorkspaceName>,
+    /// Whether the caller's credentials are kept from the endpoint, because they are meant for the
+    /// gateway.
+    pub hides_credentials: bool,
     /// Parts of the body, in order.
     pub body: Vec<Bytes>,
     /// Whether the request may be repeated, and therefore sent on a connection that has been idle
@@ -176,6 +181,10 @@
 pub enum Reason {
     /// No route matches the request.
     NoRoute,
+    /// The caller presented no key of a workspace.
+    Unauthorized,
+    /// The workspace has used its allowance; the call did not run and will not run.
+    OverAllowance,
     /// The turn that the request continues does not exist.
     NoSuchTurn,
     /// The turn is too large for a record of the log.
@@ -199,6 +208,8 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Reason::NoRoute => "no_route",
+            Reason::Unauthorized => "unauthorized",
+            Reason::OverAllowance => "over_allowance",
             Reason::NoSuchTurn => "no_such_turn",
             Reason::TooLarge => "too_large",
             Reason::InvalidResume => "invalid_resume",
--- a/crates/flamingotrail-gateway/src/settings.rs
+++ b/crates/flamingotrail-gateway/src/settings.rs
@@ -17,6 +17,17 @@
     pub regions: std::collections::BTreeMap<ids::DomainName, ids::RegionName>,
 }
 
+/// How far the calls of a workspace may exceed its allowance in any window, over all gateways.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct AllowanceTolerance {
+    /// Length of the window.
+    pub window: time::Duration,
+    /// Part of the window's allowance by which it may be exceeded; 0.1 is a tenth.
+    pub overage: f64,
+    /// Number of calls by which it may be exceeded besides.
+    pub slack: f64,
+}
+
 /// Limits of the log, and the time allowed for a shutdown.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -32,4 +43,6 @@
     pub log_retention: time::Duration,
     /// Maximum duration of a graceful shutdown.
     pub grace_period: time::Duration,
+    /// Tolerance of the allowances of workspaces.
+    pub allowance_tolerance: AllowanceTolerance,
 }
--- a/crates/flamingotrail-gateway/src/systems/admission.rs
+++ b/crates/flamingotrail-gateway/src/systems/admission.rs
@@ -87,6 +87,8 @@
         None => calls::Phase::Placing,
     };
     Ok(calls::Call {
+        workspace: None,
+        key: None,
         route: route.name.clone(),
         kind: route.kind,
         priority: route.priority,
--- a/crates/flamingotrail-gateway/src/systems/placement.rs
+++ b/crates/flamingotrail-gateway/src/systems/placement.rs
@@ -282,6 +282,8 @@
             .engine
             .as_ref()
             .map(|_| HIGHEST_CLASS_URGENCY.saturating_add(call.priority).min(LOWEST_URGENCY)),
+        workspace: call.workspace.clone(),
+        hides_credentials: tables.routes.has_workspaces(),
         body,
         repeatable,
         gated: call
--- a/crates/flamingotrail-gateway/src/tables/calls.rs
+++ b/crates/flamingotrail-gateway/src/tables/calls.rs
@@ -130,6 +130,10 @@
 pub struct Call {
     /// Request of the caller.
     pub arrival: input::Arrival,
+    /// Workspace of the caller; `None` if the route needs none.
+    pub workspace: Option<ids::WorkspaceName>,
+    /// Key that the caller presented.
+    pub key: Option<ids::KeyDigest>,
     /// Name of the route.
     pub route: String,
     /// Execution semantics of the route.
--- a/crates/flamingotrail-gateway/src/tables/routes.rs
+++ b/crates/flamingotrail-gateway/src/tables/routes.rs
@@ -79,6 +79,11 @@
         self.service(service)?.engine.as_ref()
     }
 
+    /// Whether the configuration has workspaces, so that callers' credentials are meant for the gateway.
+    pub fn has_workspaces(&self) -> bool {
+        self.current.as_ref().is_some_and(|configuration| configuration.workspaces.is_some())
+    }
+
     /// Returns the configured service of this name.
     pub fn service(&self, name: &ids::ServiceName) -> Option<&input::Service> {
         self.current.as_ref()?.services.get(name)
--- a/crates/flamingotrail-gateway/tests/decisions/fixture.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/fixture.rs
@@ -100,6 +100,8 @@
         traffic_split: vec![(ids::ServiceName::new(service), 1)],
         max_attempts: 2,
         retention: None,
+        is_public: false,
+        is_sticky: false,
     }
 }
 
@@ -110,7 +112,7 @@
 pub fn configuration(version: u64) -> input::Configuration {
     let mut chat = route("/chat/", input::RouteKind::Stream, "engine");
     chat.retention = Some(time::Duration::from_secs(60));
-    let engine = input::Engine { tokens_per_event: TOKENS_PER_EVENT };
+    let engine = input::Engine { tokens_per_event: TOKENS_PER_EVENT, memory_tokens: None };
     input::Configuration {
         version,
         routes: vec![
@@ -124,6 +126,7 @@
             (ids::ServiceName::new("engine"), service(Some(engine))),
             (ids::ServiceName::new("ledger"), service(None)),
         ]),
+        workspaces: None,
     }
 }
 
@@ -171,6 +174,8 @@
         method_and_query: "POST ".to_owned(),
         received: core_time::Timestamp::ZERO,
         timeout: Some(time::Duration::from_secs(4)),
+        credential: input::Credential::Absent,
+        affinity: None,
         program: None,
         usage: None,
         previous: None,
@@ -261,6 +266,11 @@
             max_append_bytes: 100_000,
             log_retention: LOG_RETENTION,
             grace_period: time::Duration::from_secs(8),
+            allowance_tolerance: settings::AllowanceTolerance {
+                window: time::Duration::from_secs(5),
+                overage: 0.1,
+                slack: 20.0,
+            },
         };
         Gateway {
             world: world::World::new(identity(name), settings),
--- a/crates/flamingotrail-gateway/tests/decisions/placement.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/placement.rs
@@ -29,7 +29,7 @@
 
 /// Returns the outcome of a stream whose engine reports `running` requests.
 fn stream_outcome_under_load(running: u32) -> input::Outcome {
-    let load = Some(input::Load { running, waiting: 0, slots: SLOTS });
+    let load = Some(input::Load { running, waiting: 0, slots: SLOTS, slowdown_percent: None });
     let output = bytes::Bytes::from_static(b"word\n");
     input::Outcome::Streamed { complete: true, events: 1, last_event: Some(1), output, load }
 }
--- a/crates/flamingotrail-gateway/tests/decisions/reconfiguration.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/reconfiguration.rs
@@ -25,7 +25,7 @@
 fn configuration_with_tokens_per_event(tokens_per_event: u64) -> input::Configuration {
     let mut changed = fixture::configuration(2);
     let service = changed.services.get_mut(&ids::ServiceName::new("engine")).expect("configured");
-    service.engine = Some(input::Engine { tokens_per_event });
+    service.engine = Some(input::Engine { tokens_per_event, memory_tokens: None });
     changed
 }
 
--- a/crates/flamingotrail-runtime/src/gateway/callers.rs
+++ b/crates/flamingotrail-runtime/src/gateway/callers.rs
@@ -275,6 +275,8 @@
 fn refusal_status(reason: output::Reason) -> StatusCode {
     match reason {
         output::Reason::NoRoute | output::Reason::NoSuchTurn => StatusCode::NOT_FOUND,
+        output::Reason::Unauthorized => StatusCode::UNAUTHORIZED,
+        output::Reason::OverAllowance => StatusCode::TOO_MANY_REQUESTS,
         output::Reason::InvalidResume => StatusCode::BAD_REQUEST,
         output::Reason::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
         output::Reason::BudgetSpent => StatusCode::PAYMENT_REQUIRED,
--- a/crates/flamingotrail-runtime/src/gateway/process.rs
+++ b/crates/flamingotrail-runtime/src/gateway/process.rs
@@ -75,6 +75,7 @@
         max_append_bytes: deployment.store.max_append_bytes,
         log_retention: deployment.store.retention,
         grace_period: deployment.shutdown_grace,
+        allowance_tolerance: deployment.allowance_tolerance,
     };
     let world = world::World::new(deployment.identity.clone(), settings);
     let (inputs, outputs) = control::start(world, clock)?;
--- a/crates/flamingotrail-runtime/tests/pending_calls.rs
+++ b/crates/flamingotrail-runtime/tests/pending_calls.rs
@@ -23,6 +23,8 @@
         address: "127.0.0.1:1".to_owned(),
         timeout: time::Duration::from_secs(4),
         urgency: None,
+        workspace: None,
+        hides_credentials: false,
         body: Vec::new(),
         repeatable: false,
         gated,
