Identity: callers are known by their key, and workspaces kept apart

Cause: gateways ignored keys. Anybody could run calls, endpoints were not told whose call they run, keys were forwarded to them, and turns and programs of different customers with the same id were the same. Change: the key is hashed as the request head is decoded. Admission asks systems/identity.rs for the caller once the route is known, refuses callers without a valid key with 401, and puts the ids into the caller's workspace. Callers without a workspace keep their ids with % and / escaped, since they could name a turn of a workspace otherwise. Calls that have not run are refused when a configuration no longer has their key. Refusals are counted each and logged once a second. Endpoints get Tenant from the gateway only, and no Authorization where there are workspaces. Lookups between gateways encode ids.

--- a/crates/flamingotrail-gateway/src/ids.rs
+++ b/crates/flamingotrail-gateway/src/ids.rs
@@ -38,6 +38,37 @@
     }
 }
 
+impl TurnId {
+    /// Returns this id as the gateways share it: within `workspace`.
+    pub fn scoped(&self, workspace: Option<&WorkspaceName>) -> Self {
+        TurnId::new(scoped(workspace, self.as_str()))
+    }
+}
+
+impl ProgramId {
+    /// Returns this id as the gateways share it: within `workspace`.
+    pub fn scoped(&self, workspace: Option<&WorkspaceName>) -> Self {
+        ProgramId::new(scoped(workspace, self.as_str()))
+    }
+}
+
+/// Returns `WORKSPACE/ID`. The id of a caller without a workspace has no slash, so that it is none of
+/// a workspace's ids, whatever the caller sends.
+fn scoped(workspace: Option<&WorkspaceName>, id: &str) -> String {
+    /// What would end the name of a workspace early, in an id or in the `key=value` pairs of log lines.
+    const NAME_ESCAPES: &percent_encoding::AsciiSet =
+        &percent_encoding::CONTROLS.add(b' ').add(b'%').add(b'/');
+    const PLAIN_ESCAPES: &percent_encoding::AsciiSet =
+        &percent_encoding::AsciiSet::EMPTY.add(b'%').add(b'/');
+    match workspace {
+        Some(workspace) => {
+            let name = percent_encoding::utf8_percent_encode(workspace.as_str(), NAME_ESCAPES);
+            format!("{name}/{id}")
+        }
+        None => percent_encoding::utf8_percent_encode(id, PLAIN_ESCAPES).to_string(),
+    }
+}
+
 impl fmt::Debug for KeyDigest {
     /// Shows the beginning of the digest, which is enough to tell keys apart.
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
--- a/crates/flamingotrail-gateway/src/input.rs
+++ b/crates/flamingotrail-gateway/src/input.rs
@@ -185,16 +185,19 @@
 }
 
 impl Arrival {
-    /// Returns the fingerprint of the request, which is the same if its caller sends it again.
-    pub fn fingerprint(&self) -> ids::Fingerprint {
+    /// Returns the fingerprint of the request, which is the same if its caller sends it again; the
+    /// same request of another workspace has another one.
+    pub fn fingerprint(&self, workspace: Option<&ids::WorkspaceName>) -> ids::Fingerprint {
         let previous = self.previous.as_ref().map_or("", |previous| previous.as_str());
-        ids::Fingerprint::of(&[
+        let mut fields = vec![
             self.host.as_bytes(),
             self.path.as_bytes(),
             self.method_and_query.as_bytes(),
             previous.as_bytes(),
             &self.body,
-        ])
+        ];
+        fields.extend(workspace.map(|workspace| workspace.as_str().as_bytes()));
+        ids::Fingerprint::of(&fields)
     }
 }
 
--- a/crates/flamingotrail-gateway/src/output.rs
+++ b/crates/flamingotrail-gateway/src/output.rs
@@ -129,6 +129,8 @@
     Stopped,
     /// Writes a log line and increments the counter of the event's name.
     Event(Event),
+    /// Increments the counter of an event of this name, without a log line.
+    Count(&'static str),
 }
 
 /// A request to send to an endpoint.
--- a/crates/flamingotrail-gateway/src/schedule.rs
+++ b/crates/flamingotrail-gateway/src/schedule.rs
@@ -16,6 +16,7 @@
     System { name: "ingest", run: systems::ingest::run },
     System { name: "timers", run: systems::timers::run },
     System { name: "configuration", run: systems::configuration::run },
+    System { name: "identity", run: systems::identity::run },
     System { name: "membership", run: systems::membership::run },
     System { name: "crashes", run: systems::crashes::run },
     System { name: "measurements", run: systems::measurements::run },
--- a/crates/flamingotrail-gateway/src/systems/admission.rs
+++ b/crates/flamingotrail-gateway/src/systems/admission.rs
@@ -7,6 +7,7 @@
 use crate::input;
 use crate::output;
 use crate::systems::crashes;
+use crate::systems::identity;
 use crate::systems::log_outage;
 use crate::tables::calls;
 use crate::tables::programs;
@@ -26,15 +27,21 @@
 
 fn admit(world: &mut world::World, tick: &world::Tick, arrival: input::Arrival) {
     let id = arrival.call;
-    let quarantine = crashes::refusal(world, tick, &arrival);
-    let call = match quarantine {
-        Some(refusal) => Err(Box::new((arrival, refusal))),
-        None => build_call(world, tick, arrival),
-    };
-    let call = match call {
+    let built = build_call(world, tick, arrival).and_then(|call| {
+        match crashes::refusal(world, tick, &call) {
+            Some(refusal) => Err(Box::new((call.arrival, refusal))),
+            None => Ok(call),
+        }
+    });
+    let call = match built {
         Ok(call) => call,
         Err(refused) => {
             let (arrival, refusal) = *refused;
+            if refusal.reason == output::Reason::Unauthorized {
+                identity::record_unknown_caller(world, tick, arrival.credential);
+                world.emit(output::Output::Refuse(id, refusal));
+                return;
+            }
             let reason = refusal.reason.as_str();
             let version = world.tables.routes.version().unwrap_or(0);
             let detail = format_args!(
@@ -58,7 +65,7 @@
 fn build_call(
     world: &world::World,
     tick: &world::Tick,
-    arrival: input::Arrival,
+    mut arrival: input::Arrival,
 ) -> Result<calls::Call, Box<(input::Arrival, output::Refusal)>> {
     let unavailable = output::Refusal {
         reason: output::Reason::Unavailable,
@@ -70,6 +77,14 @@
         routes::Selection::NoMatch => return Err(Box::new((arrival, no_route))),
         routes::Selection::Route(route) => route,
     };
+    let workspaces = world.tables.routes.workspaces();
+    let caller = match identity::authenticate(workspaces, route, arrival.credential) {
+        Ok(caller) => caller,
+        Err(refusal) => return Err(Box::new((arrival, refusal))),
+    };
+    if workspaces.is_some() {
+        identity::scope_ids(&mut arrival, caller.workspace.as_ref());
+    }
     let key = arrival.program.as_ref().map_or(arrival.id.as_str(), |program| program.id.as_str());
     let Some(service) = routes::pick_service(route, key) else {
         return Err(Box::new((arrival, unavailable)));
@@ -87,8 +102,9 @@
         None => calls::Phase::Placing,
     };
     Ok(calls::Call {
-        workspace: None,
-        key: None,
+        workspace: caller.workspace,
+        key: caller.key,
+        is_identified: workspaces.is_some(),
         route: route.name.clone(),
         kind: route.kind,
         priority: route.priority,
--- a/crates/flamingotrail-gateway/src/systems/configuration.rs
+++ b/crates/flamingotrail-gateway/src/systems/configuration.rs
@@ -11,6 +11,7 @@
         let tables = &mut world.tables;
         if tables.routes.replace(configuration) {
             let current = &tables.routes;
+            tables.dirty.workspaces = true;
             tables.profiles.retain(|service| current.service(service).is_some());
             world.emit_event(
                 "configuration_in_force",
--- a/crates/flamingotrail-gateway/src/systems/crashes.rs
+++ b/crates/flamingotrail-gateway/src/systems/crashes.rs
@@ -57,28 +57,28 @@
         | input::Outcome::Streamed { complete: false, .. }
             if !is_leaving && call.phase != calls::Phase::Closed =>
         {
-            let fingerprint = call.arrival.fingerprint();
+            let fingerprint = call.fingerprint();
             tables.crashes.record_loss(fingerprint, &running.endpoint, running.sent_at, tick.now);
         }
         input::Outcome::Answered { .. } | input::Outcome::Streamed { complete: true, .. }
             if !tables.crashes.is_empty() =>
         {
-            tables.crashes.record_success(call.arrival.fingerprint());
+            tables.crashes.record_success(call.fingerprint());
         }
         _ => {}
     }
 }
 
-/// Returns the refusal of a request that is quarantined.
+/// Returns the refusal of a call that is quarantined.
 pub fn refusal(
     world: &mut world::World,
     tick: &world::Tick,
-    arrival: &input::Arrival,
+    call: &calls::Call,
 ) -> Option<output::Refusal> {
     if !world.tables.crashes.has_suspects() {
         return None;
     }
-    let until = world.tables.crashes.admit(arrival.fingerprint(), tick.now).err()?;
+    let until = world.tables.crashes.admit(call.fingerprint(), tick.now).err()?;
     let retry_after = Some(until.since(tick.now));
     Some(output::Refusal { reason: output::Reason::Quarantined, retry_after })
 }
--- a/crates/flamingotrail-gateway/src/systems/mod.rs
+++ b/crates/flamingotrail-gateway/src/systems/mod.rs
@@ -7,6 +7,7 @@
 pub mod crashes;
 pub mod deadlines;
 pub mod expiry;
+pub mod identity;
 pub mod ingest;
 pub mod journal;
 pub mod leaving_checks;
--- a/crates/flamingotrail-gateway/src/systems/placement.rs
+++ b/crates/flamingotrail-gateway/src/systems/placement.rs
@@ -10,6 +10,7 @@
 use crate::policy;
 use crate::systems::admission;
 use crate::systems::completion;
+use crate::systems::identity;
 use crate::tables::calls;
 use crate::tables::endpoints;
 use crate::tables::notices;
@@ -70,6 +71,10 @@
     if call.phase != calls::Phase::Placing {
         return;
     }
+    if let Some(refusal) = identity::refusal(world, call) {
+        completion::refuse(world, tick, id, refusal);
+        return;
+    }
     if call.turn.as_ref().is_some_and(|turn| turn.reservation == calls::Reservation::Denied) {
         completion::refuse_over_budget(world, tick, id);
         return;
@@ -283,7 +288,7 @@
             .as_ref()
             .map(|_| HIGHEST_CLASS_URGENCY.saturating_add(call.priority).min(LOWEST_URGENCY)),
         workspace: call.workspace.clone(),
-        hides_credentials: tables.routes.has_workspaces(),
+        hides_credentials: call.is_identified || tables.routes.has_workspaces(),
         body,
         repeatable,
         gated: call
--- a/crates/flamingotrail-gateway/src/tables/calls.rs
+++ b/crates/flamingotrail-gateway/src/tables/calls.rs
@@ -130,10 +130,13 @@
 pub struct Call {
     /// Request of the caller.
     pub arrival: input::Arrival,
-    /// Workspace of the caller; `None` if the route needs none.
+    /// Workspace of the caller; `None` if it has none.
     pub workspace: Option<ids::WorkspaceName>,
-    /// Key that the caller presented.
+    /// Key that names the workspace.
     pub key: Option<ids::KeyDigest>,
+    /// Whether there were workspaces when the call was admitted, so that its credential was meant for
+    /// the gateway.
+    pub is_identified: bool,
     /// Name of the route.
     pub route: String,
     /// Execution semantics of the route.
@@ -176,6 +179,16 @@
 }
 
 impl Call {
+    /// Returns the fingerprint of the call's request.
+    pub fn fingerprint(&self) -> ids::Fingerprint {
+        self.arrival.fingerprint(self.workspace.as_ref())
+    }
+
+    /// Whether an endpoint has run the call, or may run it now.
+    pub fn may_have_run(&self) -> bool {
+        self.possible_runs > 0 || self.running.is_some()
+    }
+
     /// Returns the time between `now` and the deadline.
     pub fn remaining_time(&self, now: core_time::Timestamp) -> time::Duration {
         self.deadline.since(now)
--- a/crates/flamingotrail-gateway/src/tables/dirty.rs
+++ b/crates/flamingotrail-gateway/src/tables/dirty.rs
@@ -40,6 +40,10 @@
     pub leaving_checks: bool,
     /// Whether other gateways are to be told of announcements.
     pub untold_notices: bool,
+    /// Whether the workspaces have changed, so that the keys of waiting calls are to be checked.
+    pub workspaces: bool,
+    /// Whether refusals of unknown callers are to be reported.
+    pub unknown_callers: bool,
     /// Whether other gateways are to be probed.
     pub peer_probes: bool,
     /// Whether the graceful shutdown may advance.
@@ -65,6 +69,8 @@
             && !self.unasked_notices
             && !self.leaving_checks
             && !self.untold_notices
+            && !self.workspaces
+            && !self.unknown_callers
             && !self.peer_probes
             && !self.drain
     }
--- a/crates/flamingotrail-gateway/src/tables/mod.rs
+++ b/crates/flamingotrail-gateway/src/tables/mod.rs
@@ -23,6 +23,7 @@
 pub mod service_profiles;
 pub mod timers;
 pub mod turns;
+pub mod unknown_callers;
 pub mod ways;
 
 /// All tables of one gateway.
@@ -40,6 +41,8 @@
     pub notices: notices::Notices,
     /// Requests that endpoints did not survive.
     pub crashes: crashes::Crashes,
+    /// Refusals of callers whose workspace is not known.
+    pub unknown_callers: unknown_callers::UnknownCallers,
     /// When callers are asked to return.
     pub returns: returns::Returns,
     /// Active calls.
--- a/crates/flamingotrail-gateway/src/tables/routes.rs
+++ b/crates/flamingotrail-gateway/src/tables/routes.rs
@@ -79,9 +79,14 @@
         self.service(service)?.engine.as_ref()
     }
 
+    /// Returns the configured workspaces; `None` if callers need no key.
+    pub fn workspaces(&self) -> Option<&input::Workspaces> {
+        self.current.as_ref()?.workspaces.as_ref()
+    }
+
     /// Whether the configuration has workspaces, so that callers' credentials are meant for the gateway.
     pub fn has_workspaces(&self) -> bool {
-        self.current.as_ref().is_some_and(|configuration| configuration.workspaces.is_some())
+        self.workspaces().is_some()
     }
 
     /// Returns the configured service of this name.
--- a/crates/flamingotrail-gateway/src/tables/timers.rs
+++ b/crates/flamingotrail-gateway/src/tables/timers.rs
@@ -30,6 +30,8 @@
     LeavingChecks,
     /// Other gateways are told of announcements of endpoints.
     TellNotices,
+    /// Refusals of unknown callers are reported.
+    UnknownCallers,
     /// Other gateways are probed.
     PeerProbes,
     /// A graceful shutdown takes its next step.
--- a/crates/flamingotrail-gateway/tests/decisions/fixture.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/fixture.rs
@@ -70,6 +70,8 @@
     pub ready: Option<bool>,
     pub stopped: bool,
     pub event_intervals: Vec<Option<time::Duration>>,
+    pub events: Vec<output::Event>,
+    pub counts: collections::BTreeMap<&'static str, usize>,
     pending_log_calls: Vec<output::Output>,
 }
 
@@ -130,6 +132,23 @@
     }
 }
 
+/// A configuration whose callers need one of `keys`, each given with its workspace.
+pub fn configuration_with_keys(version: u64, keys: &[(&str, &str)]) -> input::Configuration {
+    let mut workspaces = input::Workspaces::default();
+    for (key, workspace) in keys {
+        let name = ids::WorkspaceName::new(workspace);
+        workspaces.rows.insert(name.clone(), input::Workspace::default());
+        workspaces.by_key.insert(ids::KeyDigest::of(key.as_bytes()), name);
+    }
+    input::Configuration { workspaces: Some(workspaces), ..configuration(version) }
+}
+
+/// The request of a caller that has `key`.
+pub fn with_key(key: &str, request: input::Arrival) -> input::Arrival {
+    let credential = input::Credential::Key(ids::KeyDigest::of(key.as_bytes()));
+    input::Arrival { credential, ..request }
+}
+
 pub fn endpoint(service: &str, domain: &str) -> input::Endpoint {
     input::Endpoint {
         service: ids::ServiceName::new(service),
@@ -296,6 +315,8 @@
             ready: None,
             stopped: false,
             event_intervals: Vec::new(),
+            events: Vec::new(),
+            counts: collections::BTreeMap::new(),
             pending_log_calls: Vec::new(),
         }
     }
@@ -333,6 +354,8 @@
                 output::Output::RemovePeer(peer) => self.removed.push(peer),
                 output::Output::Ready(ready) => self.ready = Some(ready),
                 output::Output::SetEventInterval(interval) => self.event_intervals.push(interval),
+                output::Output::Event(event) => self.events.push(event),
+                output::Output::Count(name) => *self.counts.entry(name).or_default() += 1,
                 output::Output::Stopped => self.stopped = true,
                 output::Output::Append { .. } | output::Output::Read { .. } => {
                     self.pending_log_calls.push(output);
@@ -401,6 +424,14 @@
         self.complete_log_calls(log);
     }
 
+    pub fn configure(&mut self, configuration: input::Configuration) {
+        self.tick(vec![input::Input::Configuration(Box::new(configuration))]);
+    }
+
+    pub fn has_sent(&self, call: u64) -> bool {
+        self.sent.iter().any(|sent| sent.call == ids::CallId(call))
+    }
+
     pub fn refusal_reason(&self, call: u64) -> Option<output::Reason> {
         let refused = self.refused.iter().find(|(id, _)| *id == ids::CallId(call));
         refused.map(|(_, refusal)| refusal.reason)
--- a/crates/flamingotrail-runtime/src/gateway/executor.rs
+++ b/crates/flamingotrail-runtime/src/gateway/executor.rs
@@ -120,6 +120,7 @@
                 self.ready.send_replace(ready);
             }
             output::Output::Stopped => {}
+            output::Output::Count(event) => self.metrics.count_event(event),
             output::Output::Event(event) => {
                 self.metrics.count_event(event.name);
                 log::info!("event={} {}", event.name, event.detail);
--- a/crates/flamingotrail-runtime/src/gateway/http1.rs
+++ b/crates/flamingotrail-runtime/src/gateway/http1.rs
@@ -18,6 +18,7 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 use flamingotrail_adapter::configuration;
+use flamingotrail_adapter::credentials;
 use flamingotrail_adapter::requests;
 use tokio::io::AsyncReadExt as _;
 use tokio::io::AsyncWriteExt as _;
@@ -156,7 +157,8 @@
             let buffered = self.read_buffer.len();
             let message =
                 self.codec.decode(&mut self.read_buffer).map_err(|error| to_read_error(&error))?;
-            if let Some(h1::Message::Item(request)) = message {
+            if let Some(h1::Message::Item(mut request)) = message {
+                credentials::hide(request.head_mut());
                 if buffered - self.read_buffer.len() > limits.max_head_bytes {
                     return Err(ReadError::Status(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE));
                 }
--- a/crates/flamingotrail-runtime/src/gateway/peers.rs
+++ b/crates/flamingotrail-runtime/src/gateway/peers.rs
@@ -23,6 +23,7 @@
 use flamingotrail_gateway::journal;
 use flamingotrail_gateway::tables::peers;
 use flamingotrail_wire::gateway as wire;
+use flamingotrail_wire::paths;
 use tokio::sync::oneshot;
 
 use crate::gateway::control;
@@ -45,6 +46,9 @@
 const RESPONSE_TIMEOUT: time::Duration = time::Duration::from_millis(450);
 /// Timeout for connecting to another gateway.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(250);
+/// Maximum size of a request head. Ids of callers may fill a head of theirs, and each of their
+/// characters may take three in a path.
+const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Maximum size of a response, which may contain a long chain of turns.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
 /// Timeout for the removal of an entry, which a process that ends waits for.
@@ -100,7 +104,10 @@
     }
 
     async fn serve_connection(self, mut connection: http1::Connection) {
-        let limits = configuration::RequestLimits::default();
+        let limits = configuration::RequestLimits {
+            max_head_bytes: MAX_HEAD_BYTES,
+            ..configuration::RequestLimits::default()
+        };
         while connection.wait_for_request(&limits).await.is_ok() {
             let Ok(incoming) = connection.read_request(&limits).await else { return };
             let (status, response_body) = self.serve_request(&incoming).await;
@@ -138,6 +145,9 @@
         } else if path == CRASHES_PATH {
             input::Input::CrashesRequested { ticket }
         } else if let Some(turn) = path.strip_prefix(TURNS_PATH_PREFIX) {
+            let Some(turn) = paths::decode_segment(turn) else {
+                return (StatusCode::BAD_REQUEST, Bytes::new());
+            };
             input::Input::LookupRequested { ticket, turn: ids::TurnId::new(turn) }
         } else {
             return (StatusCode::NOT_FOUND, Bytes::new());
@@ -316,7 +326,7 @@
     ) {
         let peers = self.clone();
         actix_rt::spawn(async move {
-            let path = format!("{TURNS_PATH_PREFIX}{turn}");
+            let path = format!("{TURNS_PATH_PREFIX}{}", paths::encode_segment(turn.as_str()));
             let bytes = peers.request(&peer, &address, "GET", &path, Bytes::new()).await;
             let response = bytes.and_then(|bytes| {
                 ok_or_log(wire::decode_lookup_response(&bytes, wire::UnixTime::now()))
--- a/crates/flamingotrail-wire/src/lib.rs
+++ b/crates/flamingotrail-wire/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod ids;
 pub mod journal;
 pub mod messages;
+pub mod paths;
 pub mod platform;
 pub mod state;
 pub mod work;
