Workspaces with real processes: gateways, runners and the store

Cause: nothing showed what becomes of keys when a process or the store fails. The soak's callers belong to two workspaces, name another one, and try unknown and removed keys and turns of the other; keys are exchanged while faults happen, and each gateway is asked about each key at the end.

--- a/crates/flamingotrail-standins/src/fleet/platform.rs
+++ b/crates/flamingotrail-standins/src/fleet/platform.rs
@@ -58,3 +58,18 @@
          \"service\":\"{service}\",\"max_attempts\":2{options}}}"
     )
 }
+
+/// Returns `configuration` with workspaces, each given by its name and its keys.
+///
+/// # Panics
+///
+/// Panics if `configuration` is not a JSON object.
+pub fn with_workspaces(configuration: &str, workspaces: &[(&str, Vec<String>)]) -> String {
+    let mut document: serde_json::Value =
+        serde_json::from_str(configuration).expect("the configuration is JSON");
+    let rows = workspaces.iter().map(|(name, keys)| {
+        serde_json::json!({ "name": name, "api_keys": keys, "priority": 0, "rate_per_s": 0, "burst": 0 })
+    });
+    document["tenants"] = rows.collect();
+    document.to_string()
+}
--- a/crates/flamingotrail-standins/src/soak/callers.rs
+++ b/crates/flamingotrail-standins/src/soak/callers.rs
@@ -12,6 +12,8 @@
 
 use crate::soak::connection;
 use crate::soak::directory;
+use crate::soak::identity;
+use crate::soak::keys;
 use crate::soak::observations;
 use crate::soak::plan;
 
@@ -32,6 +34,9 @@
 pub struct Caller {
     name: String,
     rng: ChaCha8Rng,
+    keys: keys::KeyRing,
+    /// Index of the caller's workspace.
+    workspace: usize,
     directory: directory::Directory,
     observations: mpsc::Sender<observations::Observation>,
     connections: collections::BTreeMap<directory::Incarnation, connection::Connection>,
@@ -51,6 +56,7 @@
     pub fn new(
         seed: u64,
         number: usize,
+        keys: keys::KeyRing,
         directory: directory::Directory,
         observations: mpsc::Sender<observations::Observation>,
     ) -> Self {
@@ -58,6 +64,8 @@
         Caller {
             name: format!("c{number}"),
             rng: ChaCha8Rng::seed_from_u64(caller_seed),
+            keys,
+            workspace: keys::workspace_of(number),
             directory,
             observations,
             connections: collections::BTreeMap::new(),
@@ -95,9 +103,11 @@
             let (id, response) = self.send_turn(&program.id, program.budget, previous.as_deref());
             match response.status {
                 Some(200) if response.is_complete => {
+                    self.keys.record_turn(self.workspace, &id);
                     program.last_turn = Some(id);
                     self.send_stream(program);
                     self.call_tool();
+                    self.try_identity();
                     return true;
                 }
                 Some(402 | 404) => return false,
@@ -214,6 +224,42 @@
         }));
     }
 
+    /// Sends a request with a key that is not, or may no longer be valid, or for a turn of another
+    /// workspace.
+    fn try_identity(&mut self) {
+        let id = self.next_id("i");
+        let random = plan::random_below(&mut self.rng, u64::MAX / 4);
+        let other = self.keys.newest_turn(keys::workspace_of(self.workspace + 1));
+        match (random % 4, other) {
+            (0, _) => {
+                let header = ("Authorization", "Token unknown");
+                self.try_with(identity::Attempt::UnknownKey, id, "/look/1", header);
+            }
+            (1, Some(turn)) => {
+                let header = ("Previous-Turn", turn.as_str());
+                self.try_with(identity::Attempt::ForeignTurn, id, "/chat/1", header);
+            }
+            _ => {
+                let key = self.keys.temporary(self.workspace, random / 4);
+                let credential = format!("Token {key}");
+                let attempt = identity::Attempt::TemporaryKey(key);
+                self.try_with(attempt, id, "/look/1", ("Authorization", &credential));
+            }
+        }
+    }
+
+    fn try_with(
+        &mut self,
+        attempt: identity::Attempt,
+        id: String,
+        path: &str,
+        header: (&str, &str),
+    ) {
+        let headers = [("Request-Id", id.as_str()), ("Deadline-Ms", "2500"), header];
+        let (_, response) = self.send("POST", path, &headers, "");
+        self.report(observations::Observation::Trial(identity::Trial { id, attempt, response }));
+    }
+
     /// Retries a turn that continues `last_turn` until it succeeds or `RESUME_TIMEOUT` has passed.
     fn resume(&mut self, last_turn: &str) {
         let deadline = time::Instant::now() + RESUME_TIMEOUT;
@@ -274,7 +320,16 @@
         let Ok(mut connection) = connection else {
             return (Some(incarnation), connection::Response::default());
         };
-        let response = connection.call(method, path, headers, body);
+        let key = self.keys.permanent(self.workspace);
+        let credential = format!("Token {key}");
+        // Gateways have to drop what callers say of their workspace.
+        let other = keys::WORKSPACES[keys::workspace_of(self.workspace + 1)];
+        let mut headers = headers.to_vec();
+        headers.push(("Tenant", other));
+        if !headers.iter().any(|(name, _)| *name == "Authorization") {
+            headers.push(("Authorization", &credential));
+        }
+        let response = connection.call(method, path, &headers, body);
         if response.is_reusable {
             self.connections.insert(incarnation, connection);
         }
--- a/crates/flamingotrail-standins/src/soak/observations.rs
+++ b/crates/flamingotrail-standins/src/soak/observations.rs
@@ -7,9 +7,10 @@
 use crate::fleet::server;
 use crate::soak::callers;
 use crate::soak::connection;
+use crate::soak::identity;
 
 /// Status codes which guarantee that a request has not been executed and never will be.
-const NOT_EXECUTED_STATUSES: &[u16] = &[402, 408, 421, 429, 503];
+const NOT_EXECUTED_STATUSES: &[u16] = &[401, 402, 408, 421, 429, 503];
 /// Time after which the gateway is assumed to have read a request that was sent completely.
 const READ_ALLOWANCE: time::Duration = time::Duration::from_millis(200);
 
@@ -72,6 +73,8 @@
     Stream(Stream),
     /// A tool call has ended.
     Call(Call),
+    /// A request that shows who may run what has ended.
+    Trial(identity::Trial),
     /// No gateway resumed the turn with this id within the time limit at the end of the run.
     Unresumed(String),
 }
@@ -85,6 +88,8 @@
     pub streams: Vec<Stream>,
     /// Tool calls by request id.
     pub calls: collections::BTreeMap<String, Call>,
+    /// Requests that show who may run what.
+    pub trials: Vec<identity::Trial>,
     /// Ids of turns that could not be resumed.
     pub unresumed_turns: Vec<String>,
     /// Unexpected exits and failed graceful shutdowns, one message each.
@@ -105,6 +110,7 @@
             Observation::Call(call) => {
                 self.calls.insert(call.id.clone(), call);
             }
+            Observation::Trial(trial) => self.trials.push(trial),
             Observation::Unresumed(turn) => self.unresumed_turns.push(turn),
         }
     }
@@ -294,6 +300,9 @@
 
 /// Checks that a successful response comes from a runner and belongs to this request.
 fn check_origin(id: &str, response: &connection::Response, violations: &mut Vec<String>) {
+    if response.status == Some(401) {
+        violations.push(format!("identity: {id} got 401 for a valid key"));
+    }
     if response.status != Some(200) {
         return;
     }
--- a/crates/flamingotrail-standins/src/soak/plan.rs
+++ b/crates/flamingotrail-standins/src/soak/plan.rs
@@ -6,6 +6,7 @@
 use rand_core::RngCore as _;
 use rand_core::SeedableRng as _;
 
+use crate::soak::keys;
 use crate::soak::proxy;
 
 /// A fault and its target; gateways and runners are given by index.
@@ -33,6 +34,8 @@
     RunnerDropsResponses(usize),
     /// A configuration with one more route is published.
     Publish,
+    /// A configuration with another key for a workspace in place of a temporary one is published.
+    RotateKey(usize),
     /// A runner names a limit in its responses.
     RunnerLimit(usize),
     /// A runner says in its responses that it leaves. At the end of the fault, it starts again under
@@ -43,7 +46,19 @@
 impl Fault {
     /// Whether this is planned maintenance, which must not interrupt any request.
     pub fn is_maintenance(self) -> bool {
-        matches!(self, Fault::Shutdown(_) | Fault::Reload(_) | Fault::Publish)
+        matches!(self, Fault::Shutdown(_) | Fault::Reload(_) | Fault::Publish | Fault::RotateKey(_))
+    }
+
+    /// Whether this may keep a gateway from news of the store, or a request from a runner that it was
+    /// sent to.
+    pub fn delays_news(self) -> bool {
+        matches!(
+            self,
+            Fault::Pause(_)
+                | Fault::StoreUnavailable
+                | Fault::StoreLink(..)
+                | Fault::RunnerLink(..)
+        )
     }
 
     /// Whether this is an announcement of a runner, which disturbs nothing by itself.
@@ -88,6 +103,8 @@
 pub const RUNNER_LIMIT_PER_S: f64 = 4.0;
 /// Distinguishes the random numbers of announcements.
 const ANNOUNCEMENT_SEED: u64 = 0x5eed;
+/// Distinguishes the random numbers of changes of keys.
+const KEY_SEED: u64 = 0x6e79;
 /// Mean gap between faults that don't start together, in milliseconds.
 const FAULT_GAP_MS: u64 = 900;
 /// Every seed divisible by this has only planned maintenance.
@@ -115,6 +132,7 @@
             at_ms += random_below(&mut rng, 2 * FAULT_GAP_MS) * random_below(&mut rng, 3).min(1);
         }
         faults.extend(announcements(seed, load_ms));
+        faults.extend(key_rotations(seed, load_ms));
         faults.sort_by_key(|fault| fault.at);
         Plan { seed, gateways, callers, load_duration, faults, maintenance_only }
     }
@@ -142,6 +160,20 @@
         .collect()
 }
 
+/// Generates the changes of keys, with random numbers of their own. They are early in the run, so that
+/// removed keys are still tried after the time in which gateways have to know.
+fn key_rotations(seed: u64, load_ms: u64) -> Vec<ScheduledFault> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ KEY_SEED);
+    let count = 1 + random_below(&mut rng, 3);
+    (0..count)
+        .map(|_| ScheduledFault {
+            at: time::Duration::from_millis(random_below(&mut rng, load_ms / 2)),
+            duration: time::Duration::ZERO,
+            fault: Fault::RotateKey(random_index(&mut rng, keys::WORKSPACES.len())),
+        })
+        .collect()
+}
+
 fn random_fault(rng: &mut ChaCha8Rng, gateways: usize) -> Fault {
     let gateway = random_index(rng, gateways);
     let runner = random_index(rng, RUNNERS);
--- a/crates/flamingotrail-standins/src/soak/run.rs
+++ b/crates/flamingotrail-standins/src/soak/run.rs
@@ -11,15 +11,18 @@
 use std::time;
 
 use crate::fleet::gateways;
-use crate::fleet::platform;
 use crate::fleet::runner;
 use crate::fleet::store;
 use crate::soak::announcements;
 use crate::soak::callers;
 use crate::soak::directory;
+use crate::soak::endpoints;
+use crate::soak::identity;
 use crate::soak::observations;
 use crate::soak::plan;
+use crate::soak::probe;
 use crate::soak::proxy;
+use crate::soak::publication;
 
 /// Time between two ticks of the control thread.
 const TICK: time::Duration = time::Duration::from_millis(20);
@@ -28,8 +31,6 @@
 const BALANCER_REMOVAL_DELAY: time::Duration = time::Duration::from_millis(2_200);
 /// Maximum duration of a graceful shutdown.
 const SHUTDOWN_TIMEOUT: time::Duration = time::Duration::from_secs(8);
-/// Delay before a response, or before each chunk of a model runner's response.
-const RUNNER_DELAY: time::Duration = time::Duration::from_millis(15);
 /// Time after the last response in which a runner could still execute a rejected request.
 const SETTLE_TIME: time::Duration = time::Duration::from_millis(1_500);
 
@@ -78,8 +79,7 @@
     /// Scheduled actions, by time and order of scheduling.
     schedule: collections::BTreeMap<(time::Duration, usize), Action>,
     scheduled_count: usize,
-    /// Number of additional routes published so far.
-    published_routes: u64,
+    publication: publication::Publication,
     observations: observations::Observations,
     announcements: announcements::Announcements,
     /// Number of starts of runners under the same id.
@@ -109,6 +109,7 @@
             let caller = callers::Caller::new(
                 plan.seed,
                 number,
+                world.publication.keys.clone(),
                 world.directory.clone(),
                 observation_tx.clone(),
             );
@@ -133,6 +134,7 @@
         thread::sleep(TICK);
     }
     observation_rx.try_iter().for_each(|observation| world.observations.record(observation));
+    world.observations.failed_shutdowns.extend(world.probe());
     thread::sleep(SETTLE_TIME);
     Ok(world.report(plan))
 }
@@ -141,21 +143,8 @@
     fn new(plan: &plan::Plan, program: &path::Path, folder: &path::Path) -> io::Result<Self> {
         let store = store::Store::new();
         let store_address = store.serve()?;
-        let (mut runners, mut runner_links) = (Vec::new(), Vec::new());
-        for number in 0..plan::RUNNERS {
-            let runner = runner::Runner::new();
-            runner.set_delay(RUNNER_DELAY);
-            let (service, address) = match number < plan::MODEL_RUNNERS {
-                true => ("model", runner.serve_model(callers::EVENTS_PER_RESPONSE)?),
-                false => ("plain", runner.serve_plain()?),
-            };
-            let link = proxy::Proxy::start(address)?;
-            let entry = platform::runner_entry(service, link.address);
-            store.set("keyed.servers", &format!("runner-{number}"), &entry);
-            runners.push(runner);
-            runner_links.push(link);
-        }
-        store.set("keyed.op", "config", &platform::configuration(1, 0));
+        let (runners, runner_links) = endpoints::start(&store)?;
+        let publication = publication::Publication::new(store.clone());
         let gateways =
             (0..plan.gateways).map(|_| new_gateway(store_address)).collect::<io::Result<_>>()?;
         let mut world = World {
@@ -168,7 +157,7 @@
             directory: directory::Directory::default(),
             schedule: collections::BTreeMap::new(),
             scheduled_count: 0,
-            published_routes: 0,
+            publication,
             observations: observations::Observations::default(),
             announcements: announcements::Announcements::default(),
             runner_restarts: 0,
@@ -261,12 +250,13 @@
                 self.announcements.begin(announcements::Kind::Leaving, index);
             }
             plan::Fault::Publish => {
-                self.published_routes += 1;
-                let configuration =
-                    platform::configuration(self.published_routes + 1, self.published_routes);
-                self.store.set("keyed.op", "config", &configuration);
-                self.directory.set_published_routes(self.published_routes);
+                let routes = self.publication.add_route();
+                self.directory.set_published_routes(routes);
             }
+            plan::Fault::RotateKey(workspace) => self.publication.rotate_key(workspace),
+        }
+        if scheduled.fault.delays_news() {
+            self.publication.keys.begin_fault();
         }
         if !scheduled.fault.is_maintenance() {
             if !scheduled.fault.is_announcement() {
@@ -277,6 +267,9 @@
     }
 
     fn clear(&mut self, fault: plan::Fault) -> io::Result<()> {
+        if fault.delays_news() {
+            self.publication.keys.end_fault();
+        }
         match fault {
             plan::Fault::Kill(index) => self.start(index)?,
             plan::Fault::KillAll => {
@@ -305,7 +298,10 @@
                 self.runners[index].set_limit(None);
             }
             plan::Fault::RunnerLeaves(index) => self.restart_runner(index),
-            plan::Fault::Shutdown(_) | plan::Fault::Reload(_) | plan::Fault::Publish => {}
+            plan::Fault::Shutdown(_)
+            | plan::Fault::Reload(_)
+            | plan::Fault::Publish
+            | plan::Fault::RotateKey(_) => {}
         }
         Ok(())
     }
@@ -315,10 +311,8 @@
         self.announcements.restart(index);
         self.runners[index].set_leaving(false);
         self.runner_restarts += 1;
-        let service = if index < plan::MODEL_RUNNERS { "model" } else { "plain" };
         let address = self.runner_links[index].address;
-        let entry = platform::restarted_runner_entry(service, address, self.runner_restarts);
-        self.store.set("keyed.servers", &format!("runner-{index}"), &entry);
+        endpoints::list_again(&self.store, index, address, self.runner_restarts);
     }
 
     fn kill(&mut self, index: usize) {
@@ -363,12 +357,21 @@
         Ok(())
     }
 
+    /// Sends the last requests of the run; returns one message for each violated guarantee.
+    fn probe(&self) -> Vec<String> {
+        let processes = self.gateways.iter().filter_map(|row| row.process.as_ref());
+        let addresses: Vec<_> = processes.map(|process| process.caller_address).collect();
+        probe::violations(&addresses, &self.publication.keys)
+    }
+
     /// Checks the guarantees and sums up the run.
     fn report(self, plan: &plan::Plan) -> Report {
         let by_runner: Vec<_> = self.runners.iter().map(runner::Runner::requests).collect();
         let mut violations = self.announcements.violations(&by_runner, plan.callers);
         let requests = by_runner.concat();
         violations.extend(self.observations.violations(&requests, plan.maintenance_only));
+        let keys = &self.publication.keys;
+        violations.extend(identity::violations(keys, &self.observations.trials, &requests));
         Report {
             faults: plan.faults.len(),
             turns: self.observations.completed_turns(),
