Order waiting calls by workspace, and derive urgency from both priorities

Cause: waiting calls were ordered by the priority of their route only, so that in a deployment with workspaces an urgent workspace waited behind others, and a workspace with much load was served like one with little. Engines were told the route's priority and nothing of the workspace.

`systems::admission_order` orders by the priority of the workspace, that of the route, begun programs, returned callers, least engine time and arrival. `tables::priority_classes` gives each class of workspaces its own range of the ten urgencies, divided among routes and among begun programs and first turns. Without workspaces the numbers stay as they were, and no engine time is recorded.

Result: tests in `order.rs`.

--- a/crates/flamingotrail-gateway/src/systems/expiry.rs
+++ b/crates/flamingotrail-gateway/src/systems/expiry.rs
@@ -21,6 +21,7 @@
     }
     let retention = journal::max_retention(world) + journal::RETENTION_MARGIN;
     world.tables.turns.expire(tick.now);
+    world.tables.shares.expire(tick.now);
     world.tables.log_index.expire(tick.now, world.settings.log_retention);
     let log_retention = world.settings.log_retention.max(retention);
     let tables = &mut world.tables;
--- a/crates/flamingotrail-gateway/src/systems/measurements.rs
+++ b/crates/flamingotrail-gateway/src/systems/measurements.rs
@@ -1,4 +1,5 @@
-//! Measures services, endpoints and ways, from which placement derives its costs.
+//! Measures services, endpoints and ways, from which placement derives its costs, and the engine time
+//! of workspaces.
 
 use crate::ids;
 use crate::input;
@@ -24,6 +25,7 @@
     running: &calls::RunningAttempt,
     outcome: &input::Outcome,
 ) {
+    record_engine_time(world, tick, id, running, outcome);
     let tables = &mut world.tables;
     let succeeded = outcome.has_succeeded();
     let Some(call) = tables.calls.rows.get(&id).filter(|_| succeeded) else { return };
@@ -42,3 +44,27 @@
         begun,
     );
 }
+
+/// Adds the engine time of an attempt that may have run to that of its workspace, if there are
+/// workspaces: the reading of its prompt, and its duration.
+fn record_engine_time(
+    world: &mut world::World,
+    tick: &world::Tick,
+    id: ids::CallId,
+    running: &calls::RunningAttempt,
+    outcome: &input::Outcome,
+) {
+    let tables = &mut world.tables;
+    if !tables.routes.has_workspaces()
+        || matches!(outcome, input::Outcome::NotSent(_) | input::Outcome::Refused { .. })
+    {
+        return;
+    }
+    let Some(call) = tables.calls.rows.get(&id).filter(|call| call.engine.is_some()) else {
+        return;
+    };
+    let token_ms = tables.profiles.profile(&call.service).token_ms;
+    let duration_ms = tick.now.since(running.sent_at).as_secs_f64() * 1000.0;
+    let ms = running.uncached_tokens as f64 * token_ms + duration_ms;
+    tables.shares.record(call.workspace.as_ref(), ms, tick.now);
+}
--- a/crates/flamingotrail-gateway/src/systems/placement.rs
+++ b/crates/flamingotrail-gateway/src/systems/placement.rs
@@ -9,6 +9,7 @@
 use crate::output;
 use crate::policy;
 use crate::systems::admission;
+use crate::systems::admission_order;
 use crate::systems::completion;
 use crate::tables::calls;
 use crate::tables::endpoints;
@@ -28,10 +29,6 @@
 const PATIENCE_DIVISOR: u32 = 3;
 /// Lowest rate at which refused callers are asked to return, in callers per second.
 const MIN_RETURN_RATE_PER_S: f64 = 0.1;
-/// Urgency of the highest priority class. Engines accept 0 to 9; 5 is the default.
-const HIGHEST_CLASS_URGENCY: u8 = 3;
-/// Lowest urgency that engines accept.
-const LOWEST_URGENCY: u8 = 9;
 
 /// The result of selecting an endpoint for a call.
 enum Selection {
@@ -44,25 +41,22 @@
     None,
 }
 
-/// Places the waiting calls in the order of their priority; among equals, programs that have begun
-/// go first, since the work done for them is lost if they fail.
+/// Places the waiting calls in the order of admission.
 pub fn run(world: &mut world::World, tick: &world::Tick) {
     let unplaced = std::mem::take(&mut world.tables.dirty.unplaced_calls);
-    let calls = &world.tables.calls.rows;
-    let mut waiting: Vec<(u8, bool, ids::CallId)> = unplaced
+    let tables = &world.tables;
+    let mut waiting: Vec<(admission_order::Place, ids::CallId)> = unplaced
         .into_iter()
-        .filter_map(|id| calls.get(&id).map(|call| (call.priority, begins_program(call), id)))
+        .filter_map(|id| {
+            Some((admission_order::place(tables, tables.calls.rows.get(&id)?, tick.now), id))
+        })
         .collect();
     waiting.sort_unstable();
-    for (_, _, id) in waiting {
+    for (_, id) in waiting {
         place(world, tick, id);
     }
 }
 
-fn begins_program(call: &calls::Call) -> bool {
-    call.turn.as_ref().is_some_and(|turn| turn.begins_program)
-}
-
 /// Sends a call to an endpoint; refuses it if its reservation was denied or too many attempts have
 /// failed.
 fn place(world: &mut world::World, tick: &world::Tick, id: ids::CallId) {
@@ -245,6 +239,8 @@
 fn send(world: &mut world::World, tick: &world::Tick, id: ids::CallId, endpoint: ids::EndpointId) {
     let tokens_per_event = completion::tokens_per_event(world, id);
     let Some(running) = new_attempt(world, tick, id, &endpoint) else { return };
+    let waiting = world.tables.calls.rows.get(&id);
+    let urgency = waiting.and_then(|call| admission_order::urgency(&world.tables, call));
     let tables = &mut world.tables;
     let Some(call) = tables.calls.rows.get_mut(&id) else { return };
     let Some(row) = tables.endpoints.rows.get_mut(&endpoint) else { return };
@@ -278,10 +274,7 @@
         attempt: call.attempts,
         address: row.listed.address.clone(),
         timeout,
-        urgency: call
-            .engine
-            .as_ref()
-            .map(|_| HIGHEST_CLASS_URGENCY.saturating_add(call.priority).min(LOWEST_URGENCY)),
+        urgency,
         workspace: call.workspace.clone(),
         hides_credentials: tables.routes.has_workspaces(),
         body,
--- a/crates/flamingotrail-gateway/src/tables/mod.rs
+++ b/crates/flamingotrail-gateway/src/tables/mod.rs
@@ -16,11 +16,13 @@
 pub mod notices;
 pub mod partitions;
 pub mod peers;
+pub mod priority_classes;
 pub mod programs;
 pub mod relay;
 pub mod returns;
 pub mod routes;
 pub mod service_profiles;
+pub mod shares;
 pub mod timers;
 pub mod turns;
 pub mod ways;
@@ -40,6 +42,8 @@
     pub notices: notices::Notices,
     /// Requests that endpoints did not survive.
     pub crashes: crashes::Crashes,
+    /// Engine time that workspaces have used lately.
+    pub shares: shares::Shares,
     /// When callers are asked to return.
     pub returns: returns::Returns,
     /// Active calls.
--- a/crates/flamingotrail-gateway/src/tables/routes.rs
+++ b/crates/flamingotrail-gateway/src/tables/routes.rs
@@ -5,12 +5,15 @@
 
 use crate::ids;
 use crate::input;
+use crate::tables::priority_classes;
 
 /// The active configuration, and the mean latency of its routes.
 #[derive(Debug, Default)]
 pub struct Routes {
     /// Active configuration; `None` until one is received.
     pub current: Option<input::Configuration>,
+    /// Priority classes of the active configuration.
+    pub classes: priority_classes::PriorityClasses,
     /// Mean time to a complete response by route name, in seconds.
     mean_latency_s: collections::BTreeMap<String, f64>,
 }
@@ -44,6 +47,7 @@
         let names: collections::BTreeSet<_> =
             configuration.routes.iter().map(|route| route.name.as_str()).collect();
         self.mean_latency_s.retain(|name, _| names.contains(name.as_str()));
+        self.classes = priority_classes::PriorityClasses::new(&configuration);
         self.current = Some(configuration);
         true
     }
@@ -84,6 +88,11 @@
         self.current.as_ref().is_some_and(|configuration| configuration.workspaces.is_some())
     }
 
+    /// Returns the configured workspace of this name.
+    pub fn workspace(&self, name: &ids::WorkspaceName) -> Option<&input::Workspace> {
+        self.current.as_ref()?.workspaces.as_ref()?.rows.get(name)
+    }
+
     /// Returns the configured service of this name.
     pub fn service(&self, name: &ids::ServiceName) -> Option<&input::Service> {
         self.current.as_ref()?.services.get(name)
--- a/crates/flamingotrail-gateway/tests/decisions/fixture.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/fixture.rs
@@ -130,6 +130,13 @@
     }
 }
 
+/// Workspaces with their priorities, which have no keys and no allowances.
+pub fn workspaces(rows: &[(&str, Option<u8>)]) -> input::Workspaces {
+    let row = |priority| input::Workspace { priority, allowance: None };
+    let rows = rows.iter().map(|(name, priority)| (ids::WorkspaceName::new(*name), row(*priority)));
+    input::Workspaces { rows: rows.collect(), by_key: collections::BTreeMap::new() }
+}
+
 pub fn endpoint(service: &str, domain: &str) -> input::Endpoint {
     input::Endpoint {
         service: ids::ServiceName::new(service),
--- a/crates/flamingotrail-gateway/tests/decisions/main.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/main.rs
@@ -14,6 +14,7 @@
 mod log_index;
 mod long_turns;
 mod notices;
+mod order;
 mod outages;
 mod peers;
 mod placement;
