Refuse first turns that would wait too long

Cause: when the engines' queues were full, every call was sent; begun programs were refused or late behind first turns that could not end in time either.

Change: `systems::wait_estimate` estimates the wait at the best endpoint from reported and own load, and `systems::admission_control` refuses a part of the first turns that grows with it, before they are sent, with a paced time to return. Nothing is refused without fresh reports or while half of the slots are free; calls of begun programs and other calls never are.

Result: load patterns against a small model of engines.

--- a/crates/flamingotrail-gateway/src/systems/admission_order.rs
+++ b/crates/flamingotrail-gateway/src/systems/admission_order.rs
@@ -3,6 +3,7 @@
 use flamingotrail_core::time as core_time;
 
 use crate::ids;
+use crate::systems::admission;
 use crate::tables;
 use crate::tables::calls;
 use crate::tables::priority_classes;
@@ -28,7 +29,7 @@
     let class = class(tables, call);
     Place {
         class,
-        is_new: class.begins_program && !call.has_returned,
+        is_new: class.begins_program && !has_returned(tables, call),
         used_ms: tables.shares.used_ms(call.workspace.as_ref(), now) as u64,
         received: call.arrival.received,
         id: call.arrival.call,
@@ -52,6 +53,14 @@
     }
 }
 
+/// Whether the caller of a call has probably come back after a refusal: it has less time than its
+/// route allows, at least by the shortest delay that refused callers are told.
+pub fn has_returned(tables: &tables::Tables, call: &calls::Call) -> bool {
+    let Some(route) = tables.routes.route(&call.route) else { return call.has_returned };
+    let timeout = call.deadline.since(call.arrival.received);
+    timeout + admission::DEFAULT_RETRY_AFTER <= route.timeout
+}
+
 /// Whether a call is the first turn of a program.
 pub fn begins_program(call: &calls::Call) -> bool {
     call.turn.as_ref().is_some_and(|turn| turn.begins_program)
--- a/crates/flamingotrail-gateway/src/systems/configuration.rs
+++ b/crates/flamingotrail-gateway/src/systems/configuration.rs
@@ -12,6 +12,7 @@
         if tables.routes.replace(configuration) {
             let current = &tables.routes;
             tables.profiles.retain(|service| current.service(service).is_some());
+            tables.slot_times.retain(|service| current.service(service).is_some());
             world.emit_event(
                 "configuration_in_force",
                 format_args!(
--- a/crates/flamingotrail-gateway/src/systems/measurements.rs
+++ b/crates/flamingotrail-gateway/src/systems/measurements.rs
@@ -1,8 +1,11 @@
 //! Measures services, endpoints and ways, from which placement derives its costs, and the engine time
 //! of workspaces.
 
+use std::time;
+
 use crate::ids;
 use crate::input;
+use crate::systems::admission_order;
 use crate::tables::calls;
 use crate::world;
 
@@ -36,6 +39,13 @@
     }
     tables.profiles.record_duration(&call.service, duration);
     let Some(began_at) = running.began_at else { return };
+    let token_ms = tables.profiles.profile(&call.service).token_ms;
+    let reading = time::Duration::from_secs_f64(prompt_ms(running, token_ms) / 1000.0);
+    // The response to a request that is no stream begins with its end.
+    let slot_time =
+        if call.kind.is_stream() { tick.now.since(began_at) + reading } else { duration };
+    let is_first = admission_order::begins_program(call);
+    tables.slot_times.record(&call.service, slot_time, is_first);
     let begun = began_at.since(running.sent_at).saturating_sub(running.expected_way);
     tables.profiles.record_beginning(
         &call.service,
@@ -65,6 +75,11 @@
     };
     let token_ms = tables.profiles.profile(&call.service).token_ms;
     let duration_ms = tick.now.since(running.sent_at).as_secs_f64() * 1000.0;
-    let ms = running.uncached_tokens as f64 * token_ms + duration_ms;
+    let ms = prompt_ms(running, token_ms) + duration_ms;
     tables.shares.record(call.workspace.as_ref(), ms, tick.now);
 }
+
+/// Returns the time to read the part of an attempt's prompt that was probably not cached.
+fn prompt_ms(running: &calls::RunningAttempt, token_ms: f64) -> f64 {
+    running.uncached_tokens as f64 * token_ms
+}
--- a/crates/flamingotrail-gateway/src/systems/mod.rs
+++ b/crates/flamingotrail-gateway/src/systems/mod.rs
@@ -1,6 +1,7 @@
 //! The systems: functions that run over the tables, each with one responsibility.
 
 pub mod admission;
+pub mod admission_control;
 pub mod admission_order;
 pub mod budgets;
 pub mod completion;
@@ -27,3 +28,4 @@
 pub mod turn_records;
 pub mod turn_search;
 pub mod turns;
+pub mod wait_estimate;
--- a/crates/flamingotrail-gateway/src/systems/placement.rs
+++ b/crates/flamingotrail-gateway/src/systems/placement.rs
@@ -9,6 +9,7 @@
 use crate::output;
 use crate::policy;
 use crate::systems::admission;
+use crate::systems::admission_control;
 use crate::systems::admission_order;
 use crate::systems::completion;
 use crate::tables::calls;
@@ -26,7 +27,7 @@
 const SLOW_ATTEMPT_DIVISOR: u32 = 3;
 /// Callers follow a request to return later only if the delay is at most their remaining time
 /// divided by this number.
-const PATIENCE_DIVISOR: u32 = 3;
+pub(crate) const PATIENCE_DIVISOR: u32 = 3;
 /// Lowest rate at which refused callers are asked to return, in callers per second.
 const MIN_RETURN_RATE_PER_S: f64 = 0.1;
 
@@ -57,8 +58,8 @@
     }
 }
 
-/// Sends a call to an endpoint; refuses it if its reservation was denied or too many attempts have
-/// failed.
+/// Sends a call to an endpoint; refuses it if its reservation was denied, if too many attempts have
+/// failed, or if it is a first turn that would wait too long.
 fn place(world: &mut world::World, tick: &world::Tick, id: ids::CallId) {
     let Some(call) = world.tables.calls.rows.get(&id) else { return };
     if call.phase != calls::Phase::Placing {
@@ -72,6 +73,10 @@
         completion::fail_call(world, tick, id);
         return;
     }
+    if admission_control::refuse_if_hopeless(world, tick, id) {
+        return;
+    }
+    let Some(call) = world.tables.calls.rows.get(&id) else { return };
     match select_endpoint(world, tick, call) {
         Selection::Endpoint(endpoint) => send(world, tick, id, endpoint),
         Selection::Limited(due) => wait_for_share(world, tick, id, due),
@@ -126,7 +131,7 @@
 
 /// Whether an endpoint provides `service` and is not leaving, according to the list or to its own
 /// announcement, whichever came first.
-fn serves(
+pub(crate) fn serves(
     notices: &notices::Notices,
     id: &ids::EndpointId,
     row: &endpoints::Endpoint,
--- a/crates/flamingotrail-gateway/src/tables/mod.rs
+++ b/crates/flamingotrail-gateway/src/tables/mod.rs
@@ -23,6 +23,7 @@
 pub mod routes;
 pub mod service_profiles;
 pub mod shares;
+pub mod slot_times;
 pub mod timers;
 pub mod turns;
 pub mod ways;
@@ -36,6 +37,8 @@
     pub endpoints: endpoints::Endpoints,
     /// Measured performance of each service's endpoints.
     pub profiles: service_profiles::ServiceProfiles,
+    /// How long calls occupy a slot of each service's endpoints.
+    pub slot_times: slot_times::SlotTimes,
     /// Measured round-trip times to failure domains.
     pub ways: ways::Ways,
     /// What endpoints announce of themselves.
--- a/crates/flamingotrail-gateway/src/tables/routes.rs
+++ b/crates/flamingotrail-gateway/src/tables/routes.rs
@@ -88,6 +88,11 @@
         self.current.as_ref().is_some_and(|configuration| configuration.workspaces.is_some())
     }
 
+    /// Returns the configured route of this name.
+    pub fn route(&self, name: &str) -> Option<&input::Route> {
+        self.current.as_ref()?.routes.iter().find(|route| route.name == name)
+    }
+
     /// Returns the configured workspace of this name.
     pub fn workspace(&self, name: &ids::WorkspaceName) -> Option<&input::Workspace> {
         self.current.as_ref()?.workspaces.as_ref()?.rows.get(name)
--- a/crates/flamingotrail-gateway/src/tables/shares.rs
+++ b/crates/flamingotrail-gateway/src/tables/shares.rs
@@ -78,6 +78,21 @@
         self.used_ms(workspace, now) * self.rows.len() as f64 / total
     }
 
+    /// Returns the part of the engine time that was used by workspaces which match; 1 if none was used.
+    pub fn part_of(
+        &self,
+        matches: impl Fn(Option<&ids::WorkspaceName>) -> bool,
+        now: core_time::Timestamp,
+    ) -> f64 {
+        let ms = |share: &Share| share.ms_at(now);
+        let total: f64 = self.rows.values().map(ms).sum();
+        if total < MIN_MS {
+            return 1.0;
+        }
+        let matching = self.rows.iter().filter(|(name, _)| matches(name.as_ref()));
+        matching.map(|(_, share)| ms(share)).sum::<f64>() / total
+    }
+
     /// Drops the rows of workspaces that have become idle.
     pub fn expire(&mut self, now: core_time::Timestamp) {
         self.rows.retain(|_, share| share.ms_at(now) >= MIN_MS);
--- a/crates/flamingotrail-gateway/tests/decisions/main.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/main.rs
@@ -3,6 +3,7 @@
 mod budgets;
 mod calls;
 mod crashes;
+mod engines;
 mod fixture;
 mod fleet;
 mod forgotten_programs;
@@ -11,6 +12,7 @@
 mod learning;
 mod leaving;
 mod limits;
+mod load_patterns;
 mod log_index;
 mod long_turns;
 mod notices;
