Refused callers return at a quarter of the room, and calm workspaces are refused later

Cause: in the load patterns more than half of the returned callers were refused again, and a calm workspace beside a hot one lost a sixth of its programs.

Change: the rate of return is a quarter of the room for first turns, the returned are admitted up to 1.5 times the useful wait, and the wait counts less for workspaces with less engine time than the mean.

--- a/crates/flamingotrail-gateway/src/systems/admission_control.rs
+++ b/crates/flamingotrail-gateway/src/systems/admission_control.rs
@@ -26,11 +26,20 @@
 /// Largest part of a class or workspace that is refused while the wait is useful, so that none of them
 /// is starved.
 const MAX_SHED: f64 = 0.9;
-/// Limits of the factor by which workspaces with more or less engine time than the mean are refused
-/// more or less.
-const RELATIVE_RANGE: (f64, f64) = (0.25, 4.0);
+/// Maximum factor by which more calls are refused of a workspace that has had more engine time than the
+/// mean.
+const MAX_RELATIVE: f64 = 4.0;
+/// Minimum factor by which the wait counts less for a workspace that has had less engine time than the
+/// mean: its calls are refused when those of the others no longer are admitted.
+const MIN_RELATIVE: f64 = 0.5;
 /// Part of the slots that are free from which on nothing is refused.
 const FREE_ENOUGH: f64 = 0.5;
+/// Multiple of the useful wait from which on callers are refused that have returned. They were told a
+/// time at which there is room, and return at a limited rate, so they go before new first turns.
+const MAX_RETURNED_RATIO: f64 = 1.5;
+/// Part of the first turns for which there is room that refused callers are asked to return for; new
+/// programs take the rest.
+const RETURN_PART: f64 = 0.25;
 /// Lowest rate at which refused callers are asked to return, in callers per second.
 const MIN_RETURN_RATE_PER_S: f64 = 0.1;
 
@@ -78,9 +87,10 @@
     let useful_wait = useful_wait(call, slot_time).min(spare_time);
     let wait = program_wait(tables, tick, call, &estimate);
     let ratio = wait.as_secs_f64() / useful_wait.as_secs_f64();
-    let shed_share = if admission_order::has_returned(tables, call) {
-        // It was told a time at which there is room, and goes before new first turns.
-        f64::from(u8::from(ratio >= 1.0))
+    let shed_share = if wait > spare_time {
+        1.0
+    } else if admission_order::has_returned(tables, call) {
+        f64::from(u8::from(ratio >= MAX_RETURNED_RATIO))
     } else {
         shed_share(tables, tick, call, ratio)
     };
@@ -117,6 +127,8 @@
 /// once. The least urgent workspaces are refused first, and within a class those that have had most
 /// engine time.
 fn shed_share(tables: &tables::Tables, tick: &world::Tick, call: &calls::Call, ratio: f64) -> f64 {
+    let relative = tables.shares.relative(call.workspace.as_ref(), tick.now);
+    let ratio = ratio * relative.clamp(MIN_RELATIVE, 1.0);
     if ratio >= 1.0 {
         return 1.0;
     }
@@ -125,8 +137,7 @@
     let width = (1.0 - SHEDDING_BEGIN) / count as f64;
     let begin = SHEDDING_BEGIN + (count - 1 - rank) as f64 * width;
     let share = ((ratio - begin) / width).clamp(0.0, 1.0);
-    let relative = tables.shares.relative(call.workspace.as_ref(), tick.now);
-    (share * relative.clamp(RELATIVE_RANGE.0, RELATIVE_RANGE.1)).min(MAX_SHED)
+    (share * relative.clamp(1.0, MAX_RELATIVE)).min(MAX_SHED)
 }
 
 /// Returns a number from 0 to 1 that depends on the call, and differs between calls and gateways.
@@ -137,7 +148,7 @@
 }
 
 /// Returns how long the caller should wait: until the queues are short enough again, and then one
-/// caller after the other, at the rate at which this gateway's part of the slots takes first turns.
+/// caller after the other, at a part of the rate at which this gateway's slots take first turns.
 fn schedule_return(
     world: &mut world::World,
     tick: &world::Tick,
@@ -149,7 +160,7 @@
     let gateways = tables.peers.rows.len() + 1;
     let calls_per_s = decision.estimate.slots / decision.slot_time.as_secs_f64();
     let firsts_per_s = calls_per_s * tables.slot_times.first_share(&call.service);
-    let rate = (firsts_per_s / gateways as f64).max(MIN_RETURN_RATE_PER_S);
+    let rate = (firsts_per_s * RETURN_PART / gateways as f64).max(MIN_RETURN_RATE_PER_S);
     let short_enough = decision.useful_wait.mul_f64(SHEDDING_BEGIN);
     let due = tick.now.after(decision.wait.saturating_sub(short_enough));
     let patience = call.remaining_time(tick.now) / placement::PATIENCE_DIVISOR;
