--- a/crates/flamingotrail-gateway/tests/decisions/admission_control.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/admission_control.rs
@@ -2,6 +2,7 @@
 
 use std::time;
 
+use flamingotrail_gateway::ids;
 use flamingotrail_gateway::input;
 use flamingotrail_gateway::output;
 
@@ -92,6 +93,21 @@
     }
 }
 
+// Guards against refusals while half of the slots are free, but at endpoints that are avoided for a
+// moment after a failure.
+#[test]
+fn first_turn_is_admitted_while_half_of_the_slots_are_free_at_suspect_endpoints() {
+    let mut log = fixture::MemoryLog::default();
+    let mut gateway = gateway_with_loads([FULL, FULL, FREE, FREE], &mut log);
+    for engine in &ENGINES[2..] {
+        let rows = &mut gateway.world.tables.endpoints.rows;
+        let row = rows.get_mut(&ids::EndpointId::new(engine)).expect("listed");
+        row.record_failure(gateway.now);
+    }
+
+    assert_eq!(refusal_of_first_turn(&mut gateway), None);
+}
+
 // Guards against refusals that can't be explained afterwards.
 #[test]
 fn refusal_is_logged_with_what_it_rests_on() {
