--- a/crates/flamingotrail-gateway/src/systems/mod.rs
+++ b/crates/flamingotrail-gateway/src/systems/mod.rs
@@ -1,6 +1,8 @@
 //! The systems: functions that run over the tables, each with one responsibility.
 
 pub mod admission;
+pub mod admission_control;
+pub mod admission_order;
 pub mod budgets;
 pub mod completion;
 pub mod configuration;
@@ -27,3 +29,4 @@
 pub mod turn_records;
 pub mod turn_search;
 pub mod turns;
+pub mod wait_estimate;
--- a/crates/flamingotrail-gateway/src/systems/placement.rs
+++ b/crates/flamingotrail-gateway/src/systems/placement.rs
@@ -9,6 +9,8 @@
 use crate::output;
 use crate::policy;
 use crate::systems::admission;
+use crate::systems::admission_control;
+use crate::systems::admission_order;
 use crate::systems::completion;
 use crate::systems::identity;
 use crate::tables::calls;
@@ -26,13 +28,9 @@
 const SLOW_ATTEMPT_DIVISOR: u32 = 3;
 /// Callers follow a request to return later only if the delay is at most their remaining time
 /// divided by this number.
-const PATIENCE_DIVISOR: u32 = 3;
+pub(crate) const PATIENCE_DIVISOR: u32 = 3;
 /// Lowest rate at which refused callers are asked to return, in callers per second.
 const MIN_RETURN_RATE_PER_S: f64 = 0.1;
-/// Urgency of the highest priority class. Engines accept 0 to 9; 5 is the default.
-const HIGHEST_CLASS_URGENCY: u8 = 3;
-/// Lowest urgency that engines accept.
-const LOWEST_URGENCY: u8 = 9;
 
 /// The result of selecting an endpoint for a call.
 enum Selection {
@@ -45,27 +43,24 @@
     None,
 }
 
-/// Places the waiting calls in the order of their priority; among equals, programs that have begun
-/// go first, since the work done for them is lost if they fail.
+/// Places the waiting calls in the order of admission.
 pub fn run(world: &mut world::World, tick: &world::Tick) {
     let unplaced = std::mem::take(&mut world.tables.dirty.unplaced_calls);
-    let calls = &world.tables.calls.rows;
-    let mut waiting: Vec<(u8, bool, ids::CallId)> = unplaced
+    let tables = &world.tables;
+    let mut waiting: Vec<(admission_order::Place, ids::CallId)> = unplaced
         .into_iter()
-        .filter_map(|id| calls.get(&id).map(|call| (call.priority, begins_program(call), id)))
+        .filter_map(|id| {
+            Some((admission_order::place(tables, tables.calls.rows.get(&id)?, tick.now), id))
+        })
         .collect();
     waiting.sort_unstable();
-    for (_, _, id) in waiting {
+    for (_, id) in waiting {
         place(world, tick, id);
     }
 }
 
-fn begins_program(call: &calls::Call) -> bool {
-    call.turn.as_ref().is_some_and(|turn| turn.begins_program)
-}
-
-/// Sends a call to an endpoint; refuses it if its reservation was denied or too many attempts have
-/// failed.
+/// Sends a call to an endpoint; refuses it if its reservation was denied, if too many attempts have
+/// failed, or if it is a first turn that would wait too long.
 fn place(world: &mut world::World, tick: &world::Tick, id: ids::CallId) {
     let Some(call) = world.tables.calls.rows.get(&id) else { return };
     if call.phase != calls::Phase::Placing {
@@ -83,6 +78,10 @@
         completion::fail_call(world, tick, id);
         return;
     }
+    if admission_control::refuse_if_hopeless(world, tick, id) {
+        return;
+    }
+    let Some(call) = world.tables.calls.rows.get(&id) else { return };
     match select_endpoint(world, tick, call) {
         Selection::Endpoint(endpoint) => send(world, tick, id, endpoint),
         Selection::Limited(due) => wait_for_share(world, tick, id, due),
@@ -137,7 +136,7 @@
 
 /// Whether an endpoint provides `service` and is not leaving, according to the list or to its own
 /// announcement, whichever came first.
-fn serves(
+pub(crate) fn serves(
     notices: &notices::Notices,
     id: &ids::EndpointId,
     row: &endpoints::Endpoint,
@@ -250,6 +249,8 @@
 fn send(world: &mut world::World, tick: &world::Tick, id: ids::CallId, endpoint: ids::EndpointId) {
     let tokens_per_event = completion::tokens_per_event(world, id);
     let Some(running) = new_attempt(world, tick, id, &endpoint) else { return };
+    let waiting = world.tables.calls.rows.get(&id);
+    let urgency = waiting.and_then(|call| admission_order::urgency(&world.tables, call));
     let tables = &mut world.tables;
     let Some(call) = tables.calls.rows.get_mut(&id) else { return };
     let Some(row) = tables.endpoints.rows.get_mut(&endpoint) else { return };
@@ -283,10 +284,7 @@
         attempt: call.attempts,
         address: row.listed.address.clone(),
         timeout,
-        urgency: call
-            .engine
-            .as_ref()
-            .map(|_| HIGHEST_CLASS_URGENCY.saturating_add(call.priority).min(LOWEST_URGENCY)),
+        urgency,
         workspace: call.workspace.clone(),
         hides_credentials: call.is_identified || tables.routes.has_workspaces(),
         body,
--- a/crates/flamingotrail-gateway/src/tables/mod.rs
+++ b/crates/flamingotrail-gateway/src/tables/mod.rs
@@ -16,11 +16,14 @@
 pub mod notices;
 pub mod partitions;
 pub mod peers;
+pub mod priority_classes;
 pub mod programs;
 pub mod relay;
 pub mod returns;
 pub mod routes;
 pub mod service_profiles;
+pub mod shares;
+pub mod slot_times;
 pub mod timers;
 pub mod turns;
 pub mod unknown_callers;
@@ -35,6 +38,8 @@
     pub endpoints: endpoints::Endpoints,
     /// Measured performance of each service's endpoints.
     pub profiles: service_profiles::ServiceProfiles,
+    /// How long calls occupy a slot of each service's endpoints.
+    pub slot_times: slot_times::SlotTimes,
     /// Measured round-trip times to failure domains.
     pub ways: ways::Ways,
     /// What endpoints announce of themselves.
@@ -43,6 +48,8 @@
     pub crashes: crashes::Crashes,
     /// Refusals of callers whose workspace is not known.
     pub unknown_callers: unknown_callers::UnknownCallers,
+    /// Engine time that workspaces have used lately.
+    pub shares: shares::Shares,
     /// When callers are asked to return.
     pub returns: returns::Returns,
     /// Active calls.
--- a/crates/flamingotrail-gateway/tests/decisions/main.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/main.rs
@@ -1,8 +1,10 @@
 //! Tests of the gateway's decisions, with an in-memory log and a simulated clock.
 
+mod admission_control;
 mod budgets;
 mod calls;
 mod crashes;
+mod engines;
 mod fixture;
 mod fleet;
 mod forgotten_programs;
@@ -12,9 +14,11 @@
 mod learning;
 mod leaving;
 mod limits;
+mod load_patterns;
 mod log_index;
 mod long_turns;
 mod notices;
+mod order;
 mod outages;
 mod peers;
 mod placement;
