--- a/crates/flamingotrail-standins/src/soak/run.rs
+++ b/crates/flamingotrail-standins/src/soak/run.rs
@@ -128,7 +128,7 @@
         thread::sleep(TICK);
     }
     stop.store(true, atomic::Ordering::Relaxed);
-    while threads.iter().any(|thread| !thread.is_finished()) {
+    while threads.iter().any(|thread| !thread.is_finished()) || world.has_shutdowns() {
         world.restart_exited()?;
         observation_rx.try_iter().for_each(|observation| world.observations.record(observation));
         thread::sleep(TICK);
@@ -357,6 +357,11 @@
         Ok(())
     }
 
+    /// Whether a gateway shuts down and is to be restarted after that.
+    fn has_shutdowns(&self) -> bool {
+        self.gateways.iter().any(|row| row.stop_requested_at.is_some())
+    }
+
     /// Sends the last requests of the run; returns one message for each violated guarantee.
     fn probe(&self) -> Vec<String> {
         let processes = self.gateways.iter().filter_map(|row| row.process.as_ref());
