flamingotrail check reads a platform's configuration

Cause: the check of a configuration could not be run by operators. Exit status 2 says that the input can't be read, also for configuration sets, where it was 1.

--- a/crates/flamingotrail/src/configs/client.rs
+++ b/crates/flamingotrail/src/configs/client.rs
@@ -43,11 +43,22 @@
 /// Commands.
 #[derive(Debug, clap::Subcommand)]
 pub enum Command {
-    /// Checks a configuration set and reports all errors at once.
-    #[command(after_help = "Example: flamingotrail check objects/")]
+    /// Checks a configuration set, or a platform's configuration document, and reports all errors at
+    /// once.
+    ///
+    /// The exit status is 0 if there are no errors (warnings are allowed), 1 if there are errors, and
+    /// 2 if the input can't be read. Keys are shown by the beginning of their digests only.
+    #[command(after_help = CHECK_EXAMPLES)]
     Check {
-        /// TOML file, or directory of TOML files.
+        /// TOML file or directory of TOML files (a set), JSON file (a document), or `-` for a document
+        /// on standard input.
         path: path::PathBuf,
+        /// JSON file with the document in force; shows what differs and what that means for callers.
+        #[arg(long, value_name = "FILE")]
+        in_force: Option<path::PathBuf>,
+        /// How long the platform's log keeps records, in seconds.
+        #[arg(long, value_name = "SECONDS", default_value_t = 300)]
+        retention_s: u64,
     },
     /// Shows how a configuration set differs from the current configuration.
     #[command(after_help = "Example: flamingotrail diff objects/ --log-url http://10.0.0.2:7000")]
@@ -120,6 +131,11 @@
     },
 }
 
+const CHECK_EXAMPLES: &str = "Examples:
+  flamingotrail check objects/
+  flamingotrail check next.json --in-force current.json
+  flamingotrail check - --output json < next.json";
+
 const EXAMPLES: &str = "Examples:
   flamingotrail check objects/
   flamingotrail publish objects/ --log-url http://10.0.0.2:7000 --author kari
--- a/crates/flamingotrail/src/main.rs
+++ b/crates/flamingotrail/src/main.rs
@@ -2,12 +2,14 @@
 
 mod client;
 mod configs;
+mod documents;
 mod instances;
 mod keys;
 mod output;
 mod sets;
 
 use std::process;
+use std::time;
 
 use clap::CommandFactory as _;
 use clap::Parser as _;
@@ -20,11 +22,7 @@
     match actix_rt::System::new().block_on(run(args)) {
         Ok(report) => {
             print!("{}", report.render(format));
-            if report.is_good {
-                process::ExitCode::SUCCESS
-            } else {
-                process::ExitCode::FAILURE
-            }
+            process::ExitCode::from(report.exit_status())
         }
         Err(error) => {
             eprintln!("{error}");
@@ -36,7 +34,13 @@
 async fn run(args: settings::ClientArgs) -> Result<output::Report, client::ClientError> {
     let client = client::Client::new(&args.log_url, &args.list_url);
     match args.command {
-        settings::Command::Check { path } => sets::check(&path),
+        settings::Command::Check { path, in_force, retention_s } => {
+            if in_force.is_some() || documents::is_document(&path) {
+                let log_retention = time::Duration::from_secs(retention_s);
+                return Ok(documents::check(&path, in_force.as_deref(), log_retention));
+            }
+            Ok(sets::check(&path).unwrap_or_else(|error| documents::unreadable(&path, &error)))
+        }
         settings::Command::Diff { path } => sets::diff(&client, &path).await,
         settings::Command::Publish { path, base, author } => {
             sets::publish(&client, &path, base, &author).await
