--- a/crates/flamingotrail-gateway/tests/decisions/identity.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/identity.rs
@@ -221,9 +221,9 @@
 }
 
 fn number_of(name: &str, detail: &str) -> u64 {
-    let pairs = detail.split(' ').filter_map(|pair| pair.split_once('='));
-    let value = pairs.filter(|(key, _)| *key == name).map(|(_, value)| value.parse());
-    value.last().expect("named").expect("a number")
+    let mut pairs = detail.split(' ').filter_map(|pair| pair.split_once('='));
+    let (_, value) = pairs.find(|(key, _)| *key == name).expect("named");
+    value.parse().expect("a number")
 }
 
 // Guards against log lines from which a part of a key, or of its digest, can be read.
