Allowances: rates of workspaces are leased by one owner each

Cause: a workspace's calls per second were not limited, and no gateway knows what the others send. Change: one gateway owns each workspace and grants leases and units; a call is charged when it is first sent. A new owner asks all gateways what they hold before it grants more. Messages have a module of their own, and links between gateways are split by kind of message. Result: new tests of the bound with faults and of refusals within the allowance; see allowances.rs and allowance_faults.rs in the decisions' tests.

--- a/crates/flamingotrail-gateway/src/input.rs
+++ b/crates/flamingotrail-gateway/src/input.rs
@@ -8,6 +8,7 @@
 
 use crate::ids;
 use crate::journal;
+use crate::leases;
 use crate::tables::peers;
 
 /// An input of a tick.
@@ -94,6 +95,38 @@
         /// Whether it responded.
         has_responded: bool,
     },
+    /// Another gateway asks this one for leases and units.
+    AllowancesRequested {
+        /// Correlates the request with its response.
+        ticket: u64,
+        /// The request.
+        request: Box<leases::Request>,
+    },
+    /// A request to the owner of workspaces has ended.
+    AllowancesAnswered {
+        /// Gateway that was asked.
+        peer: ids::InstanceName,
+        /// Number of the request.
+        number: u64,
+        /// The answer; `None` if the gateway did not respond.
+        answer: Option<leases::Answer>,
+    },
+    /// Another gateway asks which leases this one holds.
+    HoldingsRequested {
+        /// Correlates the request with its response.
+        ticket: u64,
+        /// Gateway that asks.
+        owner: ids::InstanceName,
+        /// Why it asks.
+        question: leases::Question,
+    },
+    /// A question to another gateway which leases it holds has ended.
+    HoldingsReported {
+        /// Gateway that was asked.
+        peer: ids::InstanceName,
+        /// What it holds.
+        report: leases::Report,
+    },
     /// Another gateway asks this one to append a record.
     RelayRequested {
         /// Correlates the request with its response.
--- a/crates/flamingotrail-gateway/src/lib.rs
+++ b/crates/flamingotrail-gateway/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod ids;
 pub mod input;
 pub mod journal;
+pub mod leases;
 pub mod output;
 pub mod policy;
 pub mod schedule;
--- a/crates/flamingotrail-gateway/src/output.rs
+++ b/crates/flamingotrail-gateway/src/output.rs
@@ -8,6 +8,7 @@
 use crate::ids;
 use crate::input;
 use crate::journal;
+use crate::leases;
 
 /// An output of a tick.
 #[derive(Clone, Debug)]
@@ -96,6 +97,30 @@
     },
     /// Responds to the `Input::CrashesRequested` that has this ticket.
     RespondToCrashes(u64, Vec<input::PeerCrash>),
+    /// Asks the owner of workspaces for leases and units; results in one `Input::AllowancesAnswered`.
+    AskAllowances {
+        /// Gateway to ask.
+        peer: ids::InstanceName,
+        /// Address of that gateway.
+        address: String,
+        /// The request.
+        request: Box<leases::Request>,
+    },
+    /// Responds to the `Input::AllowancesRequested` that has this ticket.
+    RespondToAllowances(u64, leases::Answer),
+    /// Asks another gateway which leases it holds; results in one `Input::HoldingsReported`.
+    AskHoldings {
+        /// Gateway to ask.
+        peer: ids::InstanceName,
+        /// Address of that gateway.
+        address: String,
+        /// This gateway.
+        owner: ids::InstanceName,
+        /// Why it asks.
+        question: leases::Question,
+    },
+    /// Responds to the `Input::HoldingsRequested` that has this ticket.
+    RespondToHoldings(u64, leases::Holdings),
     /// Probes another gateway; results in one `Input::PeerProbed`.
     ProbePeer {
         /// Gateway to probe.
--- a/crates/flamingotrail-gateway/src/schedule.rs
+++ b/crates/flamingotrail-gateway/src/schedule.rs
@@ -26,6 +26,7 @@
     System { name: "notices", run: systems::notices::run },
     System { name: "completion", run: systems::completion::run },
     System { name: "admission", run: systems::admission::run },
+    System { name: "allowances", run: systems::allowances::run },
     System { name: "deadlines", run: systems::deadlines::run },
     System { name: "turns", run: systems::turns::run },
     System { name: "budgets", run: systems::budgets::run },
--- a/crates/flamingotrail-gateway/src/systems/admission.rs
+++ b/crates/flamingotrail-gateway/src/systems/admission.rs
@@ -6,6 +6,7 @@
 use crate::ids;
 use crate::input;
 use crate::output;
+use crate::systems::allowances;
 use crate::systems::crashes;
 use crate::systems::log_outage;
 use crate::tables::calls;
@@ -52,6 +53,7 @@
         _ => world.tables.dirty.calls.insert(id),
     };
     world.tables.calls.insert(call);
+    allowances::announce(world, tick, id);
 }
 
 /// Builds the call of a request, or returns the request with the reason for its refusal.
@@ -86,8 +88,9 @@
         Some(_) => calls::Phase::Resolving,
         None => calls::Phase::Placing,
     };
+    let workspace = workspace_of(world, &arrival);
     Ok(calls::Call {
-        workspace: None,
+        workspace,
         key: None,
         route: route.name.clone(),
         kind: route.kind,
@@ -112,6 +115,13 @@
     })
 }
 
+/// Returns the workspace of the key that a caller presented.
+fn workspace_of(world: &world::World, arrival: &input::Arrival) -> Option<ids::WorkspaceName> {
+    let input::Credential::Key(key) = arrival.credential else { return None };
+    let workspaces = world.tables.routes.current.as_ref()?.workspaces.as_ref()?;
+    workspaces.by_key.get(&key).cloned()
+}
+
 /// Returns the id of the event after which the response is to continue; `None` for its beginning.
 ///
 /// # Errors
--- a/crates/flamingotrail-gateway/src/systems/ingest.rs
+++ b/crates/flamingotrail-gateway/src/systems/ingest.rs
@@ -45,6 +45,18 @@
             input::Input::PeerProbed { peer, has_responded } => {
                 inbox.probe_results.push((peer, has_responded));
             }
+            input::Input::AllowancesRequested { ticket, request } => {
+                inbox.allowance_requests.push((ticket, *request));
+            }
+            input::Input::AllowancesAnswered { peer, number, answer } => {
+                inbox.allowance_answers.push((peer, number, answer));
+            }
+            input::Input::HoldingsRequested { ticket, owner, question } => {
+                inbox.holdings_requests.push((ticket, owner, question));
+            }
+            input::Input::HoldingsReported { peer, report } => {
+                inbox.holdings_reports.push((peer, report));
+            }
             input::Input::RelayRequested { ticket, record } => {
                 inbox.relay_requests.push((ticket, *record))
             }
@@ -70,6 +82,7 @@
     let is_listed = rows.remove(&world.identity.instance).is_some();
     let count = rows.len();
     let tables = &mut world.tables;
+    tables.dirty.peer_list = true;
     if tables.peers.rows != rows || tables.peers.is_listed != is_listed {
         tables.peers.set_rows(rows, is_listed);
         tables.dirty.peer_probes = true;
--- a/crates/flamingotrail-gateway/src/systems/mod.rs
+++ b/crates/flamingotrail-gateway/src/systems/mod.rs
@@ -1,6 +1,7 @@
 //! The systems: functions that run over the tables, each with one responsibility.
 
 pub mod admission;
+pub mod allowances;
 pub mod budgets;
 pub mod completion;
 pub mod configuration;
--- a/crates/flamingotrail-gateway/src/systems/placement.rs
+++ b/crates/flamingotrail-gateway/src/systems/placement.rs
@@ -9,6 +9,7 @@
 use crate::output;
 use crate::policy;
 use crate::systems::admission;
+use crate::systems::allowances;
 use crate::systems::completion;
 use crate::tables::calls;
 use crate::tables::endpoints;
@@ -78,6 +79,10 @@
         completion::fail_call(world, tick, id);
         return;
     }
+    if !allowances::admits(world, tick, id) {
+        return;
+    }
+    let Some(call) = world.tables.calls.rows.get(&id) else { return };
     match select_endpoint(world, tick, call) {
         Selection::Endpoint(endpoint) => send(world, tick, id, endpoint),
         Selection::Limited(due) => wait_for_share(world, tick, id, due),
@@ -310,6 +315,7 @@
         tables.timers.set(timers::Timer::AttemptSlow(id, call.attempts), slow_at);
     }
     world.outputs.push(output::Output::Send(Box::new(dispatch)));
+    allowances::spend(world, tick, id);
 }
 
 /// Returns the delay before a retry of a call that could not be placed.
--- a/crates/flamingotrail-gateway/src/systems/timers.rs
+++ b/crates/flamingotrail-gateway/src/systems/timers.rs
@@ -36,6 +36,8 @@
             timers::Timer::LeavingChecks => dirty.leaving_checks = true,
             timers::Timer::TellNotices => dirty.untold_notices = true,
             timers::Timer::PeerProbes => dirty.peer_probes = true,
+            timers::Timer::AllowanceCheck => dirty.allowance_check = true,
+            timers::Timer::AllowanceHeartbeat => dirty.allowance_heartbeat = true,
             timers::Timer::Drain => dirty.drain = true,
         }
     }
--- a/crates/flamingotrail-gateway/src/tables/dirty.rs
+++ b/crates/flamingotrail-gateway/src/tables/dirty.rs
@@ -42,6 +42,12 @@
     pub untold_notices: bool,
     /// Whether other gateways are to be probed.
     pub peer_probes: bool,
+    /// Whether the list of gateways was read.
+    pub peer_list: bool,
+    /// Whether owners of workspaces may have to be asked.
+    pub allowance_check: bool,
+    /// Whether the pools of workspaces are to be refilled.
+    pub allowance_heartbeat: bool,
     /// Whether the graceful shutdown may advance.
     pub drain: bool,
 }
@@ -66,6 +72,9 @@
             && !self.leaving_checks
             && !self.untold_notices
             && !self.peer_probes
+            && !self.peer_list
+            && !self.allowance_check
+            && !self.allowance_heartbeat
             && !self.drain
     }
 }
--- a/crates/flamingotrail-gateway/src/tables/inbox.rs
+++ b/crates/flamingotrail-gateway/src/tables/inbox.rs
@@ -5,6 +5,7 @@
 use crate::ids;
 use crate::input;
 use crate::journal;
+use crate::leases;
 
 /// Inputs that wait for their system within a tick.
 #[derive(Debug, Default)]
@@ -37,6 +38,14 @@
     pub read_results: Vec<(ids::Partition, Result<input::Page, input::LogError>)>,
     /// Results of probes of other gateways: whether they responded.
     pub probe_results: Vec<(ids::InstanceName, bool)>,
+    /// Other gateways' requests for leases and units, by ticket.
+    pub allowance_requests: Vec<(u64, leases::Request)>,
+    /// Owners' answers to this gateway's requests, by number; `None` if there was none.
+    pub allowance_answers: Vec<(ids::InstanceName, u64, Option<leases::Answer>)>,
+    /// Questions of other gateways what this one holds, by ticket.
+    pub holdings_requests: Vec<(u64, ids::InstanceName, leases::Question)>,
+    /// What other gateways hold.
+    pub holdings_reports: Vec<(ids::InstanceName, leases::Report)>,
     /// Other gateways' requests to append records, by ticket.
     pub relay_requests: Vec<(u64, journal::Record)>,
     /// Results of this gateway's requests to append records; `None` if there was no response.
@@ -68,6 +77,10 @@
             && self.append_results.is_empty()
             && self.read_results.is_empty()
             && self.probe_results.is_empty()
+            && self.allowance_requests.is_empty()
+            && self.allowance_answers.is_empty()
+            && self.holdings_requests.is_empty()
+            && self.holdings_reports.is_empty()
             && self.relay_requests.is_empty()
             && self.relay_results.is_empty()
             && self.lookup_requests.is_empty()
--- a/crates/flamingotrail-gateway/src/tables/mod.rs
+++ b/crates/flamingotrail-gateway/src/tables/mod.rs
@@ -5,6 +5,7 @@
 
 use crate::ids;
 
+pub mod allowances;
 pub mod append_rate;
 pub mod calls;
 pub mod crashes;
@@ -42,6 +43,8 @@
     pub crashes: crashes::Crashes,
     /// When callers are asked to return.
     pub returns: returns::Returns,
+    /// Rate leases of workspaces.
+    pub allowances: allowances::Allowances,
     /// Active calls.
     pub calls: calls::Calls,
     /// Budgets of programs.
--- a/crates/flamingotrail-gateway/src/tables/timers.rs
+++ b/crates/flamingotrail-gateway/src/tables/timers.rs
@@ -32,6 +32,10 @@
     TellNotices,
     /// Other gateways are probed.
     PeerProbes,
+    /// Leases are renewed, and owners asked again.
+    AllowanceCheck,
+    /// The pools of workspaces are refilled.
+    AllowanceHeartbeat,
     /// A graceful shutdown takes its next step.
     Drain,
 }
--- a/crates/flamingotrail-gateway/src/world.rs
+++ b/crates/flamingotrail-gateway/src/world.rs
@@ -25,6 +25,8 @@
 pub struct World {
     /// Identity and location of this gateway.
     pub identity: settings::Identity,
+    /// Identifies this process among those of the gateway.
+    pub boot: u64,
     /// Limits of the log, and the time allowed for a shutdown.
     pub settings: settings::Settings,
     /// Tables that the systems run over.
@@ -46,6 +48,7 @@
     pub fn new(identity: settings::Identity, settings: settings::Settings) -> Self {
         World {
             identity,
+            boot: 0,
             settings,
             tables: tables::Tables::default(),
             placement: Box::new(policy::ExpectedDelay),
--- a/crates/flamingotrail-gateway/tests/decisions/fixture.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/fixture.rs
@@ -87,6 +87,22 @@
     }
 }
 
+pub fn settings() -> settings::Settings {
+    settings::Settings {
+        partitions: PARTITIONS,
+        max_appends_per_s: 1000.0,
+        max_record_bytes: MAX_RECORD_BYTES,
+        max_append_bytes: 100_000,
+        log_retention: LOG_RETENTION,
+        grace_period: time::Duration::from_secs(8),
+        allowance_tolerance: settings::AllowanceTolerance {
+            window: time::Duration::from_secs(5),
+            overage: 0.1,
+            slack: 20.0,
+        },
+    }
+}
+
 pub fn route(prefix: &str, kind: input::RouteKind, service: &str) -> input::Route {
     input::Route {
         name: format!("route{prefix}"),
@@ -259,21 +275,8 @@
 
     /// Returns a gateway without a configuration or endpoints.
     pub fn unconfigured(name: &str) -> Self {
-        let settings = settings::Settings {
-            partitions: PARTITIONS,
-            max_appends_per_s: 1000.0,
-            max_record_bytes: MAX_RECORD_BYTES,
-            max_append_bytes: 100_000,
-            log_retention: LOG_RETENTION,
-            grace_period: time::Duration::from_secs(8),
-            allowance_tolerance: settings::AllowanceTolerance {
-                window: time::Duration::from_secs(5),
-                overage: 0.1,
-                slack: 20.0,
-            },
-        };
         Gateway {
-            world: world::World::new(identity(name), settings),
+            world: world::World::new(identity(name), settings()),
             now: core_time::Timestamp::from_micros(1),
             sent: Vec::new(),
             released: Vec::new(),
@@ -441,7 +444,7 @@
         self.first = ends.collect();
     }
 
-    fn execute(&mut self, output: output::Output) -> input::Input {
+    pub fn execute(&mut self, output: output::Output) -> input::Input {
         match output {
             output::Output::Append { partition, records } => {
                 self.appends += 1;
--- a/crates/flamingotrail-gateway/tests/decisions/main.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/main.rs
@@ -1,5 +1,8 @@
 //! Tests of the gateway's decisions, with an in-memory log and a simulated clock.
 
+mod allowance_faults;
+mod allowance_fleet;
+mod allowances;
 mod budgets;
 mod calls;
 mod crashes;
--- a/crates/flamingotrail-runtime/src/gateway/executor.rs
+++ b/crates/flamingotrail-runtime/src/gateway/executor.rs
@@ -17,6 +17,7 @@
 use crate::gateway::health_checks;
 use crate::gateway::metrics;
 use crate::gateway::peers;
+use crate::gateway::peers::registration;
 use crate::gateway::pending_calls;
 
 /// Interval between two checks for due events of paced streams: small compared to the time between
@@ -105,6 +106,18 @@
             output::Output::RespondToCrashes(ticket, crashes) => {
                 self.peers.respond_to_crashes(ticket, &crashes);
             }
+            output::Output::AskAllowances { peer, address, request } => {
+                self.peers.ask_allowances(peer, address, &request);
+            }
+            output::Output::RespondToAllowances(ticket, answer) => {
+                self.peers.respond_to_allowances(ticket, &answer);
+            }
+            output::Output::AskHoldings { peer, address, owner, question } => {
+                self.peers.ask_holdings(peer, address, &owner, question);
+            }
+            output::Output::RespondToHoldings(ticket, holdings) => {
+                self.peers.respond_to_holdings(ticket, &holdings);
+            }
             output::Output::ProbePeer { peer, address } => self.peers.probe(peer, address),
             output::Output::RemovePeer(peer) => self.remove_peer(peer),
             output::Output::RespondToRelay(ticket, response) => {
@@ -137,7 +150,7 @@
 
     fn remove_peer(&self, peer: ids::InstanceName) {
         let store = self.store.clone();
-        actix_rt::spawn(async move { peers::unregister(&store, &peer).await });
+        actix_rt::spawn(async move { registration::unregister(&store, &peer).await });
     }
 
     fn start_attempt(&self, dispatch: output::Dispatch) {
--- a/crates/flamingotrail-runtime/src/gateway/peers.rs
+++ b/crates/flamingotrail-runtime/src/gateway/peers.rs
@@ -1,5 +1,5 @@
 //! Links between gateways, which relay records and look up turns for a gateway that can't reach the
-//! log.
+//! log, tell each other about endpoints, and share the allowances of workspaces.
 //!
 //! Links use plain HTTP/1.1 with MessagePack bodies on a port that the platform reserves for
 //! traffic between processes. QUIC is ruled out, since the platform's machines hold no keys for it.
@@ -17,27 +17,24 @@
 use bytes::Bytes;
 use flamingotrail_adapter::configuration;
 use flamingotrail_adapter::connection;
-use flamingotrail_adapter::store;
 use flamingotrail_gateway::ids;
 use flamingotrail_gateway::input;
 use flamingotrail_gateway::journal;
-use flamingotrail_gateway::tables::peers;
 use flamingotrail_wire::gateway as wire;
 use tokio::sync::oneshot;
 
 use crate::gateway::control;
 use crate::gateway::http1;
 use crate::gateway::pool;
-use crate::gateway::watch;
+
+pub mod allowances;
+pub mod announcements;
+pub mod registration;
 
 /// Path for relayed records.
 const RECORDS_PATH: &str = "/v1/records";
 /// Path prefix of turn lookups; the turn's id follows.
 const TURNS_PATH_PREFIX: &str = "/v1/turns/";
-/// Path for announcements of endpoints.
-const NOTICES_PATH: &str = "/v1/notices";
-/// Path for crashes of endpoints by requests.
-const CRASHES_PATH: &str = "/v1/crashes";
 /// Path of probes.
 const PROBE_PATH: &str = "/v1/alive";
 /// Timeout for a response of another gateway: a round trip between regions, and the time that the
@@ -47,11 +44,7 @@
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(250);
 /// Maximum size of a response, which may contain a long chain of turns.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
-/// Timeout for the removal of an entry, which a process that ends waits for.
-const UNREGISTER_TIMEOUT: time::Duration = time::Duration::from_millis(200);
-/// Long-poll wait of a read of the gateways' entries.
-const CHANGE_WAIT: time::Duration = time::Duration::from_secs(10);
-/// Delay after a failed accept, and after a failed read or write of entries.
+/// Delay after a failed accept.
 const RETRY_DELAY: time::Duration = time::Duration::from_millis(500);
 
 /// Links to and from other gateways.
@@ -119,13 +112,18 @@
         if path == PROBE_PATH {
             return (StatusCode::OK, Bytes::new());
         }
-        if path == NOTICES_PATH && incoming.request.method() == Method::POST {
+        if path == announcements::NOTICES_PATH && incoming.request.method() == Method::POST {
             return (self.receive_notices(&incoming.body), Bytes::new());
         }
-        if path == CRASHES_PATH && incoming.request.method() == Method::POST {
+        if path == announcements::CRASHES_PATH && incoming.request.method() == Method::POST {
             return (self.receive_crashes(&incoming.body), Bytes::new());
         }
-        let input = if incoming.request.method() == Method::POST && path == RECORDS_PATH {
+        let input = if path == allowances::PATH {
+            match allowances::decode_question(ticket, &incoming.request, &incoming.body) {
+                Some(input) => input,
+                None => return (StatusCode::BAD_REQUEST, Bytes::new()),
+            }
+        } else if incoming.request.method() == Method::POST && path == RECORDS_PATH {
             match wire::decode_record(&incoming.body, wire::UnixTime::now()) {
                 Ok(record) => input::Input::RelayRequested { ticket, record: Box::new(record) },
                 Err(error) => {
@@ -133,9 +131,9 @@
                     return (StatusCode::BAD_REQUEST, Bytes::new());
                 }
             }
-        } else if path == NOTICES_PATH {
+        } else if path == announcements::NOTICES_PATH {
             input::Input::NoticesRequested { ticket }
-        } else if path == CRASHES_PATH {
+        } else if path == announcements::CRASHES_PATH {
             input::Input::CrashesRequested { ticket }
         } else if let Some(turn) = path.strip_prefix(TURNS_PATH_PREFIX) {
             input::Input::LookupRequested { ticket, turn: ids::TurnId::new(turn) }
@@ -153,95 +151,6 @@
         }
     }
 
-    fn receive_notices(&self, body: &[u8]) -> StatusCode {
-        match wire::decode_notices(body) {
-            Ok(notices) => {
-                self.inputs.send(input::Input::PeerNotices(notices));
-                StatusCode::OK
-            }
-            Err(error) => {
-                log::warn!("event=peer_notices_invalid error={:?}", error.to_string());
-                StatusCode::BAD_REQUEST
-            }
-        }
-    }
-
-    fn receive_crashes(&self, body: &[u8]) -> StatusCode {
-        let Some(crashes) = ok_or_log(wire::decode_crashes(body)) else {
-            return StatusCode::BAD_REQUEST;
-        };
-        self.inputs.send(input::Input::PeerCrashes(crashes));
-        StatusCode::OK
-    }
-
-    /// Responds to another gateway's request for crashes of endpoints by requests.
-    pub fn respond_to_crashes(&self, ticket: u64, crashes: &[input::PeerCrash]) {
-        self.respond(ticket, wire::encode_crashes(crashes));
-    }
-
-    /// Asks another gateway for crashes of endpoints by requests.
-    pub fn ask_crashes(&self, peer: ids::InstanceName, address: String) {
-        let peers = self.clone();
-        actix_rt::spawn(async move {
-            let bytes = peers.request(&peer, &address, "GET", CRASHES_PATH, Bytes::new()).await;
-            if let Some(crashes) = bytes.and_then(|bytes| ok_or_log(wire::decode_crashes(&bytes))) {
-                peers.inputs.send(input::Input::PeerCrashes(crashes));
-            }
-        });
-    }
-
-    /// Tells another gateway of crashes of endpoints by requests.
-    pub fn tell_crashes(
-        &self,
-        peer: ids::InstanceName,
-        address: String,
-        crashes: &[input::PeerCrash],
-    ) {
-        let Some(body) = ok_or_log(wire::encode_crashes(crashes)) else { return };
-        let peers = self.clone();
-        actix_rt::spawn(async move {
-            // A gateway that is not reached learns of the request by itself.
-            peers.request(&peer, &address, "POST", CRASHES_PATH, body.into()).await;
-        });
-    }
-
-    /// Responds to another gateway's request for announcements of endpoints.
-    pub fn respond_to_notices(&self, ticket: u64, notices: &[input::PeerNotice]) {
-        self.respond(ticket, wire::encode_notices(notices));
-    }
-
-    /// Asks another gateway for announcements of endpoints.
-    pub fn ask_notices(&self, peer: ids::InstanceName, address: String) {
-        let peers = self.clone();
-        actix_rt::spawn(async move {
-            let bytes = peers.request(&peer, &address, "GET", NOTICES_PATH, Bytes::new()).await;
-            if let Some(notices) = bytes.and_then(|bytes| ok_or_log(wire::decode_notices(&bytes))) {
-                peers.inputs.send(input::Input::PeerNotices(notices));
-            }
-        });
-    }
-
-    /// Tells another gateway of announcements of endpoints.
-    pub fn tell_notices(
-        &self,
-        peer: ids::InstanceName,
-        address: String,
-        notices: &[input::PeerNotice],
-    ) {
-        let body = match wire::encode_notices(notices) {
-            Ok(body) => body,
-            Err(error) => {
-                log::error!("event=notices_encoding_failed error={:?}", error.to_string());
-                return;
-            }
-        };
-        let peers = self.clone();
-        actix_rt::spawn(async move {
-            // Without a response, the other gateway learns from its own requests.
-            peers.request(&peer, &address, "POST", NOTICES_PATH, body.into()).await;
-        });
-    }
-
     /// Responds to another gateway's request to append a record.
     pub fn respond_to_relay(&self, ticket: u64, response: input::RelayResponse) {
         self.respond(ticket, wire::encode_relay_response(response));
@@ -380,77 +289,3 @@
         }
     }
 }
-
-/// Lists this process as a gateway, again if its entry is removed, and watches the entries of all
-/// gateways until the process exits.
-pub async fn register_and_watch(
-    store: rc::Rc<store::StoreClient>,
-    inputs: control::InputSender,
-    name: ids::InstanceName,
-    own_entry: peers::Peer,
-) {
-    register(&store, &name, &own_entry).await;
-    let mut reader = watch::TopicReader::new(store::GATEWAY_TOPIC);
-    let mut rows = collections::BTreeMap::new();
-    loop {
-        match reader.read(&store, CHANGE_WAIT).await {
-            Ok(update) => {
-                if update.is_snapshot {
-                    rows.clear();
-                }
-                for (key, value) in update.records {
-                    apply_entry(&mut rows, &key, &value);
-                }
-                let is_listed = rows.contains_key(&name);
-                inputs.send(input::Input::Peers(rows.clone()));
-                if !is_listed {
-                    log::info!("event=own_entry_missing");
-                    register(&store, &name, &own_entry).await;
-                }
-            }
-            Err(error) => {
-                log::debug!("event=peer_list_read_failed error={:?}", error.to_string());
-                actix_rt::time::sleep(RETRY_DELAY).await;
-            }
-        }
-    }
-}
-
-fn apply_entry(
-    rows: &mut collections::BTreeMap<ids::InstanceName, peers::Peer>,
-    key: &str,
-    value: &Bytes,
-) {
-    let name = ids::InstanceName::new(key);
-    if value.is_empty() {
-        rows.remove(&name);
-    } else if let Some(peer) = ok_or_log(wire::decode_peer(value)) {
-        rows.insert(name, peer);
-    }
-}
-
-async fn register(store: &store::StoreClient, name: &ids::InstanceName, own_entry: &peers::Peer) {
-    let value = match wire::encode_peer(own_entry) {
-        Ok(value) => value,
-        Err(error) => {
-            log::error!("event=peer_entry_encoding_failed error={:?}", error.to_string());
-            return;
-        }
-    };
-    while let Err(error) = store.put(store::GATEWAY_TOPIC, name.as_str(), &value).await {
-        log::debug!("event=peer_entry_write_failed error={:?}", error.to_string());
-        actix_rt::time::sleep(RETRY_DELAY).await;
-    }
-}
-
-/// Removes a gateway from the list. Tries once: a gateway that is still listed is found by others.
-pub async fn unregister(store: &store::StoreClient, name: &ids::InstanceName) {
-    let removed = store.put(store::GATEWAY_TOPIC, name.as_str(), b"");
-    match tokio::time::timeout(UNREGISTER_TIMEOUT, removed).await {
-        Ok(Ok(_)) => log::info!("event=peer_entry_removed peer={name}"),
-        Ok(Err(error)) => {
-            log::warn!("event=peer_entry_removal_failed peer={name} error={:?}", error.to_string());
-        }
-        Err(_) => log::warn!("event=peer_entry_removal_timed_out peer={name}"),
-    }
-}
--- a/crates/flamingotrail-runtime/src/gateway/process.rs
+++ b/crates/flamingotrail-runtime/src/gateway/process.rs
@@ -16,6 +16,7 @@
 use flamingotrail_gateway::settings;
 use flamingotrail_gateway::tables::peers as peers_table;
 use flamingotrail_gateway::world;
+use flamingotrail_wire::gateway as wire;
 use tokio::signal;
 use tokio::sync::watch as tokio_watch;
 
@@ -29,6 +30,7 @@
 use crate::gateway::metrics;
 use crate::gateway::monitoring;
 use crate::gateway::peers;
+use crate::gateway::peers::registration;
 use crate::gateway::pending_calls;
 use crate::gateway::pool;
 use crate::gateway::watch;
@@ -77,7 +79,8 @@
         grace_period: deployment.shutdown_grace,
         allowance_tolerance: deployment.allowance_tolerance,
     };
-    let world = world::World::new(deployment.identity.clone(), settings);
+    let mut world = world::World::new(deployment.identity.clone(), settings);
+    world.boot = boot_nonce();
     let (inputs, outputs) = control::start(world, clock)?;
     let store = rc::Rc::new(store::StoreClient::new(&deployment.store));
     let limits = rc::Rc::new(cell::Cell::new(configuration::RequestLimits::default()));
@@ -114,8 +117,12 @@
         region: deployment.identity.region.clone(),
     };
     let name = deployment.identity.instance.clone();
-    let peer_watch =
-        actix_rt::spawn(peers::register_and_watch(store.clone(), inputs.clone(), name, own_entry));
+    let peer_watch = actix_rt::spawn(registration::register_and_watch(
+        store.clone(),
+        inputs.clone(),
+        name,
+        own_entry,
+    ));
     actix_rt::spawn(remove_expired(pool.clone()));
     actix_rt::spawn(drain_on_signal(inputs.clone(), stage_tx.clone()));
     actix_rt::spawn(reload_on_signal());
@@ -143,12 +150,18 @@
     let ended = executor.run(outputs).await;
     // It would restore the entry.
     peer_watch.abort();
-    peers::unregister(&store, &deployment.identity.instance).await;
+    registration::unregister(&store, &deployment.identity.instance).await;
     ended?;
     log::info!("event=stopped");
     Ok(())
 }
 
+/// Returns a number that identifies this process among those that ran under its name.
+fn boot_nonce() -> u64 {
+    const PROCESS_ID_BITS: u32 = 22;
+    (wire::UnixTime::now().0 << PROCESS_ID_BITS) | u64::from(std::process::id())
+}
+
 /// Responds to the load balancer's readiness checks.
 #[derive(Clone)]
 struct ReadinessHandler {
--- a/crates/flamingotrail-wire/src/lib.rs
+++ b/crates/flamingotrail-wire/src/lib.rs
@@ -9,6 +9,7 @@
 #[macro_use]
 mod macros;
 
+pub mod allowances;
 pub mod chat;
 pub mod codec;
 pub mod engine;
