--- a/crates/flamingotrail-gateway/src/systems/admission.rs
+++ b/crates/flamingotrail-gateway/src/systems/admission.rs
@@ -6,6 +6,7 @@
 use crate::ids;
 use crate::input;
 use crate::output;
+use crate::systems::allowances;
 use crate::systems::crashes;
 use crate::systems::identity;
 use crate::systems::log_outage;
@@ -59,6 +60,7 @@
         _ => world.tables.dirty.calls.insert(id),
     };
     world.tables.calls.insert(call);
+    allowances::announce(world, tick, id);
 }
 
 /// Builds the call of a request, or returns the request with the reason for its refusal.
--- a/crates/flamingotrail-gateway/src/systems/mod.rs
+++ b/crates/flamingotrail-gateway/src/systems/mod.rs
@@ -3,6 +3,7 @@
 pub mod admission;
 pub mod admission_control;
 pub mod admission_order;
+pub mod allowances;
 pub mod budgets;
 pub mod completion;
 pub mod configuration;
--- a/crates/flamingotrail-gateway/src/systems/placement.rs
+++ b/crates/flamingotrail-gateway/src/systems/placement.rs
@@ -11,6 +11,7 @@
 use crate::systems::admission;
 use crate::systems::admission_control;
 use crate::systems::admission_order;
+use crate::systems::allowances;
 use crate::systems::completion;
 use crate::systems::identity;
 use crate::tables::calls;
@@ -78,7 +79,9 @@
         completion::fail_call(world, tick, id);
         return;
     }
-    if admission_control::refuse_if_hopeless(world, tick, id) {
+    if admission_control::refuse_if_hopeless(world, tick, id)
+        || !allowances::admits(world, tick, id)
+    {
         return;
     }
     let Some(call) = world.tables.calls.rows.get(&id) else { return };
@@ -313,6 +316,7 @@
         tables.timers.set(timers::Timer::AttemptSlow(id, call.attempts), slow_at);
     }
     world.outputs.push(output::Output::Send(Box::new(dispatch)));
+    allowances::spend(world, tick, id);
 }
 
 /// Returns the delay before a retry of a call that could not be placed.
--- a/crates/flamingotrail-gateway/src/tables/dirty.rs
+++ b/crates/flamingotrail-gateway/src/tables/dirty.rs
@@ -46,6 +46,12 @@
     pub unknown_callers: bool,
     /// Whether other gateways are to be probed.
     pub peer_probes: bool,
+    /// Whether the list of gateways was read.
+    pub peer_list: bool,
+    /// Whether owners of workspaces may have to be asked.
+    pub allowance_check: bool,
+    /// Whether the pools of workspaces are to be refilled.
+    pub allowance_heartbeat: bool,
     /// Whether the graceful shutdown may advance.
     pub drain: bool,
 }
@@ -72,6 +78,9 @@
             && !self.workspaces
             && !self.unknown_callers
             && !self.peer_probes
+            && !self.peer_list
+            && !self.allowance_check
+            && !self.allowance_heartbeat
             && !self.drain
     }
 }
--- a/crates/flamingotrail-gateway/src/tables/timers.rs
+++ b/crates/flamingotrail-gateway/src/tables/timers.rs
@@ -34,6 +34,10 @@
     UnknownCallers,
     /// Other gateways are probed.
     PeerProbes,
+    /// Leases are renewed, and owners asked again.
+    AllowanceCheck,
+    /// The pools of workspaces are refilled.
+    AllowanceHeartbeat,
     /// A graceful shutdown takes its next step.
     Drain,
 }
--- a/crates/flamingotrail-gateway/tests/decisions/main.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/main.rs
@@ -1,6 +1,9 @@
 //! Tests of the gateway's decisions, with an in-memory log and a simulated clock.
 
 mod admission_control;
+mod allowance_faults;
+mod allowance_fleet;
+mod allowances;
 mod budgets;
 mod calls;
 mod crashes;
