--- a/crates/flamingotrail-gateway/tests/decisions/allowances.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/allowances.rs
@@ -126,7 +126,7 @@
 fn calls_that_waited_for_the_log_are_charged_when_they_are_sent() {
     let mut fleet = allowance_fleet::Fleet::new(4, 6, &[("w", 20.0, 10.0)]);
     let names = fleet.names();
-    fleet.store("start");
+    fleet.store("w/start");
     fleet.run(time::Duration::from_secs(1));
     fleet.holds_log = true;
     for number in 0..200 {
