--- a/crates/flamingotrail-gateway/tests/decisions/allowance_faults.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/allowance_faults.rs
@@ -209,7 +209,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig::with_cases(24))]
+    #![proptest_config(ProptestConfig::with_cases(48))]
 
     // Guards against any sequence of faults that lets more calls through than the bound.
     #[test]
