Allowances: programs that have begun get what they ask for

Cause: the mean length of programs was measured from what was sent, so that any division between first turns and others was stable. Change: calls of programs that have begun count when they arrive; first turns keep a tenth of the rate. Tests for a frozen owner, lost answers and an outage of the store.

--- a/crates/flamingotrail-gateway/src/systems/allowances.rs
+++ b/crates/flamingotrail-gateway/src/systems/allowances.rs
@@ -115,8 +115,12 @@
 
 fn claim(tables: &tables::Tables, id: ids::CallId) -> Option<holder::Claim> {
     let call = tables.calls.rows.get(&id)?;
-    let is_first = call.turn.as_ref().is_some_and(|turn| turn.begins_program);
-    Some(holder::Claim { is_first, has_returned: call.has_returned })
+    let turn = call.turn.as_ref();
+    Some(holder::Claim {
+        is_first: turn.is_some_and(|turn| turn.begins_program),
+        continues_program: turn.is_some_and(|turn| !turn.begins_program),
+        has_returned: call.has_returned,
+    })
 }
 
 /// Decides about a call without room: it waits while an answer or the lease may still give it room in
--- a/crates/flamingotrail-gateway/src/tables/allowances/holder.rs
+++ b/crates/flamingotrail-gateway/src/tables/allowances/holder.rs
@@ -33,6 +33,8 @@
 const SILENCE_TIME: time::Duration = time::Duration::from_millis(300);
 /// Part of what a lease accumulates from which on its rate is not used up.
 const SPARE_SHARE: f64 = 0.75;
+/// Least part of the rate that first turns get while there is too little.
+const MIN_FIRST_SHARE: f64 = 0.1;
 /// Time for which room is kept for a caller that was asked to return.
 const RETURN_TIME: time::Duration = time::Duration::from_millis(500);
 /// Largest part of what a lease accumulates that is kept for callers that return.
@@ -84,6 +86,8 @@
 pub struct Claim {
     /// Whether the call is the first of a program.
     pub is_first: bool,
+    /// Whether the call belongs to a program that has begun.
+    pub continues_program: bool,
     /// Whether its caller has come back after a refusal.
     pub has_returned: bool,
 }
@@ -136,6 +140,9 @@
     pub fn record_arrival(&mut self, id: ids::CallId, claim: Claim, now: core_time::Timestamp) {
         self.pending.insert(id, (now, claim));
         self.demand.record(now);
+        if claim.continues_program {
+            self.length.record_other(now);
+        }
         self.used_at = now;
     }
 
@@ -162,7 +169,7 @@
             self.bucket = Bucket { calls: 0.0, updated: now };
         }
         self.units.retain(|units| now < units.expires_at);
-        let rate = self.fair_rate(now) / self.length.mean();
+        let rate = self.fair_rate(now) * (1.0 / self.length.mean()).max(MIN_FIRST_SHARE);
         self.first_turns.fill(rate, allowances::lease_burst(rate), now);
         self.returns.retain(|at| now < at.after(RETURN_TIME));
     }
@@ -212,10 +219,10 @@
     pub fn spend(&mut self, id: ids::CallId, claim: Claim, now: core_time::Timestamp) {
         self.pending.remove(&id);
         self.waiting.remove(&id);
-        self.length.record(claim.is_first, now);
         self.used_at = now;
-        if claim.is_first && self.first_turns.calls >= 1.0 {
-            self.first_turns.calls -= 1.0;
+        if claim.is_first {
+            self.length.record_first(now);
+            self.first_turns.calls = (self.first_turns.calls - 1.0).max(0.0);
         }
         if claim.has_returned && self.returns.front().is_some_and(|at| *at <= now) {
             self.returns.pop_front();
--- a/crates/flamingotrail-gateway/src/tables/allowances/meters.rs
+++ b/crates/flamingotrail-gateway/src/tables/allowances/meters.rs
@@ -4,8 +4,9 @@
 
 /// Time constant of the measured rate, in seconds.
 const RATE_SMOOTHING_S: f64 = 1.5;
-/// Time constant of the measured calls per program, in seconds: several programs' lengths.
-const PROGRAM_SMOOTHING_S: f64 = 30.0;
+/// Time constant of the measured calls per program, in seconds: more than the time between two calls of
+/// a program.
+const PROGRAM_SMOOTHING_S: f64 = 10.0;
 
 /// Returns the part of a count that remains after `since`.
 pub fn decay(since: core_time::Timestamp, now: core_time::Timestamp, constant_s: f64) -> f64 {
@@ -37,25 +38,37 @@
     }
 }
 
-/// Mean number of calls of a workspace's programs.
+/// Mean number of calls of a workspace's programs: their first turns that were sent, and the calls
+/// that arrive of those that have begun.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ProgramLength {
-    calls: f64,
-    programs: f64,
+    first_turns: f64,
+    others: f64,
     updated: core_time::Timestamp,
 }
 
 impl ProgramLength {
-    /// Records a call that was sent; `is_first` if its program begins with it.
-    pub fn record(&mut self, is_first: bool, now: core_time::Timestamp) {
+    /// Records that a first turn was sent.
+    pub fn record_first(&mut self, now: core_time::Timestamp) {
+        self.fade(now);
+        self.first_turns += 1.0;
+    }
+
+    /// Records the arrival of another call of a program.
+    pub fn record_other(&mut self, now: core_time::Timestamp) {
+        self.fade(now);
+        self.others += 1.0;
+    }
+
+    fn fade(&mut self, now: core_time::Timestamp) {
         let remaining = decay(self.updated, now, PROGRAM_SMOOTHING_S);
-        self.calls = self.calls * remaining + 1.0;
-        self.programs = self.programs * remaining + f64::from(u8::from(is_first));
+        self.first_turns *= remaining;
+        self.others *= remaining;
         self.updated = now;
     }
 
     /// Returns the mean number of calls per program, at least 1.
     pub fn mean(&self) -> f64 {
-        (self.calls / self.programs.max(1.0)).max(1.0)
+        1.0 + self.others / self.first_turns.max(1.0)
     }
 }
--- a/crates/flamingotrail-gateway/tests/decisions/allowance_faults.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/allowance_faults.rs
@@ -138,6 +138,58 @@
     }
 }
 
+// Guards against an owner that wakes and grants what another one has granted meanwhile: its pool would
+// have refilled, and its list is old.
+#[test]
+fn owner_that_wakes_grants_nothing_before_it_has_asked_the_others() {
+    let (mut fleet, names) = fleet(9);
+    let owner = fleet.owner("w");
+    fleet.load(4.0, &[("w", 400.0)], &names);
+    fleet.freeze(&owner, 20);
+    fleet.run(time::Duration::from_secs(20));
+    let woken = fleet.now;
+
+    for _ in 0..30 {
+        fleet.call(&owner, "w");
+    }
+    fleet.run(time::Duration::from_millis(20));
+    let early = served(&fleet, woken);
+    fleet.load(5.0, LOADS, &names);
+
+    assert_eq!(early, 0);
+    assert!(served(&fleet, woken) as f64 >= PER_S * 4.0, "{}", served(&fleet, woken));
+    assert_bounds(&fleet);
+}
+
+// Guards against a lowered lease that counts at its new rate while its holder has the old one, since
+// the answers to it are lost.
+#[test]
+fn lease_counts_at_its_old_rate_while_answers_are_lost() {
+    let (mut fleet, names) = fleet(10);
+    let owner = fleet.owner("w");
+    let holders: Vec<String> = names.into_iter().filter(|name| *name != owner).take(2).collect();
+    fleet.load(10.0, &[("w", 45.0)], &holders[..1]);
+
+    fleet.cut_one_way(&owner, &holders[0]);
+    fleet.load(14.0, &[("w", 160.0)], &holders);
+
+    assert_bounds(&fleet);
+}
+
+// Guards against owners that grant nothing, or refuse all, while the store is down and no list can be
+// read.
+#[test]
+fn allowance_is_served_during_an_outage_of_the_store() {
+    let (mut fleet, names) = fleet(11);
+
+    names.iter().for_each(|name| fleet.cut_from_store(name));
+    let from = fleet.now;
+    fleet.load(60.0, LOADS, &names);
+
+    assert_bounds(&fleet);
+    assert!(served(&fleet, from) as f64 >= PER_S * 60.0 * 0.95, "{}", served(&fleet, from));
+}
+
 // Guards against answers that arrive after what they grant has been granted to others.
 #[test]
 fn bound_holds_with_late_and_lost_messages() {
--- a/crates/flamingotrail-gateway/tests/decisions/allowance_fleet.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/allowance_fleet.rs
@@ -218,6 +218,11 @@
         self.cuts.insert((b.to_owned(), a.to_owned()));
     }
 
+    /// Loses what `from` sends to `to`, but not what it receives.
+    pub fn cut_one_way(&mut self, from: &str, to: &str) {
+        self.cuts.insert((from.to_owned(), to.to_owned()));
+    }
+
     /// Cuts a gateway from the store, so that it gets no lists and configurations.
     pub fn cut_from_store(&mut self, name: &str) {
         self.cut_from_store.insert(name.to_owned());
--- a/crates/flamingotrail-gateway/tests/decisions/allowances.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/allowances.rs
@@ -144,6 +144,29 @@
     assert_bound(&fleet, "w", 20.0, 10.0);
 }
 
+// Guards against programs that get half of their calls: while there is too little, new ones give way.
+#[test]
+fn first_turns_give_way_to_programs_that_have_begun() {
+    let mut fleet = allowance_fleet::Fleet::new(2, 9, &[("w", 40.0, 10.0)]);
+    let names = fleet.names();
+    fleet.store("w/start");
+    for number in 0..1200 {
+        let mut request = fixture::request(1, &format!("t{number}"), "/chat/1");
+        if number % 4 < 2 {
+            request.previous = Some(flamingotrail_gateway::ids::TurnId::new("start"));
+        }
+        fleet.arrive(&names[number % 2], "w", request);
+        fleet.run(time::Duration::from_micros(1_000_000 / 60));
+    }
+
+    let later = fleet.sent.iter().filter(|sent| sent.call > 300);
+    let (begun, first): (Vec<_>, Vec<_>) = later.partition(|sent| (sent.call - 1) % 4 < 2);
+
+    assert!(begun.len() > 450 * 85 / 100, "{} of 450", begun.len());
+    assert!(first.len() > 100, "{} of 450", first.len());
+    assert_bound(&fleet, "w", 40.0, 10.0);
+}
+
 // Guards against messages for workspaces that have no calls or far fewer than they may have.
 #[test]
 fn calm_workspace_costs_a_message_in_two_seconds_per_gateway() {
