Allowances: the rate gains a part of the tolerance, and calls wait for their owner's first answer

Change: a call waits up to 400 ms or its target latency; first turns give way only while the workspace is short; three tenths of the tolerance go to the rate. One log line says why a pool granted less than it was asked for.

--- a/crates/flamingotrail-gateway/src/systems/allowances.rs
+++ b/crates/flamingotrail-gateway/src/systems/allowances.rs
@@ -21,10 +21,9 @@
 pub mod granting;
 pub mod takeover;
 
-/// Longest time for which a call waits for room: a round trip to another region, and a second one.
-const MAX_WAIT: time::Duration = time::Duration::from_millis(150);
-/// A call waits for at most its route's target latency divided by this number.
-const MAX_WAIT_DIVISOR: u32 = 2;
+/// Longest time for which a call waits for room, if its route's target latency is not shorter: a new
+/// connection to an owner in another region, a round trip, and its question to all gateways.
+const MAX_WAIT: time::Duration = time::Duration::from_millis(400);
 /// Time after which a caller may return to other gateways if the owner did not answer.
 const SILENT_RETRY_AFTER: time::Duration = time::Duration::from_millis(300);
 /// Callers follow a request to return later only if the delay is at most their remaining time divided
@@ -134,7 +133,7 @@
     let target_latency = world.tables.calls.rows.get(&id)?.target_latency;
     let holder = &mut world.tables.allowances.holder;
     let row = holder.rows.get_mut(workspace)?;
-    let max_wait = MAX_WAIT.min(target_latency / MAX_WAIT_DIVISOR);
+    let max_wait = MAX_WAIT.min(target_latency);
     let wait_end = *row.waiting.entry(id).or_insert_with(|| tick.now.after(max_wait));
     let answered = row.answered.filter(|(at, _)| tick.now.since(*at) < ANSWER_TIME);
     let is_answered = answered.is_some();
--- a/crates/flamingotrail-gateway/src/systems/allowances/granting.rs
+++ b/crates/flamingotrail-gateway/src/systems/allowances/granting.rs
@@ -61,7 +61,36 @@
     let allowances = &mut world.tables.allowances;
     let own = &world.identity.instance;
     let settled_at = allowances.lists.settled_at(own, &demand.workspace, tick.now);
-    Some(allowances.owner.grant(&terms, &request.holder, demand, settled_at, tick.now))
+    let grant = allowances.owner.grant(&terms, &request.holder, demand, settled_at, tick.now);
+    if grant.units < demand.units {
+        log_shortage(world, tick, request, demand, &grant);
+    }
+    Some(grant)
+}
+
+fn log_shortage(
+    world: &mut world::World,
+    tick: &world::Tick,
+    request: &leases::Request,
+    demand: &leases::Demand,
+    grant: &leases::Grant,
+) {
+    let workspace = &demand.workspace;
+    let Some(pool) = world.tables.allowances.owner.pools.get(workspace) else { return };
+    let (holders, leased) = pool.leases(tick.now);
+    world.emit_event(
+        "allowance_short",
+        format_args!(
+            "workspace={workspace} holder={} asked={} granted={} pool={:.2} leases={holders} \
+             leased_per_s={leased:.2} total_per_s={:.2} settled={}",
+            request.holder,
+            demand.units,
+            grant.units,
+            pool.units(),
+            grant.total_per_s,
+            grant.is_settled,
+        ),
+    );
 }
 
 /// Refills the pools, and removes those that are full and not in use.
--- a/crates/flamingotrail-gateway/src/tables/allowances.rs
+++ b/crates/flamingotrail-gateway/src/tables/allowances.rs
@@ -40,13 +40,18 @@
     pub run_at: core_time::Timestamp,
 }
 
+/// Parts of the tolerance: what the rate gains over a window, so that callers near their limit are
+/// served while the bound holds; the pool's capacity beyond the burst; what units add by being spent
+/// later than granted; and what leases accumulate. The rest covers messages that are under way.
+const RATE_PART: f64 = 0.3;
+const POOL_PART: f64 = 0.1;
+const UNITS_PART: f64 = 0.25;
+const LEASES_PART: f64 = 0.3;
+
 /// An allowance with its tolerance, divided among the causes of an excess.
-///
-/// Of the tolerance, a quarter is the pool's capacity beyond the burst, a quarter is what units can
-/// add by being spent later than granted, and nearly half is what leases accumulate.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Terms {
-    /// Calls per second.
+    /// Calls per second, with the part of the tolerance that the rate gains.
     pub per_s: f64,
     /// Calls that may exceed the rate at once.
     pub burst: f64,
@@ -58,18 +63,20 @@
     /// Returns the terms of `allowance`.
     pub fn new(allowance: input::RateAllowance, bound: &settings::AllowanceTolerance) -> Self {
         let input::RateAllowance { per_s, burst } = allowance;
-        let calls = per_s * bound.window.as_secs_f64() + burst;
-        Terms { per_s, burst, tolerance: bound.overage * calls + bound.slack }
+        let window_s = bound.window.as_secs_f64();
+        let tolerance = bound.overage * (per_s * window_s + burst) + bound.slack;
+        let gained = if window_s > 0.0 { tolerance * RATE_PART / window_s } else { 0.0 };
+        Terms { per_s: per_s + gained, burst, tolerance }
     }
 
     /// Returns the capacity of the pool. It has room for one call even if nothing else is allowed.
     pub fn pool_capacity(&self) -> f64 {
-        (self.burst + self.tolerance / 4.0).max(1.0)
+        (self.burst + self.tolerance * POOL_PART).max(1.0)
     }
 
     /// Returns the time for which units are valid.
     pub fn unit_time(&self) -> time::Duration {
-        let seconds = self.tolerance / 4.0 / self.per_s;
+        let seconds = self.tolerance * UNITS_PART / self.per_s;
         time::Duration::try_from_secs_f64(seconds)
             .unwrap_or(MAX_UNIT_TIME)
             .clamp(MIN_UNIT_TIME, MAX_UNIT_TIME)
@@ -77,7 +84,7 @@
 
     /// Returns the number of calls that all leases together may accumulate.
     pub fn lease_bursts(&self) -> f64 {
-        self.tolerance * 0.45
+        self.tolerance * LEASES_PART
     }
 }
 
--- a/crates/flamingotrail-gateway/src/tables/allowances/holder.rs
+++ b/crates/flamingotrail-gateway/src/tables/allowances/holder.rs
@@ -398,7 +398,10 @@
         let (shortest, longest) = ASK_INTERVALS;
         self.ask_at = now;
         if grant.units < self.asked_units {
-            self.scarce_until = now.after(SHORT_TIME);
+            // A pool that is empty for a moment is no reason to hold first turns back.
+            if self.is_short(now) {
+                self.scarce_until = now.after(SHORT_TIME);
+            }
             self.ask_at = now.after(grant.retry.clamp(shortest, longest));
         }
         self.schedule_renewal(now);
--- a/crates/flamingotrail-gateway/src/tables/allowances/owner.rs
+++ b/crates/flamingotrail-gateway/src/tables/allowances/owner.rs
@@ -133,6 +133,11 @@
         self.grantees.values().map(|grantee| grantee.demand_per_s(now)).sum()
     }
 
+    /// Returns the number of units, which is negative after units that were granted beyond the rest.
+    pub fn units(&self) -> f64 {
+        self.units
+    }
+
     /// Returns the number of gateways with leases, and the sum of their rates.
     pub fn leases(&self, now: core_time::Timestamp) -> (usize, f64) {
         let rates = self.grantees.values().map(|grantee| grantee.rate(now));
