Placement: the memory of engines

Cause: calls were placed by the number of requests at an engine. Long prompts met on engines whose memory they exceeded, and the newest requests were preempted and read again, while other engines had room.

Change: with a configured memory, an endpoint costs what the expected excess of its memory costs: own attempts count by their tokens, the others by the mean of the service, with the deviation of the sizes. Cached parts don't count; they are now remembered up to the memory that requests of others leave, least recently used first. The policy is a folder with a module for each component.

An attempt that ends after its endpoint was started again no longer lowers the count of the new process.

--- a/crates/flamingotrail-gateway/src/systems/completion.rs
+++ b/crates/flamingotrail-gateway/src/systems/completion.rs
@@ -59,7 +59,7 @@
         call.ran_endpoints.insert(running.endpoint.clone());
     }
     record_events(call, &outcome);
-    update_endpoint_health(world, tick, &running, &outcome);
+    update_endpoint_health(world, tick, id, &running, &outcome);
     measurements::record_attempt(world, tick, id, &running, &outcome);
     crashes::record_outcome(world, tick, id, &running, &outcome);
     log_attempt(world, tick, id, &running, &outcome);
@@ -95,11 +95,12 @@
 fn update_endpoint_health(
     world: &mut world::World,
     tick: &world::Tick,
+    id: ids::CallId,
     running: &calls::RunningAttempt,
     outcome: &input::Outcome,
 ) {
     let Some(row) = world.tables.endpoints.rows.get_mut(&running.endpoint) else { return };
-    row.in_flight = row.in_flight.saturating_sub(1);
+    row.record_end(id);
     match outcome {
         input::Outcome::NotSent(_) | input::Outcome::Lost(_) => row.record_failure(tick.now),
         input::Outcome::Refused { load, .. } => {
--- a/crates/flamingotrail-gateway/src/systems/measurements.rs
+++ b/crates/flamingotrail-gateway/src/systems/measurements.rs
@@ -33,6 +33,9 @@
         row.record_latency(ratio, tick.now);
     }
     tables.profiles.record_duration(&call.service, duration);
+    if call.engine.is_some() {
+        tables.profiles.record_tokens(&call.service, running.tokens);
+    }
     let Some(began_at) = running.began_at else { return };
     let begun = began_at.since(running.sent_at).saturating_sub(running.expected_way);
     tables.profiles.record_beginning(
--- a/crates/flamingotrail-gateway/src/systems/placement.rs
+++ b/crates/flamingotrail-gateway/src/systems/placement.rs
@@ -178,13 +178,16 @@
     call: &'a calls::Call,
 ) -> policy::Request<'a> {
     let previous = call.turn.as_ref().and_then(|turn| turn.previous());
+    let usage = call.arrival.usage;
     policy::Request {
         prompt: &call.arrival.prompt,
-        prompt_tokens: call.arrival.usage.map_or(0, |usage| usage.prompt),
+        prompt_tokens: usage.map_or(0, |usage| usage.prompt),
+        call_tokens: usage.map_or(0, |usage| usage.prompt.saturating_add(usage.max_output)),
         previous: previous
             .and_then(|turn| world.tables.turns.rows.get(turn))
             .map(|row| &row.endpoint),
         is_engine: call.engine.is_some(),
+        memory_tokens: call.engine.as_ref().and_then(|engine| engine.memory_tokens),
         profile: world.tables.profiles.profile(&call.service),
         now: tick.now,
     }
@@ -231,12 +234,18 @@
     let request = placement_request(world, tick, call);
     let way_ms = way_ms(world, &row.listed.domain);
     let candidate = policy::Candidate { id: endpoint, row, way_ms };
+    let expected_load = policy::load::expected_load(row, request.profile.duration_ms, tick.now);
+    let memory_use = request
+        .memory_tokens
+        .map(|_| policy::memory::expected_use(&request, &candidate, expected_load));
     Some(calls::RunningAttempt {
         endpoint: endpoint.clone(),
         sent_at: tick.now,
         began_at: None,
-        uncached_tokens: policy::uncached_tokens(&request, &candidate),
-        expected_load: policy::expected_load(row, request.profile.duration_ms, tick.now),
+        uncached_tokens: policy::prompts::uncached_tokens(&request, &candidate),
+        tokens: request.call_tokens,
+        expected_memory: memory_use.map_or(0, |memory_use| memory_use.tokens as u64),
+        expected_load,
         expected_way: time::Duration::from_secs_f64(way_ms / 1000.0),
     })
 }
@@ -264,10 +273,8 @@
     call.attempts += 1;
     call.phase = calls::Phase::Running;
     call.tried_endpoints.insert(endpoint.clone());
-    call.running = Some(running);
-    row.in_flight += 1;
-    row.sent_since_load += 1;
-    row.record_prompt(&call.arrival.prompt, tick.now);
+    let memory_tokens = call.engine.as_ref().and_then(|engine| engine.memory_tokens);
+    row.record_sent(call, &running, memory_tokens);
     tables.notices.record_request(&endpoint, tick.now);
     let repeatable = call.kind.is_repeatable();
     let timeout = call.remaining_time(tick.now);
@@ -296,15 +303,18 @@
         endpoint,
     };
     let detail = format_args!(
-        "request={} endpoint={} attempt={} within_ms={} own={} route={}",
+        "request={} endpoint={} attempt={} within_ms={} own={} route={} read={} memory={}",
         call.arrival.id,
         dispatch.endpoint,
         dispatch.attempt,
         timeout.as_millis(),
         row.in_flight,
-        call.route
+        call.route,
+        running.uncached_tokens,
+        running.expected_memory,
     );
     world.outputs.push(output::Output::Event(output::Event::new("sent", detail)));
+    call.running = Some(running);
     if call.kind == input::RouteKind::Idempotent && call.possible_runs + 1 < call.max_attempts {
         let slow_at = tick.now.after(timeout / SLOW_ATTEMPT_DIVISOR);
         tables.timers.set(timers::Timer::AttemptSlow(id, call.attempts), slow_at);
--- a/crates/flamingotrail-gateway/src/tables/calls.rs
+++ b/crates/flamingotrail-gateway/src/tables/calls.rs
@@ -119,6 +119,11 @@
     pub began_at: Option<core_time::Timestamp>,
     /// Number of tokens of the prompt that the endpoint probably had not cached.
     pub uncached_tokens: u64,
+    /// Number of tokens of the prompt and of the longest output.
+    pub tokens: u64,
+    /// Number of tokens that requests probably use of the endpoint's memory, with this one; 0 if its
+    /// memory is not configured.
+    pub expected_memory: u64,
     /// Number of other requests that were probably at the endpoint.
     pub expected_load: f64,
     /// Expected round-trip time to the endpoint.
--- a/crates/flamingotrail-gateway/src/tables/endpoints.rs
+++ b/crates/flamingotrail-gateway/src/tables/endpoints.rs
@@ -7,6 +7,9 @@
 
 use crate::ids;
 use crate::input;
+use crate::tables::cached_parts;
+use crate::tables::calls;
+use crate::tables::own_attempts;
 
 /// An endpoint.
 #[derive(Debug)]
@@ -29,8 +32,10 @@
     /// Moving average of the response times relative to the mean of their routes, and when it was
     /// updated.
     slowness: (f64, core_time::Timestamp),
-    /// Prompt parts that the endpoint probably has cached, with the time of their last use.
-    pub cached_parts: collections::BTreeMap<u64, core_time::Timestamp>,
+    /// What the running attempts of this gateway need.
+    pub own_attempts: own_attempts::OwnAttempts,
+    /// Prompt parts that the endpoint probably has cached.
+    pub cached_parts: cached_parts::CachedParts,
 }
 
 /// Maximum time for which an endpoint is avoided after failures.
@@ -45,8 +50,6 @@
 const MAX_LATENCY_RATIO: f64 = 8.0;
 /// Half-life of the slowness: it decays, so that a slow endpoint is tried again.
 const SLOWNESS_HALF_LIFE: time::Duration = time::Duration::from_secs(2);
-/// Maximum number of cached prompt parts that are tracked per endpoint.
-const MAX_CACHED_PARTS: usize = 4096;
 
 impl Endpoint {
     /// Creates the row of an endpoint that is new in the list.
@@ -60,7 +63,8 @@
             failures: 0,
             avoid_until: core_time::Timestamp::ZERO,
             slowness: (1.0, core_time::Timestamp::ZERO),
-            cached_parts: collections::BTreeMap::new(),
+            own_attempts: own_attempts::OwnAttempts::default(),
+            cached_parts: cached_parts::CachedParts::default(),
         }
     }
 
@@ -101,23 +105,29 @@
         1.0 + (mean - 1.0) * 0.5_f64.powf(age)
     }
 
-    /// Records that the endpoint processed `prompt` at `now`; forgets the least recently used parts
-    /// beyond the limit.
-    pub fn record_prompt(&mut self, prompt: &[input::PromptPart], now: core_time::Timestamp) {
-        for part in prompt {
-            self.cached_parts.insert(part.id, now);
-        }
-        while self.cached_parts.len() > MAX_CACHED_PARTS {
-            let oldest = self.cached_parts.iter().min_by_key(|(_, at)| **at).map(|(id, _)| *id);
-            let Some(oldest) = oldest else { return };
-            self.cached_parts.remove(&oldest);
-        }
+    /// Records that `attempt` of `call` was sent. `memory_tokens` is the endpoint's memory, if it is
+    /// known.
+    pub fn record_sent(
+        &mut self,
+        call: &calls::Call,
+        attempt: &calls::RunningAttempt,
+        memory_tokens: Option<u64>,
+    ) {
+        self.in_flight += 1;
+        self.sent_since_load += 1;
+        self.own_attempts.insert(call.arrival.call, attempt.tokens);
+        // What the requests of other gateways hold is not free for cached parts; this gateway's
+        // requests hold the parts of their own prompts.
+        let others = attempt.expected_memory.saturating_sub(self.own_attempts.tokens());
+        let max_tokens = memory_tokens.map(|memory| memory.saturating_sub(others));
+        self.cached_parts.record(&call.arrival.prompt, max_tokens);
     }
 
-    /// Returns the number of tokens at the start of `prompt` that are probably cached.
-    pub fn cached_tokens(&self, prompt: &[input::PromptPart]) -> u64 {
-        let known = prompt.iter().take_while(|part| self.cached_parts.contains_key(&part.id));
-        known.map(|part| part.tokens).sum()
+    /// Records that the attempt of `call` has ended.
+    pub fn record_end(&mut self, call: ids::CallId) {
+        if self.own_attempts.remove(call) {
+            self.in_flight = self.in_flight.saturating_sub(1);
+        }
     }
 }
 
--- a/crates/flamingotrail-gateway/src/tables/mod.rs
+++ b/crates/flamingotrail-gateway/src/tables/mod.rs
@@ -6,6 +6,7 @@
 use crate::ids;
 
 pub mod append_rate;
+pub mod cached_parts;
 pub mod calls;
 pub mod crashes;
 pub mod dirty;
@@ -14,6 +15,7 @@
 pub mod limits;
 pub mod log_index;
 pub mod notices;
+pub mod own_attempts;
 pub mod partitions;
 pub mod peers;
 pub mod programs;
--- a/crates/flamingotrail-gateway/src/tables/service_profiles.rs
+++ b/crates/flamingotrail-gateway/src/tables/service_profiles.rs
@@ -26,6 +26,8 @@
 const MAX_EXCESS: f64 = 2.0;
 /// Weight of the newest call in the mean duration.
 const DURATION_SMOOTHING: f64 = 0.05;
+/// Weight of the newest call in the mean number of tokens; sizes vary more than durations.
+const TOKENS_SMOOTHING: f64 = 0.02;
 /// Limits of the fitted time for each token, in milliseconds.
 const TOKEN_MS_RANGE: (f64, f64) = (0.0005, 1.0);
 /// Limits of the fitted delay for each request, in milliseconds.
@@ -40,6 +42,10 @@
     pub request_ms: f64,
     /// Mean time for which a call occupies a slot, in milliseconds.
     pub duration_ms: f64,
+    /// Mean number of tokens of a call: prompt and longest output.
+    pub call_tokens: f64,
+    /// Standard deviation of the tokens of a call.
+    pub call_tokens_deviation: f64,
 }
 
 /// Measurements of one service.
@@ -52,6 +58,8 @@
     /// with requests, tokens with time, requests with time.
     products: [f64; 5],
     duration_ms: f64,
+    /// Moving averages of the tokens of a call and of their square; `None` before any was measured.
+    call_tokens: Option<(f64, f64)>,
 }
 
 impl Default for Measurements {
@@ -68,6 +76,7 @@
                 TYPICAL_WEIGHT * TYPICAL_REQUEST_MS,
             ],
             duration_ms: TYPICAL_DURATION_MS,
+            call_tokens: None,
         }
     }
 }
@@ -138,12 +147,30 @@
         row.duration_ms += (ms - row.duration_ms) * DURATION_SMOOTHING;
     }
 
+    /// Records the size of a call that succeeded: the tokens of its prompt and of its longest output.
+    pub fn record_tokens(&mut self, service: &ids::ServiceName, tokens: u64) {
+        let row = self.rows.entry(service.clone()).or_default();
+        let tokens = tokens as f64;
+        let (mean, square) = row.call_tokens.unwrap_or((tokens, tokens * tokens));
+        row.call_tokens = Some((
+            mean + (tokens - mean) * TOKENS_SMOOTHING,
+            square + (tokens * tokens - square) * TOKENS_SMOOTHING,
+        ));
+    }
+
     /// Returns the expected performance of `service`.
     pub fn profile(&self, service: &ids::ServiceName) -> Profile {
         let typical = Measurements::default();
         let row = self.rows.get(service).unwrap_or(&typical);
         let (token_ms, request_ms) = row.slopes();
-        Profile { token_ms, request_ms, duration_ms: row.duration_ms.max(1.0) }
+        let (mean, square) = row.call_tokens.unwrap_or_default();
+        Profile {
+            token_ms,
+            request_ms,
+            duration_ms: row.duration_ms.max(1.0),
+            call_tokens: mean,
+            call_tokens_deviation: (square - mean * mean).max(0.0).sqrt(),
+        }
     }
 
     /// Removes the services for which `is_configured` is false.
