Placement: loads count from the beginning of a response

Cause: the load in the head of a stream was used only when the stream had ended, with the time of its end. It was older by the duration of the call than it seemed, and the attempts sent meanwhile were no longer counted.

Change: the load comes with the beginning of the response; the end of the stream doesn't apply it again. Tests run gateways on model engines with a batch, reading in chunks and memory, and print what became of the calls.

--- a/crates/flamingotrail-gateway/src/input.rs
+++ b/crates/flamingotrail-gateway/src/input.rs
@@ -23,6 +23,8 @@
         attempt: u32,
         /// What the endpoint announces of itself.
         notice: Notice,
+        /// Load that the endpoint reported.
+        load: Option<Load>,
     },
     /// A new connection to an endpoint was established.
     Connected {
--- a/crates/flamingotrail-gateway/src/systems/completion.rs
+++ b/crates/flamingotrail-gateway/src/systems/completion.rs
@@ -59,7 +59,7 @@
         call.ran_endpoints.insert(running.endpoint.clone());
     }
     record_events(call, &outcome);
-    update_endpoint_health(world, tick, id, &running, &outcome);
+    measurements::record_endpoint_health(world, tick, id, &running, &outcome);
     measurements::record_attempt(world, tick, id, &running, &outcome);
     crashes::record_outcome(world, tick, id, &running, &outcome);
     log_attempt(world, tick, id, &running, &outcome);
@@ -91,45 +91,6 @@
     }
 }
 
-/// Updates an endpoint's load and failures from an outcome.
-fn update_endpoint_health(
-    world: &mut world::World,
-    tick: &world::Tick,
-    id: ids::CallId,
-    running: &calls::RunningAttempt,
-    outcome: &input::Outcome,
-) {
-    let Some(row) = world.tables.endpoints.rows.get_mut(&running.endpoint) else { return };
-    row.record_end(id);
-    match outcome {
-        input::Outcome::NotSent(_) | input::Outcome::Lost(_) => row.record_failure(tick.now),
-        input::Outcome::Refused { load, .. } => {
-            // A full endpoint that reports its load has not failed: placement uses the load.
-            row.update_load(tick.now, *load);
-            if load.is_none() {
-                row.record_failure(tick.now);
-            }
-        }
-        input::Outcome::Answered { status, load, .. } => {
-            row.update_load(tick.now, *load);
-            if *status < input::SERVER_ERROR_STATUS {
-                row.record_success();
-            } else {
-                row.record_failure(tick.now);
-            }
-        }
-        input::Outcome::Streamed { complete, load, .. } => {
-            row.update_load(tick.now, *load);
-            if *complete {
-                row.record_success();
-            } else {
-                row.record_failure(tick.now);
-            }
-        }
-        input::Outcome::Cancelled => {}
-    }
-}
-
 fn log_attempt(
     world: &mut world::World,
     tick: &world::Tick,
--- a/crates/flamingotrail-gateway/src/systems/ingest.rs
+++ b/crates/flamingotrail-gateway/src/systems/ingest.rs
@@ -14,8 +14,9 @@
         let inbox = &mut world.tables.inbox;
         match next {
             input::Input::Arrived(arrival) => inbox.arrivals.push(*arrival),
-            input::Input::ResponseBegan { call, attempt, notice } => {
+            input::Input::ResponseBegan { call, attempt, notice, load } => {
                 inbox.notices.push((call, attempt, notice));
+                inbox.beginnings.push((call, attempt, load));
             }
             input::Input::Connected { endpoint, took } => inbox.connections.push((endpoint, took)),
             input::Input::Disconnected(call) => inbox.disconnected.push(call),
--- a/crates/flamingotrail-gateway/src/systems/measurements.rs
+++ b/crates/flamingotrail-gateway/src/systems/measurements.rs
@@ -3,16 +3,38 @@
 use crate::ids;
 use crate::input;
 use crate::tables::calls;
+use crate::tables::endpoints;
 use crate::world;
 
-/// Records the times that new connections to endpoints took.
-pub fn run(world: &mut world::World, _tick: &world::Tick) {
+/// Records the times that new connections to endpoints took, and the loads that endpoints reported when
+/// their responses began: a stream may end much later.
+pub fn run(world: &mut world::World, tick: &world::Tick) {
     let tables = &mut world.tables;
     for (endpoint, took) in std::mem::take(&mut tables.inbox.connections) {
         if let Some(row) = tables.endpoints.rows.get(&endpoint) {
             tables.ways.record(&row.listed.domain, took);
         }
     }
+    for (id, attempt, load) in std::mem::take(&mut tables.inbox.beginnings) {
+        record_beginning(world, tick, id, attempt, load);
+    }
+}
+
+/// Records the load that an endpoint reported when its response to an attempt began.
+fn record_beginning(
+    world: &mut world::World,
+    tick: &world::Tick,
+    id: ids::CallId,
+    attempt: u32,
+    load: Option<input::Load>,
+) {
+    let tables = &mut world.tables;
+    let Some(call) = tables.calls.rows.get_mut(&id) else { return };
+    let Some(running) = call.running.as_mut().filter(|_| call.attempts == attempt) else { return };
+    running.reported_load = load;
+    if let Some(row) = tables.endpoints.rows.get_mut(&running.endpoint) {
+        row.update_load(tick.now, load);
+    }
 }
 
 /// Records what a successful attempt of a call says of its service, and of its endpoint compared with
@@ -45,3 +67,46 @@
         begun,
     );
 }
+
+/// Updates an endpoint's load and failures from an outcome.
+pub fn record_endpoint_health(
+    world: &mut world::World,
+    tick: &world::Tick,
+    id: ids::CallId,
+    running: &calls::RunningAttempt,
+    outcome: &input::Outcome,
+) {
+    let Some(row) = world.tables.endpoints.rows.get_mut(&running.endpoint) else { return };
+    row.record_end(id);
+    // A load that was reported when the response began is known since then.
+    let update_load = |row: &mut endpoints::Endpoint, load: Option<input::Load>| {
+        row.update_load(tick.now, load.filter(|_| running.reported_load.is_none()));
+    };
+    match outcome {
+        input::Outcome::NotSent(_) | input::Outcome::Lost(_) => row.record_failure(tick.now),
+        input::Outcome::Refused { load, .. } => {
+            // A full endpoint that reports its load has not failed: placement uses the load.
+            update_load(row, *load);
+            if load.is_none() {
+                row.record_failure(tick.now);
+            }
+        }
+        input::Outcome::Answered { status, load, .. } => {
+            update_load(row, *load);
+            if *status < input::SERVER_ERROR_STATUS {
+                row.record_success();
+            } else {
+                row.record_failure(tick.now);
+            }
+        }
+        input::Outcome::Streamed { complete, load, .. } => {
+            update_load(row, *load);
+            if *complete {
+                row.record_success();
+            } else {
+                row.record_failure(tick.now);
+            }
+        }
+        input::Outcome::Cancelled => {}
+    }
+}
--- a/crates/flamingotrail-gateway/src/systems/placement.rs
+++ b/crates/flamingotrail-gateway/src/systems/placement.rs
@@ -242,6 +242,7 @@
         endpoint: endpoint.clone(),
         sent_at: tick.now,
         began_at: None,
+        reported_load: None,
         uncached_tokens: policy::prompts::uncached_tokens(&request, &candidate),
         tokens: request.call_tokens,
         expected_memory: memory_use.map_or(0, |memory_use| memory_use.tokens as u64),
--- a/crates/flamingotrail-gateway/src/tables/calls.rs
+++ b/crates/flamingotrail-gateway/src/tables/calls.rs
@@ -117,6 +117,8 @@
     pub sent_at: core_time::Timestamp,
     /// When its response began.
     pub began_at: Option<core_time::Timestamp>,
+    /// Load that the endpoint reported at the beginning of its response, which was recorded then.
+    pub reported_load: Option<input::Load>,
     /// Number of tokens of the prompt that the endpoint probably had not cached.
     pub uncached_tokens: u64,
     /// Number of tokens of the prompt and of the longest output.
--- a/crates/flamingotrail-gateway/src/tables/inbox.rs
+++ b/crates/flamingotrail-gateway/src/tables/inbox.rs
@@ -13,6 +13,9 @@
     pub arrivals: Vec<input::Arrival>,
     /// Notices of endpoints, with the call and the attempt's sequence number within the call.
     pub notices: Vec<(ids::CallId, u32, input::Notice)>,
+    /// Loads that endpoints reported when their responses began, with the call and the attempt's
+    /// sequence number within the call.
+    pub beginnings: Vec<(ids::CallId, u32, Option<input::Load>)>,
     /// New connections to endpoints, with the time that each took.
     pub connections: Vec<(ids::EndpointId, time::Duration)>,
     /// Other gateways' requests for announcements, by ticket.
@@ -56,6 +59,7 @@
     pub fn is_empty(&self) -> bool {
         self.arrivals.is_empty()
             && self.notices.is_empty()
+            && self.beginnings.is_empty()
             && self.connections.is_empty()
             && self.notice_requests.is_empty()
             && self.endpoint_checks.is_empty()
--- a/crates/flamingotrail-gateway/tests/decisions/fixture.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/fixture.rs
@@ -351,7 +351,15 @@
     pub fn begin_response(&mut self, call: u64, notice: input::Notice) {
         let call = ids::CallId(call);
         let attempt = self.newest_attempt(call);
-        self.tick(vec![input::Input::ResponseBegan { call, attempt, notice }]);
+        self.tick(vec![input::Input::ResponseBegan { call, attempt, notice, load: None }]);
+    }
+
+    /// Begins the response to the newest attempt of `call`, whose endpoint reports `load`.
+    pub fn begin_loaded_response(&mut self, call: u64, load: input::Load) {
+        let call = ids::CallId(call);
+        let attempt = self.newest_attempt(call);
+        let notice = input::Notice::default();
+        self.tick(vec![input::Input::ResponseBegan { call, attempt, notice, load: Some(load) }]);
     }
 
     fn newest_attempt(&self, call: ids::CallId) -> u32 {
--- a/crates/flamingotrail-gateway/tests/decisions/main.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/main.rs
@@ -3,6 +3,9 @@
 mod budgets;
 mod calls;
 mod crashes;
+mod engine_load;
+mod engine_model;
+mod engine_placement;
 mod fixture;
 mod fleet;
 mod forgotten_programs;
--- a/crates/flamingotrail-gateway/tests/decisions/placement.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/placement.rs
@@ -138,3 +138,51 @@
     assert!(firsts.len() >= 6, "{firsts:?}");
     assert!(firsts.values().all(|count| *count <= 12), "{firsts:?}");
 }
+
+/// Returns a gateway with a call on each of two engines, and the engines by call.
+fn gateway_with_two_calls() -> (fixture::Gateway, [ids::EndpointId; 2]) {
+    let mut gateway = fixture::Gateway::new("one");
+    gateway.tick(vec![engines(&["engine-1", "engine-2"])]);
+    gateway.receive(fixture::request(0, "c0", "/ask/1"));
+    gateway.receive(fixture::request(1, "c1", "/ask/1"));
+    let engines = [0, 1].map(|index| gateway.sent[index].endpoint.clone());
+    assert_ne!(engines[0], engines[1]);
+    (gateway, engines)
+}
+
+fn load_of(running: u32) -> input::Load {
+    input::Load { running, waiting: 0, slots: SLOTS, slowdown_percent: None }
+}
+
+// Guards against loads that are used only when a stream ends, long after they were reported.
+#[test]
+fn load_counts_from_the_beginning_of_a_response() {
+    for busy in [0, 1] {
+        let (mut gateway, engines) = gateway_with_two_calls();
+
+        gateway.begin_loaded_response(busy, load_of(10));
+        gateway.receive(fixture::request(2, "c2", "/ask/1"));
+
+        assert_ne!(gateway.sent[2].endpoint, engines[busy as usize]);
+    }
+}
+
+// Guards against the load at the beginning of a stream that replaces a newer one when the stream ends.
+#[test]
+fn end_of_a_stream_keeps_a_newer_load() {
+    for free in [0, 1] {
+        let (mut gateway, engines) = gateway_with_two_calls();
+        for call in [0, 1] {
+            gateway.begin_loaded_response(call, load_of(10));
+        }
+        gateway.receive(fixture::request(2, "c2", "/ask/1"));
+        gateway.receive(fixture::request(3, "c3", "/ask/1"));
+        let newer = (2..4).find(|index| gateway.sent[*index].endpoint == engines[free]);
+        gateway.begin_loaded_response(newer.expect("both engines are used") as u64, load_of(1));
+
+        gateway.end_attempt(free as u64, stream_outcome_under_load(10));
+        gateway.receive(fixture::request(4, "c4", "/ask/1"));
+
+        assert_eq!(gateway.sent[4].endpoint, engines[free]);
+    }
+}
--- a/crates/flamingotrail-runtime/src/gateway/attempts.rs
+++ b/crates/flamingotrail-runtime/src/gateway/attempts.rs
@@ -156,6 +156,7 @@
             call: dispatch.call,
             attempt: dispatch.attempt,
             notice: metadata.notice,
+            load: metadata.load,
         });
         let status = response.status;
         if metadata.not_executed {
