Placement: the slowdown that endpoints report

Cause: the fourth figure of the reported load was not used; a slow endpoint was known only after calls had ended there.

Change: the difference of the newest report from the endpoint's average decays with a half-life of 150 ms, as far as reports have predicted the next ones; the average counts beyond that of the service. Both count as far as the endpoint's own times confirm them, and to a factor of 3. Values without meaning are ignored.

--- a/crates/flamingotrail-gateway/src/input.rs
+++ b/crates/flamingotrail-gateway/src/input.rs
@@ -292,6 +292,16 @@
 pub const SERVER_ERROR_STATUS: u16 = 500;
 
 impl Outcome {
+    /// Returns the load that the endpoint reported with its response.
+    pub fn load(&self) -> Option<Load> {
+        match self {
+            Outcome::Refused { load, .. }
+            | Outcome::Answered { load, .. }
+            | Outcome::Streamed { load, .. } => *load,
+            Outcome::NotSent(_) | Outcome::Lost(_) | Outcome::Cancelled => None,
+        }
+    }
+
     /// Whether the endpoint has served the request: a complete response that is no server error.
     pub fn has_succeeded(&self) -> bool {
         match self {
--- a/crates/flamingotrail-gateway/src/policy/mod.rs
+++ b/crates/flamingotrail-gateway/src/policy/mod.rs
@@ -71,15 +71,20 @@
         let waiting = (load + 1.0 - slots).max(0.0);
         let uncached = prompts::uncached_tokens(request, candidate) as f64;
         let prefill_weight = (slots * DELAYED_SLOT_SHARE).max(1.0);
-        let mut cost = uncached * profile.token_ms * prefill_weight
+        let slowdown = row.slowdown.factor(profile.slowdown, request.now);
+        let mut cost = (uncached * profile.token_ms * prefill_weight
             + load * profile.request_ms
-            + waiting * profile.duration_ms / slots
+            + waiting * profile.duration_ms / slots)
+            * slowdown
             + candidate.way_ms;
         if let Some(memory_tokens) = request.memory_tokens {
             let memory_use = memory::expected_use(request, candidate, load);
             cost += memory::preemption_ms(&memory_use, memory_tokens, profile, prefill_weight);
         }
-        cost += profile.duration_ms * (row.slowness(request.now) - SLOWNESS_TOLERANCE).max(0.0);
+        // The endpoint's report and its measured times tell of the same slowness.
+        let slowness = (row.slowness(request.now) - SLOWNESS_TOLERANCE).max(0.0);
+        let extra_ms = row.slowdown.extra_ms(profile.duration_ms, profile.slowdown, request.now);
+        cost += (profile.duration_ms * slowness).max(extra_ms);
         if !row.listed.cold_start_remaining.is_zero() {
             cost += profile.duration_ms * COLD_START_SHARE;
         }
--- a/crates/flamingotrail-gateway/src/systems/measurements.rs
+++ b/crates/flamingotrail-gateway/src/systems/measurements.rs
@@ -4,6 +4,7 @@
 use crate::input;
 use crate::tables::calls;
 use crate::tables::endpoints;
+use crate::tables::slowdowns;
 use crate::world;
 
 /// Records the times that new connections to endpoints took, and the loads that endpoints reported when
@@ -53,6 +54,12 @@
     let ratio = tables.routes.record_latency(&call.route, duration);
     if let Some(row) = tables.endpoints.rows.get_mut(&running.endpoint) {
         row.record_latency(ratio, tick.now);
+        let load = running.reported_load.or(outcome.load());
+        if let Some(percent) = load.and_then(|load| load.slowdown_percent) {
+            let mean = tables.profiles.profile(&call.service).slowdown;
+            row.slowdown.record_time(percent, mean, ratio);
+            tables.profiles.record_slowdown(&call.service, slowdowns::factor_of(percent));
+        }
     }
     tables.profiles.record_duration(&call.service, duration);
     if call.engine.is_some() {
--- a/crates/flamingotrail-gateway/src/systems/placement.rs
+++ b/crates/flamingotrail-gateway/src/systems/placement.rs
@@ -247,6 +247,7 @@
         tokens: request.call_tokens,
         expected_memory: memory_use.map_or(0, |memory_use| memory_use.tokens as u64),
         expected_load,
+        expected_slowdown: row.slowdown.factor(request.profile.slowdown, tick.now),
         expected_way: time::Duration::from_secs_f64(way_ms / 1000.0),
     })
 }
@@ -304,7 +305,8 @@
         endpoint,
     };
     let detail = format_args!(
-        "request={} endpoint={} attempt={} within_ms={} own={} route={} read={} memory={}",
+        "request={} endpoint={} attempt={} within_ms={} own={} route={} read={} memory={} \
+         slowdown={:.2}",
         call.arrival.id,
         dispatch.endpoint,
         dispatch.attempt,
@@ -313,6 +315,7 @@
         call.route,
         running.uncached_tokens,
         running.expected_memory,
+        running.expected_slowdown,
     );
     world.outputs.push(output::Output::Event(output::Event::new("sent", detail)));
     call.running = Some(running);
--- a/crates/flamingotrail-gateway/src/tables/calls.rs
+++ b/crates/flamingotrail-gateway/src/tables/calls.rs
@@ -128,6 +128,8 @@
     pub expected_memory: u64,
     /// Number of other requests that were probably at the endpoint.
     pub expected_load: f64,
+    /// Factor by which work on the endpoint probably takes longer than usual, by its own report.
+    pub expected_slowdown: f64,
     /// Expected round-trip time to the endpoint.
     pub expected_way: time::Duration,
 }
--- a/crates/flamingotrail-gateway/src/tables/endpoints.rs
+++ b/crates/flamingotrail-gateway/src/tables/endpoints.rs
@@ -10,6 +10,7 @@
 use crate::tables::cached_parts;
 use crate::tables::calls;
 use crate::tables::own_attempts;
+use crate::tables::slowdowns;
 
 /// An endpoint.
 #[derive(Debug)]
@@ -25,6 +26,8 @@
     pub load: Option<(core_time::Timestamp, input::Load)>,
     /// Number of attempts that this gateway has sent since the last reported load.
     pub sent_since_load: u32,
+    /// How long work takes on the endpoint, as it reports.
+    pub slowdown: slowdowns::Slowdown,
     /// Number of recent failures; each success halves it.
     pub failures: u32,
     /// Time before which the endpoint is used only if there is no other.
@@ -60,6 +63,7 @@
             in_flight: 0,
             load: None,
             sent_since_load: 0,
+            slowdown: slowdowns::Slowdown::default(),
             failures: 0,
             avoid_until: core_time::Timestamp::ZERO,
             slowness: (1.0, core_time::Timestamp::ZERO),
@@ -86,6 +90,9 @@
     pub fn update_load(&mut self, now: core_time::Timestamp, load: Option<input::Load>) {
         if let Some(load) = load {
             self.load = Some((now, load));
+            if let Some(percent) = load.slowdown_percent {
+                self.slowdown.record(percent, now);
+            }
             self.sent_since_load = 0;
         }
     }
--- a/crates/flamingotrail-gateway/src/tables/mod.rs
+++ b/crates/flamingotrail-gateway/src/tables/mod.rs
@@ -23,6 +23,7 @@
 pub mod returns;
 pub mod routes;
 pub mod service_profiles;
+pub mod slowdowns;
 pub mod timers;
 pub mod turns;
 pub mod ways;
--- a/crates/flamingotrail-gateway/src/tables/service_profiles.rs
+++ b/crates/flamingotrail-gateway/src/tables/service_profiles.rs
@@ -24,7 +24,7 @@
 /// Factor by which a single measurement may exceed the expected time. Larger ones are cut, so that
 /// stalled endpoints have little influence.
 const MAX_EXCESS: f64 = 2.0;
-/// Weight of the newest call in the mean duration.
+/// Weight of the newest call in the mean duration and in the mean slowdown.
 const DURATION_SMOOTHING: f64 = 0.05;
 /// Weight of the newest call in the mean number of tokens; sizes vary more than durations.
 const TOKENS_SMOOTHING: f64 = 0.02;
@@ -42,6 +42,8 @@
     pub request_ms: f64,
     /// Mean time for which a call occupies a slot, in milliseconds.
     pub duration_ms: f64,
+    /// Mean factor by which the endpoints report that work takes longer than usual.
+    pub slowdown: f64,
     /// Mean number of tokens of a call: prompt and longest output.
     pub call_tokens: f64,
     /// Standard deviation of the tokens of a call.
@@ -58,6 +60,7 @@
     /// with requests, tokens with time, requests with time.
     products: [f64; 5],
     duration_ms: f64,
+    slowdown: f64,
     /// Moving averages of the tokens of a call and of their square; `None` before any was measured.
     call_tokens: Option<(f64, f64)>,
 }
@@ -76,6 +79,7 @@
                 TYPICAL_WEIGHT * TYPICAL_REQUEST_MS,
             ],
             duration_ms: TYPICAL_DURATION_MS,
+            slowdown: 1.0,
             call_tokens: None,
         }
     }
@@ -147,6 +151,12 @@
         row.duration_ms += (ms - row.duration_ms) * DURATION_SMOOTHING;
     }
 
+    /// Records the factor by which the endpoint of a call reported that work takes longer than usual.
+    pub fn record_slowdown(&mut self, service: &ids::ServiceName, factor: f64) {
+        let row = self.rows.entry(service.clone()).or_default();
+        row.slowdown += (factor - row.slowdown) * DURATION_SMOOTHING;
+    }
+
     /// Records the size of a call that succeeded: the tokens of its prompt and of its longest output.
     pub fn record_tokens(&mut self, service: &ids::ServiceName, tokens: u64) {
         let row = self.rows.entry(service.clone()).or_default();
@@ -168,6 +178,7 @@
             token_ms,
             request_ms,
             duration_ms: row.duration_ms.max(1.0),
+            slowdown: row.slowdown,
             call_tokens: mean,
             call_tokens_deviation: (square - mean * mean).max(0.0).sqrt(),
         }
--- a/crates/flamingotrail-gateway/tests/decisions/engine_load.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/engine_load.rs
@@ -104,12 +104,16 @@
         percentile(counted.map(|served| served.ended_ms).collect(), percent)
     }
 
+    /// Returns the ratio of the busiest engine's arrivals to the mean.
+    pub fn busiest_to_mean(&self) -> f64 {
+        let busiest = self.arrivals.iter().max().copied().unwrap_or(0) as f64;
+        busiest * self.arrivals.len() as f64 / self.arrivals.iter().sum::<u64>().max(1) as f64
+    }
+
     /// Returns a text with the figures of the report.
     pub fn summary(&self, name: &str) -> String {
         let is_short = |served: &Served| served.prompt_tokens < 3_000;
         let is_long = |served: &Served| served.prompt_tokens > 7_000;
-        let busiest = self.arrivals.iter().max().copied().unwrap_or(0) as f64;
-        let mean = self.arrivals.iter().sum::<u64>() as f64 / self.arrivals.len() as f64;
         format!(
             "{name}: served {} of {}, short began p50 {} p95 {}, long began p50 {} p95 {}, \
              all ended p50 {} p95 {}, preempted {}, read {} (new {}), busiest/mean {:.2}",
@@ -124,7 +128,7 @@
             self.preempted,
             self.tokens_read,
             self.new_tokens,
-            busiest / mean,
+            self.busiest_to_mean(),
         )
     }
 }
