Placement: long prompts beside short ones

Cause: reading a prompt was taken to delay half of an engine's slots, whether requests ran there or not, so cached prompts kept calls at busy engines and long reads met there. Calls did not know of the prompts that were being read.

Change: a read delays the requests that are expected to run at the engine. A call waits for the prompts of this gateway's attempts that are not read yet.

--- a/crates/flamingotrail-gateway/src/policy/mod.rs
+++ b/crates/flamingotrail-gateway/src/policy/mod.rs
@@ -13,6 +13,7 @@
 pub mod load;
 pub mod memory;
 pub mod prompts;
+pub mod reads;
 
 /// Properties of a call that placement depends on.
 pub struct Request<'a> {
@@ -53,9 +54,6 @@
 /// Sums the expected components of the delay until the response begins.
 pub struct ExpectedDelay;
 
-/// Share of an engine's slots whose requests the prefill of a prompt delays: half are in use on
-/// average.
-const DELAYED_SLOT_SHARE: f64 = 0.5;
 /// Slowness up to which an endpoint is not penalized.
 const SLOWNESS_TOLERANCE: f64 = 1.5;
 /// Penalty for an endpoint that is still slow after its start, as a share of the mean duration of a
@@ -70,16 +68,19 @@
         let slots = f64::from(row.listed.slots.max(1));
         let waiting = (load + 1.0 - slots).max(0.0);
         let uncached = prompts::uncached_tokens(request, candidate) as f64;
-        let prefill_weight = (slots * DELAYED_SLOT_SHARE).max(1.0);
+        // The prefill of a prompt delays the requests that run beside it, and the call itself.
+        let delayed = 1.0 + load.min(slots - 1.0);
+        let left_ms = reads::left_ms(row, profile.token_ms, request.now);
         let slowdown = row.slowdown.factor(profile.slowdown, request.now);
-        let mut cost = (uncached * profile.token_ms * prefill_weight
+        let mut cost = (uncached * profile.token_ms * delayed
+            + left_ms
             + load * profile.request_ms
             + waiting * profile.duration_ms / slots)
             * slowdown
             + candidate.way_ms;
         if let Some(memory_tokens) = request.memory_tokens {
             let memory_use = memory::expected_use(request, candidate, load);
-            cost += memory::preemption_ms(&memory_use, memory_tokens, profile, prefill_weight);
+            cost += memory::preemption_ms(&memory_use, memory_tokens, profile, delayed);
         }
         // The endpoint's report and its measured times tell of the same slowness.
         let slowness = (row.slowness(request.now) - SLOWNESS_TOLERANCE).max(0.0);
--- a/crates/flamingotrail-gateway/src/systems/measurements.rs
+++ b/crates/flamingotrail-gateway/src/systems/measurements.rs
@@ -34,6 +34,7 @@
     let Some(running) = call.running.as_mut().filter(|_| call.attempts == attempt) else { return };
     running.reported_load = load;
     if let Some(row) = tables.endpoints.rows.get_mut(&running.endpoint) {
+        row.own_attempts.finish_read(id);
         row.update_load(tick.now, load);
     }
 }
--- a/crates/flamingotrail-gateway/src/tables/endpoints.rs
+++ b/crates/flamingotrail-gateway/src/tables/endpoints.rs
@@ -122,7 +122,8 @@
     ) {
         self.in_flight += 1;
         self.sent_since_load += 1;
-        self.own_attempts.insert(call.arrival.call, attempt.tokens);
+        let read = own_attempts::Read { sent_at: attempt.sent_at, tokens: attempt.uncached_tokens };
+        self.own_attempts.insert(call.arrival.call, attempt.tokens, read);
         // What the requests of other gateways hold is not free for cached parts; this gateway's
         // requests hold the parts of their own prompts.
         let others = attempt.expected_memory.saturating_sub(self.own_attempts.tokens());
--- a/crates/flamingotrail-gateway/tests/decisions/engine_placement.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/engine_placement.rs
@@ -84,3 +84,22 @@
     assert!(arrivals(2) < fair, "{} of {fair}", arrivals(2));
     assert!(new.served.len() * 100 >= old.served.len() * 99);
 }
+
+// Load pattern: programs of up to 18 turns, whose prompts grow by a factor of ten, on engines that are
+// busy. Guards against short prompts that wait behind long ones, and long ones that wait behind others.
+#[test]
+fn long_prompts_and_short_ones_begin_in_time() {
+    let pattern = engine_load::Pattern { programs_per_s: 20.0, ..Default::default() };
+
+    let [old, new] = compare("long beside short", &pattern);
+
+    let is_short = |served: &engine_load::Served| served.prompt_tokens < 3_000;
+    let is_largest = |served: &engine_load::Served| served.prompt_tokens > 7_000;
+    assert!(new.began_ms(95, is_short) < old.began_ms(95, is_short));
+    assert!(new.began_ms(95, is_largest) <= old.began_ms(95, is_largest));
+    let share = |report: &engine_load::Report| {
+        report.served.iter().filter(|served| is_largest(served)).count() * 1_000
+            / report.served.len()
+    };
+    assert!(share(&new) * 2 > share(&old), "the largest are served less than half as often");
+}
