Placement: a choice among engines of nearly equal cost

Cause: gateways that had heard the same of all engines, of one a little earlier, all chose that one, since its load had decayed a little more.

Change: costs that differ by less than half of another request's delay count as equal. Of these engines, none of which has to read more of the prompt, a hash of the gateway and the call selects two, and the cheaper one gets the call. Plain services keep the order of each gateway: the bounds of two tests of leaving endpoints assume it.

Result: 32 gateways with the same knowledge of 8 engines chose one engine, and now six, none of them more than 13 times.

--- a/crates/flamingotrail-gateway/src/policy/mod.rs
+++ b/crates/flamingotrail-gateway/src/policy/mod.rs
@@ -10,6 +10,7 @@
 use crate::tables::endpoints;
 use crate::tables::service_profiles;
 
+pub mod choice;
 pub mod load;
 pub mod memory;
 pub mod prompts;
--- a/crates/flamingotrail-gateway/src/systems/placement.rs
+++ b/crates/flamingotrail-gateway/src/systems/placement.rs
@@ -33,6 +33,10 @@
 /// Lowest urgency that engines accept.
 const LOWEST_URGENCY: u8 = 9;
 
+/// Costs that differ by less than the delay of this many requests count as equal: gateways don't know of
+/// the newest requests of others. It is less than one, so that a gateway's own requests are told apart.
+const NEAR_COST_REQUESTS: f64 = 0.5;
+
 /// The result of selecting an endpoint for a call.
 enum Selection {
     /// An endpoint that the call can be sent to now.
@@ -141,31 +145,38 @@
     &row.listed.service == service && !row.listed.draining && !notices.is_leaving(id)
 }
 
-/// Selects the endpoint with the lowest cost among those that accept a request now; a suspect one
-/// only if there is no other.
+/// Selects an endpoint among those that accept a request now: one of the lowest costs, for a call to an
+/// engine by a hash of the call, else by the gateway's own order; a suspect one only if there is no other.
 fn select_endpoint(world: &world::World, tick: &world::Tick, call: &calls::Call) -> Selection {
     let request = placement_request(world, tick, call);
     let candidates = candidates(world, tick, call);
     let accepting = candidates.iter().filter(|(_, _, due)| due.is_some_and(|due| due <= tick.now));
-    let ranked = accepting.map(|(id, row, _)| {
-        let way_ms = way_ms(world, &row.listed.domain);
-        let cost = world.placement.cost(&request, &policy::Candidate { id, row, way_ms });
-        let is_suspect = row.lapsed || row.avoid_until > tick.now;
-        (is_suspect, cost, *id)
-    });
-    // Among equals, a request that is due at a limited endpoint goes first, since it is lost if it is
-    // not used. Else each gateway has an order of its own, so that gateways that know as little of an
-    // endpoint as of the others don't all choose the same one.
-    let rank = |id: &ids::EndpointId| {
-        let is_free = world.tables.notices.limit(id).is_none();
-        (is_free, ids::stable_hash(&format!("{}/{id}", world.identity.instance)))
+    let ranked: Vec<policy::choice::Ranked<'_>> = accepting
+        .map(|(id, row, _)| {
+            let candidate =
+                policy::Candidate { id, row, way_ms: way_ms(world, &row.listed.domain) };
+            policy::choice::Ranked {
+                id,
+                is_suspect: row.lapsed || row.avoid_until > tick.now,
+                cost: world.placement.cost(&request, &candidate),
+                uncached_tokens: policy::prompts::uncached_tokens(&request, &candidate),
+                is_limited: world.tables.notices.limit(id).is_some(),
+            }
+        })
+        .collect();
+    let chosen = if request.is_engine {
+        let margin = request.profile.request_ms * NEAR_COST_REQUESTS;
+        // The call comes last: the hash mixes the end of a text worse than its beginning.
+        let key = format!("{}/{}/{}", world.identity.instance, call.attempts, call.arrival.id);
+        let order = |id: &ids::EndpointId| ids::stable_hash(&format!("{id}/{key}"));
+        policy::choice::choose(&ranked, margin, order)
+    } else {
+        let order =
+            |id: &ids::EndpointId| ids::stable_hash(&format!("{}/{id}", world.identity.instance));
+        policy::choice::choose(&ranked, 0.0, order)
     };
-    let best = ranked.min_by(|a, b| {
-        let by_cost = a.0.cmp(&b.0).then(a.1.total_cmp(&b.1));
-        by_cost.then_with(|| rank(a.2).cmp(&rank(b.2)))
-    });
-    match best {
-        Some((_, _, id)) => Selection::Endpoint(id.clone()),
+    match chosen {
+        Some(chosen) => Selection::Endpoint(chosen.id.clone()),
         None if candidates.is_empty() => Selection::None,
         None => Selection::Limited(candidates.iter().filter_map(|(_, _, due)| *due).min()),
     }
--- a/crates/flamingotrail-gateway/tests/decisions/placement.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/placement.rs
@@ -186,3 +186,34 @@
         assert_eq!(gateway.sent[4].endpoint, engines[free]);
     }
 }
+
+// Load pattern: many gateways that have heard the same of all engines, of one of them a little earlier.
+// Guards against gateways that all choose that engine, since its load counts a little less.
+#[test]
+fn gateways_with_the_same_knowledge_spread_their_calls() {
+    let names: Vec<String> = (0..8).map(|number| format!("engine-{number}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut log = fixture::MemoryLog::default();
+
+    let mut chosen = std::collections::BTreeMap::new();
+    for number in 0..32 {
+        let mut gateway = fixture::Gateway::new(&format!("gateway-{number}"));
+        gateway.tick(vec![engines(&names)]);
+        (0..8).for_each(|call| {
+            gateway.receive(fixture::request(call, &format!("c{call}"), "/ask/1"))
+        });
+        let mut sent: Vec<_> =
+            gateway.sent.iter().map(|sent| (sent.endpoint.clone(), sent.call.0)).collect();
+        sent.sort();
+        gateway.advance(time::Duration::from_millis(200), &mut log);
+        for (_, call) in sent {
+            gateway.end_attempt(call, stream_outcome_under_load(3));
+            gateway.advance(time::Duration::from_millis(1), &mut log);
+        }
+        gateway.receive(fixture::request(8, &format!("last of {number}"), "/ask/1"));
+        *chosen.entry(gateway.sent[8].endpoint.clone()).or_insert(0) += 1;
+    }
+
+    assert!(chosen.len() >= 4, "{chosen:?}");
+    assert!(chosen.values().all(|count| count * 2 <= 32), "{chosen:?}");
+}
