Placement: affinity on sticky routes

Cause: endpoints that have lately handled an object are faster for it, but calls were placed without regard to it.

It saves a call the share of its duration that is measured for the service, at most half; nothing if it is loaded, limited, suspect or slow.

Result: a second call for an object went to another endpoint before, and goes to the one that knows it.

--- a/crates/flamingotrail-gateway/src/policy/mod.rs
+++ b/crates/flamingotrail-gateway/src/policy/mod.rs
@@ -10,6 +10,7 @@
 use crate::tables::endpoints;
 use crate::tables::service_profiles;
 
+pub mod affinity;
 pub mod choice;
 pub mod load;
 pub mod memory;
@@ -26,6 +27,8 @@
     pub call_tokens: u64,
     /// Endpoint that ran the turn which the call continues.
     pub previous: Option<&'a ids::EndpointId>,
+    /// Object that the call concerns, if endpoints that have lately handled it are faster.
+    pub affinity: Option<u64>,
     /// Whether the candidates are model engines.
     pub is_engine: bool,
     /// Memory of an engine in tokens; `None` if it is not configured.
@@ -44,6 +47,8 @@
     pub row: &'a endpoints::Endpoint,
     /// Expected round-trip time to the endpoint, in milliseconds.
     pub way_ms: f64,
+    /// Whether the endpoint limits its requests.
+    pub is_limited: bool,
 }
 
 /// Estimates how well an endpoint suits a call.
@@ -90,6 +95,6 @@
         if !row.listed.cold_start_remaining.is_zero() {
             cost += profile.duration_ms * COLD_START_SHARE;
         }
-        cost
+        cost - affinity::saving_ms(request, candidate, load)
     }
 }
--- a/crates/flamingotrail-gateway/src/systems/measurements.rs
+++ b/crates/flamingotrail-gateway/src/systems/measurements.rs
@@ -55,6 +55,10 @@
     let ratio = tables.routes.record_latency(&call.route, duration);
     if let Some(row) = tables.endpoints.rows.get_mut(&running.endpoint) {
         row.record_latency(ratio, tick.now);
+        if let Some((object, was_known)) = running.affinity {
+            row.affinities.record(object, tick.now);
+            tables.profiles.record_affinity(&call.service, was_known, ratio);
+        }
         let load = running.reported_load.or(outcome.load());
         if let Some(percent) = load.and_then(|load| load.slowdown_percent) {
             let mean = tables.profiles.profile(&call.service).slowdown;
--- a/crates/flamingotrail-gateway/src/systems/placement.rs
+++ b/crates/flamingotrail-gateway/src/systems/placement.rs
@@ -153,14 +153,13 @@
     let accepting = candidates.iter().filter(|(_, _, due)| due.is_some_and(|due| due <= tick.now));
     let ranked: Vec<policy::choice::Ranked<'_>> = accepting
         .map(|(id, row, _)| {
-            let candidate =
-                policy::Candidate { id, row, way_ms: way_ms(world, &row.listed.domain) };
+            let candidate = placement_candidate(world, id, row);
             policy::choice::Ranked {
                 id,
                 is_suspect: row.lapsed || row.avoid_until > tick.now,
                 cost: world.placement.cost(&request, &candidate),
                 uncached_tokens: policy::prompts::uncached_tokens(&request, &candidate),
-                is_limited: world.tables.notices.limit(id).is_some(),
+                is_limited: candidate.is_limited,
             }
         })
         .collect();
@@ -197,6 +196,7 @@
         previous: previous
             .and_then(|turn| world.tables.turns.rows.get(turn))
             .map(|row| &row.endpoint),
+        affinity: call.arrival.affinity.filter(|_| world.tables.routes.is_sticky(&call.route)),
         is_engine: call.engine.is_some(),
         memory_tokens: call.engine.as_ref().and_then(|engine| engine.memory_tokens),
         profile: world.tables.profiles.profile(&call.service),
@@ -204,6 +204,16 @@
     }
 }
 
+/// Returns the properties of an endpoint that placement depends on.
+fn placement_candidate<'a>(
+    world: &world::World,
+    id: &'a ids::EndpointId,
+    row: &'a endpoints::Endpoint,
+) -> policy::Candidate<'a> {
+    let is_limited = world.tables.notices.limit(id).is_some();
+    policy::Candidate { id, row, way_ms: way_ms(world, &row.listed.domain), is_limited }
+}
+
 /// Returns the expected round-trip time to the endpoints of `domain`, in milliseconds.
 fn way_ms(world: &world::World, domain: &ids::DomainName) -> f64 {
     let own = &world.identity;
@@ -243,8 +253,9 @@
     let call = world.tables.calls.rows.get(&id)?;
     let row = world.tables.endpoints.rows.get(endpoint)?;
     let request = placement_request(world, tick, call);
-    let way_ms = way_ms(world, &row.listed.domain);
-    let candidate = policy::Candidate { id: endpoint, row, way_ms };
+    let candidate = placement_candidate(world, endpoint, row);
+    let affinity =
+        request.affinity.map(|object| (object, row.affinities.contains(object, tick.now)));
     let expected_load = policy::load::expected_load(row, request.profile.duration_ms, tick.now);
     let memory_use = request
         .memory_tokens
@@ -259,7 +270,8 @@
         expected_memory: memory_use.map_or(0, |memory_use| memory_use.tokens as u64),
         expected_load,
         expected_slowdown: row.slowdown.factor(request.profile.slowdown, tick.now),
-        expected_way: time::Duration::from_secs_f64(way_ms / 1000.0),
+        expected_way: time::Duration::from_secs_f64(candidate.way_ms / 1000.0),
+        affinity,
     })
 }
 
--- a/crates/flamingotrail-gateway/src/tables/calls.rs
+++ b/crates/flamingotrail-gateway/src/tables/calls.rs
@@ -130,6 +130,9 @@
     pub expected_load: f64,
     /// Factor by which work on the endpoint probably takes longer than usual, by its own report.
     pub expected_slowdown: f64,
+    /// Object that the call concerns on a route whose endpoints are faster for known objects, and whether
+    /// the endpoint had lately handled it.
+    pub affinity: Option<(u64, bool)>,
     /// Expected round-trip time to the endpoint.
     pub expected_way: time::Duration,
 }
--- a/crates/flamingotrail-gateway/src/tables/endpoints.rs
+++ b/crates/flamingotrail-gateway/src/tables/endpoints.rs
@@ -7,6 +7,7 @@
 
 use crate::ids;
 use crate::input;
+use crate::tables::affinities;
 use crate::tables::cached_parts;
 use crate::tables::calls;
 use crate::tables::own_attempts;
@@ -37,6 +38,8 @@
     slowness: (f64, core_time::Timestamp),
     /// What the running attempts of this gateway need.
     pub own_attempts: own_attempts::OwnAttempts,
+    /// Objects that the endpoint has lately handled for this gateway.
+    pub affinities: affinities::Affinities,
     /// Prompt parts that the endpoint probably has cached.
     pub cached_parts: cached_parts::CachedParts,
 }
@@ -67,6 +70,7 @@
             failures: 0,
             avoid_until: core_time::Timestamp::ZERO,
             slowness: (1.0, core_time::Timestamp::ZERO),
+            affinities: affinities::Affinities::default(),
             own_attempts: own_attempts::OwnAttempts::default(),
             cached_parts: cached_parts::CachedParts::default(),
         }
--- a/crates/flamingotrail-gateway/src/tables/mod.rs
+++ b/crates/flamingotrail-gateway/src/tables/mod.rs
@@ -5,6 +5,7 @@
 
 use crate::ids;
 
+pub mod affinities;
 pub mod append_rate;
 pub mod cached_parts;
 pub mod calls;
--- a/crates/flamingotrail-gateway/src/tables/routes.rs
+++ b/crates/flamingotrail-gateway/src/tables/routes.rs
@@ -79,6 +79,12 @@
         self.service(service)?.engine.as_ref()
     }
 
+    /// Whether endpoints are faster for objects that they have lately handled on the route of this name.
+    pub fn is_sticky(&self, route: &str) -> bool {
+        let routes = self.current.iter().flat_map(|configuration| &configuration.routes);
+        routes.filter(|row| row.name == route).any(|row| row.is_sticky)
+    }
+
     /// Whether the configuration has workspaces, so that callers' credentials are meant for the gateway.
     pub fn has_workspaces(&self) -> bool {
         self.current.as_ref().is_some_and(|configuration| configuration.workspaces.is_some())
--- a/crates/flamingotrail-gateway/src/tables/service_profiles.rs
+++ b/crates/flamingotrail-gateway/src/tables/service_profiles.rs
@@ -13,6 +13,11 @@
 const TYPICAL_TOKEN_MS: f64 = 0.02;
 /// Typical delay that another request adds, in milliseconds, before any was measured.
 const TYPICAL_REQUEST_MS: f64 = 3.0;
+/// Typical share of its duration that a call saves on an endpoint that knows its object, before any was
+/// measured.
+const TYPICAL_AFFINITY_SHARE: f64 = 0.2;
+/// Largest such share that is believed.
+const MAX_AFFINITY_SHARE: f64 = 0.5;
 /// Typical duration of a call, in milliseconds, before any was measured.
 const TYPICAL_DURATION_MS: f64 = 200.0;
 /// Number of measurements that the typical values count for.
@@ -42,6 +47,8 @@
     pub request_ms: f64,
     /// Mean time for which a call occupies a slot, in milliseconds.
     pub duration_ms: f64,
+    /// Share of its duration that a call saves on an endpoint that has lately handled its object.
+    pub affinity_share: f64,
     /// Mean factor by which the endpoints report that work takes longer than usual.
     pub slowdown: f64,
     /// Mean number of tokens of a call: prompt and longest output.
@@ -61,6 +68,8 @@
     products: [f64; 5],
     duration_ms: f64,
     slowdown: f64,
+    /// Mean relative durations of calls on endpoints that knew their objects, and on others.
+    affinity_ratios: (f64, f64),
     /// Moving averages of the tokens of a call and of their square; `None` before any was measured.
     call_tokens: Option<(f64, f64)>,
 }
@@ -80,6 +89,7 @@
             ],
             duration_ms: TYPICAL_DURATION_MS,
             slowdown: 1.0,
+            affinity_ratios: (1.0 - TYPICAL_AFFINITY_SHARE, 1.0),
             call_tokens: None,
         }
     }
@@ -157,6 +167,15 @@
         row.slowdown += (factor - row.slowdown) * DURATION_SMOOTHING;
     }
 
+    /// Records that a call took `ratio` times the mean of its route on an endpoint that knew its object, or
+    /// did not.
+    pub fn record_affinity(&mut self, service: &ids::ServiceName, was_known: bool, ratio: f64) {
+        let row = self.rows.entry(service.clone()).or_default();
+        let (known, unknown) = &mut row.affinity_ratios;
+        let mean = if was_known { known } else { unknown };
+        *mean += (ratio.min(MAX_EXCESS) - *mean) * DURATION_SMOOTHING;
+    }
+
     /// Records the size of a call that succeeded: the tokens of its prompt and of its longest output.
     pub fn record_tokens(&mut self, service: &ids::ServiceName, tokens: u64) {
         let row = self.rows.entry(service.clone()).or_default();
@@ -174,10 +193,13 @@
         let row = self.rows.get(service).unwrap_or(&typical);
         let (token_ms, request_ms) = row.slopes();
         let (mean, square) = row.call_tokens.unwrap_or_default();
+        let (known, unknown) = row.affinity_ratios;
         Profile {
             token_ms,
             request_ms,
             duration_ms: row.duration_ms.max(1.0),
+            affinity_share: (1.0 - known / unknown.max(f64::MIN_POSITIVE))
+                .clamp(0.0, MAX_AFFINITY_SHARE),
             slowdown: row.slowdown,
             call_tokens: mean,
             call_tokens_deviation: (square - mean * mean).max(0.0).sqrt(),
--- a/crates/flamingotrail-gateway/tests/decisions/placement.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/placement.rs
@@ -217,3 +217,71 @@
     assert!(chosen.len() >= 4, "{chosen:?}");
     assert!(chosen.values().all(|count| count * 2 <= 32), "{chosen:?}");
 }
+
+/// Returns a gateway whose route `/book/` is sticky, if `is_sticky`, and the endpoint that has handled a
+/// call for object 7 there.
+fn gateway_after_a_sticky_call(name: &str, is_sticky: bool) -> (fixture::Gateway, ids::EndpointId) {
+    let mut gateway = fixture::Gateway::unconfigured(name);
+    let mut configuration = fixture::configuration(1);
+    configuration.routes.iter_mut().for_each(|route| route.is_sticky = is_sticky);
+    gateway.tick(vec![
+        input::Input::Configuration(Box::new(configuration)),
+        input::Input::Endpoints(fixture::endpoints()),
+    ]);
+    // The endpoint that is chosen without affinity is busy, so that the other one handles the call.
+    gateway.receive(fixture::request(0, "c0", "/book/1"));
+    gateway.receive(object_request(1));
+    gateway.end_attempt(1, fixture::response_outcome(200));
+    gateway.end_attempt(0, fixture::response_outcome(200));
+    let endpoint = gateway.sent[1].endpoint.clone();
+    (gateway, endpoint)
+}
+
+fn object_request(call: u64) -> input::Arrival {
+    let mut request = fixture::request(call, &format!("c{call}"), "/book/1");
+    request.affinity = Some(7);
+    request
+}
+
+// Guards against calls for the same object that are spread over endpoints that don't know it.
+#[test]
+fn sticky_call_goes_to_the_endpoint_that_knows_its_object() {
+    let (mut gateway, known) = gateway_after_a_sticky_call("one", true);
+    let (mut plain, other) = gateway_after_a_sticky_call("one", false);
+
+    gateway.receive(object_request(2));
+    plain.receive(object_request(2));
+
+    assert_eq!(gateway.sent[2].endpoint, known);
+    assert_ne!(plain.sent[2].endpoint, other, "a route that is not sticky");
+}
+
+// Guards against an object that holds its calls at an endpoint that is full, limited or failing.
+#[test]
+fn sticky_call_avoids_an_endpoint_that_is_loaded_limited_or_failing() {
+    let full = input::Load { running: 4, waiting: 1, slots: 4, slowdown_percent: None };
+    let limited = fixture::limit_notice(Some(1_000.0));
+    let response = |load| input::Outcome::Answered { status: 200, signed: true, load };
+    let disturb: [&dyn Fn(&mut fixture::Gateway); 3] = [
+        &|gateway| gateway.end_attempt(2, response(Some(full))),
+        &|gateway| {
+            gateway.begin_response(2, limited);
+            gateway.end_attempt(2, response(None));
+            // The other endpoint is limited as well: limited ones go first among equals.
+            gateway.receive(fixture::request(3, "c3", "/book/1"));
+            gateway.begin_response(3, limited);
+            gateway.end_attempt(3, response(None));
+        },
+        &|gateway| gateway.end_attempt(2, input::Outcome::Lost(input::Failure::Closed)),
+    ];
+    for disturb in disturb {
+        let (mut gateway, known) = gateway_after_a_sticky_call("one", true);
+        gateway.receive(object_request(2));
+        assert_eq!(gateway.sent[2].endpoint, known);
+
+        disturb(&mut gateway);
+        gateway.receive(object_request(9));
+
+        assert_ne!(gateway.sent.last().expect("sent").endpoint, known);
+    }
+}
