--- a/crates/flamingotrail-gateway/src/systems/placement.rs
+++ b/crates/flamingotrail-gateway/src/systems/placement.rs
@@ -33,6 +33,10 @@
 /// Lowest rate at which refused callers are asked to return, in callers per second.
 const MIN_RETURN_RATE_PER_S: f64 = 0.1;
 
+/// Costs that differ by less than the delay of this many requests count as equal: gateways don't know of
+/// the newest requests of others. It is less than one, so that a gateway's own requests are told apart.
+const NEAR_COST_REQUESTS: f64 = 0.5;
+
 /// The result of selecting an endpoint for a call.
 enum Selection {
     /// An endpoint that the call can be sent to now.
@@ -148,31 +152,37 @@
     &row.listed.service == service && !row.listed.draining && !notices.is_leaving(id)
 }
 
-/// Selects the endpoint with the lowest cost among those that accept a request now; a suspect one
-/// only if there is no other.
+/// Selects an endpoint among those that accept a request now: one of the lowest costs, for a call to an
+/// engine by a hash of the call, else by the gateway's own order; a suspect one only if there is no other.
 fn select_endpoint(world: &world::World, tick: &world::Tick, call: &calls::Call) -> Selection {
     let request = placement_request(world, tick, call);
     let candidates = candidates(world, tick, call);
     let accepting = candidates.iter().filter(|(_, _, due)| due.is_some_and(|due| due <= tick.now));
-    let ranked = accepting.map(|(id, row, _)| {
-        let way_ms = way_ms(world, &row.listed.domain);
-        let cost = world.placement.cost(&request, &policy::Candidate { id, row, way_ms });
-        let is_suspect = row.lapsed || row.avoid_until > tick.now;
-        (is_suspect, cost, *id)
-    });
-    // Among equals, a request that is due at a limited endpoint goes first, since it is lost if it is
-    // not used. Else each gateway has an order of its own, so that gateways that know as little of an
-    // endpoint as of the others don't all choose the same one.
-    let rank = |id: &ids::EndpointId| {
-        let is_free = world.tables.notices.limit(id).is_none();
-        (is_free, ids::stable_hash(&format!("{}/{id}", world.identity.instance)))
+    let ranked: Vec<policy::choice::Ranked<'_>> = accepting
+        .map(|(id, row, _)| {
+            let candidate = placement_candidate(world, id, row);
+            policy::choice::Ranked {
+                id,
+                is_suspect: row.lapsed || row.avoid_until > tick.now,
+                cost: world.placement.cost(&request, &candidate),
+                uncached_tokens: policy::prompts::uncached_tokens(&request, &candidate),
+                is_limited: candidate.is_limited,
+            }
+        })
+        .collect();
+    let chosen = if request.is_engine {
+        let margin = request.profile.request_ms * NEAR_COST_REQUESTS;
+        // The call comes last: the hash mixes the end of a text worse than its beginning.
+        let key = format!("{}/{}/{}", world.identity.instance, call.attempts, call.arrival.id);
+        let order = |id: &ids::EndpointId| ids::stable_hash(&format!("{id}/{key}"));
+        policy::choice::choose(&ranked, margin, order)
+    } else {
+        let order =
+            |id: &ids::EndpointId| ids::stable_hash(&format!("{}/{id}", world.identity.instance));
+        policy::choice::choose(&ranked, 0.0, order)
     };
-    let best = ranked.min_by(|a, b| {
-        let by_cost = a.0.cmp(&b.0).then(a.1.total_cmp(&b.1));
-        by_cost.then_with(|| rank(a.2).cmp(&rank(b.2)))
-    });
-    match best {
-        Some((_, _, id)) => Selection::Endpoint(id.clone()),
+    match chosen {
+        Some(chosen) => Selection::Endpoint(chosen.id.clone()),
         None if candidates.is_empty() => Selection::None,
         None => Selection::Limited(candidates.iter().filter_map(|(_, _, due)| *due).min()),
     }
@@ -185,18 +195,32 @@
     call: &'a calls::Call,
 ) -> policy::Request<'a> {
     let previous = call.turn.as_ref().and_then(|turn| turn.previous());
+    let usage = call.arrival.usage;
     policy::Request {
         prompt: &call.arrival.prompt,
-        prompt_tokens: call.arrival.usage.map_or(0, |usage| usage.prompt),
+        prompt_tokens: usage.map_or(0, |usage| usage.prompt),
+        call_tokens: usage.map_or(0, |usage| usage.prompt.saturating_add(usage.max_output)),
         previous: previous
             .and_then(|turn| world.tables.turns.rows.get(turn))
             .map(|row| &row.endpoint),
+        affinity: call.arrival.affinity.filter(|_| world.tables.routes.is_sticky(&call.route)),
         is_engine: call.engine.is_some(),
+        memory_tokens: call.engine.as_ref().and_then(|engine| engine.memory_tokens),
         profile: world.tables.profiles.profile(&call.service),
         now: tick.now,
     }
 }
 
+/// Returns the properties of an endpoint that placement depends on.
+fn placement_candidate<'a>(
+    world: &world::World,
+    id: &'a ids::EndpointId,
+    row: &'a endpoints::Endpoint,
+) -> policy::Candidate<'a> {
+    let is_limited = world.tables.notices.limit(id).is_some();
+    policy::Candidate { id, row, way_ms: way_ms(world, &row.listed.domain), is_limited }
+}
+
 /// Returns the expected round-trip time to the endpoints of `domain`, in milliseconds.
 fn way_ms(world: &world::World, domain: &ids::DomainName) -> f64 {
     let own = &world.identity;
@@ -236,15 +260,25 @@
     let call = world.tables.calls.rows.get(&id)?;
     let row = world.tables.endpoints.rows.get(endpoint)?;
     let request = placement_request(world, tick, call);
-    let way_ms = way_ms(world, &row.listed.domain);
-    let candidate = policy::Candidate { id: endpoint, row, way_ms };
+    let candidate = placement_candidate(world, endpoint, row);
+    let affinity =
+        request.affinity.map(|object| (object, row.affinities.contains(object, tick.now)));
+    let expected_load = policy::load::expected_load(row, request.profile.duration_ms, tick.now);
+    let memory_use = request
+        .memory_tokens
+        .map(|_| policy::memory::expected_use(&request, &candidate, expected_load));
     Some(calls::RunningAttempt {
         endpoint: endpoint.clone(),
         sent_at: tick.now,
         began_at: None,
-        uncached_tokens: policy::uncached_tokens(&request, &candidate),
-        expected_load: policy::expected_load(row, request.profile.duration_ms, tick.now),
-        expected_way: time::Duration::from_secs_f64(way_ms / 1000.0),
+        reported_load: None,
+        uncached_tokens: policy::prompts::uncached_tokens(&request, &candidate),
+        tokens: request.call_tokens,
+        expected_memory: memory_use.map_or(0, |memory_use| memory_use.tokens as u64),
+        expected_load,
+        expected_slowdown: row.slowdown.factor(request.profile.slowdown, tick.now),
+        expected_way: time::Duration::from_secs_f64(candidate.way_ms / 1000.0),
+        affinity,
     })
 }
 
@@ -273,10 +307,8 @@
     call.attempts += 1;
     call.phase = calls::Phase::Running;
     call.tried_endpoints.insert(endpoint.clone());
-    call.running = Some(running);
-    row.in_flight += 1;
-    row.sent_since_load += 1;
-    row.record_prompt(&call.arrival.prompt, tick.now);
+    let memory_tokens = call.engine.as_ref().and_then(|engine| engine.memory_tokens);
+    row.record_sent(call, &running, memory_tokens);
     tables.notices.record_request(&endpoint, tick.now);
     let repeatable = call.kind.is_repeatable();
     let timeout = call.remaining_time(tick.now);
@@ -302,15 +334,20 @@
         endpoint,
     };
     let detail = format_args!(
-        "request={} endpoint={} attempt={} within_ms={} own={} route={}",
+        "request={} endpoint={} attempt={} within_ms={} own={} route={} read={} memory={} \
+         slowdown={:.2}",
         call.arrival.id,
         dispatch.endpoint,
         dispatch.attempt,
         timeout.as_millis(),
         row.in_flight,
-        call.route
+        call.route,
+        running.uncached_tokens,
+        running.expected_memory,
+        running.expected_slowdown,
     );
     world.outputs.push(output::Output::Event(output::Event::new("sent", detail)));
+    call.running = Some(running);
     if call.kind == input::RouteKind::Idempotent && call.possible_runs + 1 < call.max_attempts {
         let slow_at = tick.now.after(timeout / SLOW_ATTEMPT_DIVISOR);
         tables.timers.set(timers::Timer::AttemptSlow(id, call.attempts), slow_at);
--- a/crates/flamingotrail-gateway/src/tables/calls.rs
+++ b/crates/flamingotrail-gateway/src/tables/calls.rs
@@ -117,10 +117,22 @@
     pub sent_at: core_time::Timestamp,
     /// When its response began.
     pub began_at: Option<core_time::Timestamp>,
+    /// Load that the endpoint reported at the beginning of its response, which was recorded then.
+    pub reported_load: Option<input::Load>,
     /// Number of tokens of the prompt that the endpoint probably had not cached.
     pub uncached_tokens: u64,
+    /// Number of tokens of the prompt and of the longest output.
+    pub tokens: u64,
+    /// Number of tokens that requests probably use of the endpoint's memory, with this one; 0 if its
+    /// memory is not configured.
+    pub expected_memory: u64,
     /// Number of other requests that were probably at the endpoint.
     pub expected_load: f64,
+    /// Factor by which work on the endpoint probably takes longer than usual, by its own report.
+    pub expected_slowdown: f64,
+    /// Object that the call concerns on a route whose endpoints are faster for known objects, and whether
+    /// the endpoint had lately handled it.
+    pub affinity: Option<(u64, bool)>,
     /// Expected round-trip time to the endpoint.
     pub expected_way: time::Duration,
 }
--- a/crates/flamingotrail-gateway/src/tables/mod.rs
+++ b/crates/flamingotrail-gateway/src/tables/mod.rs
@@ -5,8 +5,10 @@
 
 use crate::ids;
 
+pub mod affinities;
 pub mod allowances;
 pub mod append_rate;
+pub mod cached_parts;
 pub mod calls;
 pub mod crashes;
 pub mod dirty;
@@ -15,6 +17,7 @@
 pub mod limits;
 pub mod log_index;
 pub mod notices;
+pub mod own_attempts;
 pub mod partitions;
 pub mod peers;
 pub mod priority_classes;
@@ -25,6 +28,7 @@
 pub mod service_profiles;
 pub mod shares;
 pub mod slot_times;
+pub mod slowdowns;
 pub mod timers;
 pub mod turns;
 pub mod unknown_callers;
--- a/crates/flamingotrail-gateway/src/tables/service_profiles.rs
+++ b/crates/flamingotrail-gateway/src/tables/service_profiles.rs
@@ -13,6 +13,11 @@
 const TYPICAL_TOKEN_MS: f64 = 0.02;
 /// Typical delay that another request adds, in milliseconds, before any was measured.
 const TYPICAL_REQUEST_MS: f64 = 3.0;
+/// Typical share of its duration that a call saves on an endpoint that knows its object, before any was
+/// measured.
+const TYPICAL_AFFINITY_SHARE: f64 = 0.2;
+/// Largest such share that is believed.
+const MAX_AFFINITY_SHARE: f64 = 0.5;
 /// Typical duration of a call, in milliseconds, before any was measured.
 const TYPICAL_DURATION_MS: f64 = 200.0;
 /// Number of measurements that the typical values count for.
@@ -24,8 +29,10 @@
 /// Factor by which a single measurement may exceed the expected time. Larger ones are cut, so that
 /// stalled endpoints have little influence.
 const MAX_EXCESS: f64 = 2.0;
-/// Weight of the newest call in the mean duration.
+/// Weight of the newest call in the mean duration and in the mean slowdown.
 const DURATION_SMOOTHING: f64 = 0.05;
+/// Weight of the newest call in the mean number of tokens; sizes vary more than durations.
+const TOKENS_SMOOTHING: f64 = 0.02;
 /// Limits of the fitted time for each token, in milliseconds.
 const TOKEN_MS_RANGE: (f64, f64) = (0.0005, 1.0);
 /// Limits of the fitted delay for each request, in milliseconds.
@@ -40,6 +47,14 @@
     pub request_ms: f64,
     /// Mean time for which a call occupies a slot, in milliseconds.
     pub duration_ms: f64,
+    /// Share of its duration that a call saves on an endpoint that has lately handled its object.
+    pub affinity_share: f64,
+    /// Mean factor by which the endpoints report that work takes longer than usual.
+    pub slowdown: f64,
+    /// Mean number of tokens of a call: prompt and longest output.
+    pub call_tokens: f64,
+    /// Standard deviation of the tokens of a call.
+    pub call_tokens_deviation: f64,
 }
 
 /// Measurements of one service.
@@ -52,6 +67,11 @@
     /// with requests, tokens with time, requests with time.
     products: [f64; 5],
     duration_ms: f64,
+    slowdown: f64,
+    /// Mean relative durations of calls on endpoints that knew their objects, and on others.
+    affinity_ratios: (f64, f64),
+    /// Moving averages of the tokens of a call and of their square; `None` before any was measured.
+    call_tokens: Option<(f64, f64)>,
 }
 
 impl Default for Measurements {
@@ -68,6 +88,9 @@
                 TYPICAL_WEIGHT * TYPICAL_REQUEST_MS,
             ],
             duration_ms: TYPICAL_DURATION_MS,
+            slowdown: 1.0,
+            affinity_ratios: (1.0 - TYPICAL_AFFINITY_SHARE, 1.0),
+            call_tokens: None,
         }
     }
 }
@@ -138,12 +161,49 @@
         row.duration_ms += (ms - row.duration_ms) * DURATION_SMOOTHING;
     }
 
+    /// Records the factor by which the endpoint of a call reported that work takes longer than usual.
+    pub fn record_slowdown(&mut self, service: &ids::ServiceName, factor: f64) {
+        let row = self.rows.entry(service.clone()).or_default();
+        row.slowdown += (factor - row.slowdown) * DURATION_SMOOTHING;
+    }
+
+    /// Records that a call took `ratio` times the mean of its route on an endpoint that knew its object, or
+    /// did not.
+    pub fn record_affinity(&mut self, service: &ids::ServiceName, was_known: bool, ratio: f64) {
+        let row = self.rows.entry(service.clone()).or_default();
+        let (known, unknown) = &mut row.affinity_ratios;
+        let mean = if was_known { known } else { unknown };
+        *mean += (ratio.min(MAX_EXCESS) - *mean) * DURATION_SMOOTHING;
+    }
+
+    /// Records the size of a call that succeeded: the tokens of its prompt and of its longest output.
+    pub fn record_tokens(&mut self, service: &ids::ServiceName, tokens: u64) {
+        let row = self.rows.entry(service.clone()).or_default();
+        let tokens = tokens as f64;
+        let (mean, square) = row.call_tokens.unwrap_or((tokens, tokens * tokens));
+        row.call_tokens = Some((
+            mean + (tokens - mean) * TOKENS_SMOOTHING,
+            square + (tokens * tokens - square) * TOKENS_SMOOTHING,
+        ));
+    }
+
     /// Returns the expected performance of `service`.
     pub fn profile(&self, service: &ids::ServiceName) -> Profile {
         let typical = Measurements::default();
         let row = self.rows.get(service).unwrap_or(&typical);
         let (token_ms, request_ms) = row.slopes();
-        Profile { token_ms, request_ms, duration_ms: row.duration_ms.max(1.0) }
+        let (mean, square) = row.call_tokens.unwrap_or_default();
+        let (known, unknown) = row.affinity_ratios;
+        Profile {
+            token_ms,
+            request_ms,
+            duration_ms: row.duration_ms.max(1.0),
+            affinity_share: (1.0 - known / unknown.max(f64::MIN_POSITIVE))
+                .clamp(0.0, MAX_AFFINITY_SHARE),
+            slowdown: row.slowdown,
+            call_tokens: mean,
+            call_tokens_deviation: (square - mean * mean).max(0.0).sqrt(),
+        }
     }
 
     /// Removes the services for which `is_configured` is false.
--- a/crates/flamingotrail-gateway/tests/decisions/placement.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/placement.rs
@@ -138,3 +138,150 @@
     assert!(firsts.len() >= 6, "{firsts:?}");
     assert!(firsts.values().all(|count| *count <= 12), "{firsts:?}");
 }
+
+/// Returns a gateway with a call on each of two engines, and the engines by call.
+fn gateway_with_two_calls() -> (fixture::Gateway, [ids::EndpointId; 2]) {
+    let mut gateway = fixture::Gateway::new("one");
+    gateway.tick(vec![engines(&["engine-1", "engine-2"])]);
+    gateway.receive(fixture::request(0, "c0", "/ask/1"));
+    gateway.receive(fixture::request(1, "c1", "/ask/1"));
+    let engines = [0, 1].map(|index| gateway.sent[index].endpoint.clone());
+    assert_ne!(engines[0], engines[1]);
+    (gateway, engines)
+}
+
+fn load_of(running: u32) -> input::Load {
+    input::Load { running, waiting: 0, slots: SLOTS, slowdown_percent: None }
+}
+
+// Guards against loads that are used only when a stream ends, long after they were reported.
+#[test]
+fn load_counts_from_the_beginning_of_a_response() {
+    for busy in [0, 1] {
+        let (mut gateway, engines) = gateway_with_two_calls();
+
+        gateway.begin_loaded_response(busy, load_of(10));
+        gateway.receive(fixture::request(2, "c2", "/ask/1"));
+
+        assert_ne!(gateway.sent[2].endpoint, engines[busy as usize]);
+    }
+}
+
+// Guards against the load at the beginning of a stream that replaces a newer one when the stream ends.
+#[test]
+fn end_of_a_stream_keeps_a_newer_load() {
+    for free in [0, 1] {
+        let (mut gateway, engines) = gateway_with_two_calls();
+        for call in [0, 1] {
+            gateway.begin_loaded_response(call, load_of(10));
+        }
+        gateway.receive(fixture::request(2, "c2", "/ask/1"));
+        gateway.receive(fixture::request(3, "c3", "/ask/1"));
+        let newer = (2..4).find(|index| gateway.sent[*index].endpoint == engines[free]);
+        gateway.begin_loaded_response(newer.expect("both engines are used") as u64, load_of(1));
+
+        gateway.end_attempt(free as u64, stream_outcome_under_load(10));
+        gateway.receive(fixture::request(4, "c4", "/ask/1"));
+
+        assert_eq!(gateway.sent[4].endpoint, engines[free]);
+    }
+}
+
+// Load pattern: many gateways that have heard the same of all engines, of one of them a little earlier.
+// Guards against gateways that all choose that engine, since its load counts a little less.
+#[test]
+fn gateways_with_the_same_knowledge_spread_their_calls() {
+    let names: Vec<String> = (0..8).map(|number| format!("engine-{number}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut log = fixture::MemoryLog::default();
+
+    let mut chosen = std::collections::BTreeMap::new();
+    for number in 0..32 {
+        let mut gateway = fixture::Gateway::new(&format!("gateway-{number}"));
+        gateway.tick(vec![engines(&names)]);
+        (0..8).for_each(|call| {
+            gateway.receive(fixture::request(call, &format!("c{call}"), "/ask/1"))
+        });
+        let mut sent: Vec<_> =
+            gateway.sent.iter().map(|sent| (sent.endpoint.clone(), sent.call.0)).collect();
+        sent.sort();
+        gateway.advance(time::Duration::from_millis(200), &mut log);
+        for (_, call) in sent {
+            gateway.end_attempt(call, stream_outcome_under_load(3));
+            gateway.advance(time::Duration::from_millis(1), &mut log);
+        }
+        gateway.receive(fixture::request(8, &format!("last of {number}"), "/ask/1"));
+        *chosen.entry(gateway.sent[8].endpoint.clone()).or_insert(0) += 1;
+    }
+
+    assert!(chosen.len() >= 4, "{chosen:?}");
+    assert!(chosen.values().all(|count| count * 2 <= 32), "{chosen:?}");
+}
+
+/// Returns a gateway whose route `/book/` is sticky, if `is_sticky`, and the endpoint that has handled a
+/// call for object 7 there.
+fn gateway_after_a_sticky_call(name: &str, is_sticky: bool) -> (fixture::Gateway, ids::EndpointId) {
+    let mut gateway = fixture::Gateway::unconfigured(name);
+    let mut configuration = fixture::configuration(1);
+    configuration.routes.iter_mut().for_each(|route| route.is_sticky = is_sticky);
+    gateway.tick(vec![
+        input::Input::Configuration(Box::new(configuration)),
+        input::Input::Endpoints(fixture::endpoints()),
+    ]);
+    // The endpoint that is chosen without affinity is busy, so that the other one handles the call.
+    gateway.receive(fixture::request(0, "c0", "/book/1"));
+    gateway.receive(object_request(1));
+    gateway.end_attempt(1, fixture::response_outcome(200));
+    gateway.end_attempt(0, fixture::response_outcome(200));
+    let endpoint = gateway.sent[1].endpoint.clone();
+    (gateway, endpoint)
+}
+
+fn object_request(call: u64) -> input::Arrival {
+    let mut request = fixture::request(call, &format!("c{call}"), "/book/1");
+    request.affinity = Some(7);
+    request
+}
+
+// Guards against calls for the same object that are spread over endpoints that don't know it.
+#[test]
+fn sticky_call_goes_to_the_endpoint_that_knows_its_object() {
+    let (mut gateway, known) = gateway_after_a_sticky_call("one", true);
+    let (mut plain, other) = gateway_after_a_sticky_call("one", false);
+
+    gateway.receive(object_request(2));
+    plain.receive(object_request(2));
+
+    assert_eq!(gateway.sent[2].endpoint, known);
+    assert_ne!(plain.sent[2].endpoint, other, "a route that is not sticky");
+}
+
+// Guards against an object that holds its calls at an endpoint that is full, limited or failing.
+#[test]
+fn sticky_call_avoids_an_endpoint_that_is_loaded_limited_or_failing() {
+    let full = input::Load { running: 4, waiting: 1, slots: 4, slowdown_percent: None };
+    let limited = fixture::limit_notice(Some(1_000.0));
+    let response = |load| input::Outcome::Answered { status: 200, signed: true, load };
+    let disturb: [&dyn Fn(&mut fixture::Gateway); 3] = [
+        &|gateway| gateway.end_attempt(2, response(Some(full))),
+        &|gateway| {
+            gateway.begin_response(2, limited);
+            gateway.end_attempt(2, response(None));
+            // The other endpoint is limited as well: limited ones go first among equals.
+            gateway.receive(fixture::request(3, "c3", "/book/1"));
+            gateway.begin_response(3, limited);
+            gateway.end_attempt(3, response(None));
+        },
+        &|gateway| gateway.end_attempt(2, input::Outcome::Lost(input::Failure::Closed)),
+    ];
+    for disturb in disturb {
+        let (mut gateway, known) = gateway_after_a_sticky_call("one", true);
+        gateway.receive(object_request(2));
+        assert_eq!(gateway.sent[2].endpoint, known);
+
+        disturb(&mut gateway);
+        gateway.receive(object_request(9));
+
+        assert_ne!(gateway.sent.last().expect("sent").endpoint, known);
+    }
+}
