Admission: first turns are refused only where workspaces are configured

Cause: admission control acted on every deployment, also on those that configure nothing of it. Change: it applies where the configuration has workspaces.

--- a/crates/flamingotrail-gateway/src/systems/admission_control.rs
+++ b/crates/flamingotrail-gateway/src/systems/admission_control.rs
@@ -57,6 +57,10 @@
 
 /// Refuses a call if it is a first turn that would wait too long; returns whether it did.
 pub fn refuse_if_hopeless(world: &mut world::World, tick: &world::Tick, id: ids::CallId) -> bool {
+    // Deployments whose callers are not told apart are served in the order of arrival.
+    if !world.tables.routes.has_workspaces() {
+        return false;
+    }
     let Some(call) = world.tables.calls.rows.get(&id) else { return false };
     if !admission_order::begins_program(call) || call.attempts > 0 {
         return false;
