--- a/crates/flamingotrail-gateway/src/output.rs
+++ b/crates/flamingotrail-gateway/src/output.rs
@@ -156,6 +156,8 @@
     Event(Event),
     /// Increments the counter of an event of this name, without a log line.
     Count(&'static str),
+    /// Counts a call of a workspace that has an allowance, by what became of it.
+    CountCall(ids::WorkspaceName, &'static str),
 }
 
 /// A request to send to an endpoint.
--- a/crates/flamingotrail-gateway/src/systems/allowances.rs
+++ b/crates/flamingotrail-gateway/src/systems/allowances.rs
@@ -91,9 +91,9 @@
     let Some(claim) = claim(tables, id) else { return };
     let Some(call) = tables.calls.rows.get(&id).filter(|call| call.attempts == 1) else { return };
     let Some(workspace) = call.workspace.as_ref() else { return };
-    if let Some(row) = tables.allowances.holder.rows.get_mut(workspace) {
-        row.spend(id, claim, tick.now);
-    }
+    let Some(row) = tables.allowances.holder.rows.get_mut(workspace) else { return };
+    row.spend(id, claim, tick.now);
+    world.outputs.push(output::Output::CountCall(workspace.clone(), "sent"));
 }
 
 /// Returns the terms of a workspace; `None` if its calls are not limited.
@@ -210,6 +210,7 @@
             "request={request} workspace={workspace} per_s={per_s:.2} rate={rate:.2} age_ms={age} retry_ms={retry_ms}"
         ),
     );
+    world.emit(output::Output::CountCall(workspace.clone(), refusal.reason.as_str()));
     completion::refuse(world, tick, id, refusal);
 }
 
--- a/crates/flamingotrail-gateway/tests/decisions/allowance_faults.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/allowance_faults.rs
@@ -139,19 +139,20 @@
 }
 
 // Guards against an owner that wakes and grants what another one has granted meanwhile: its pool would
-// have refilled, and its list is old.
+// have refilled, and the lists and calls that came before are handled first.
 #[test]
 fn owner_that_wakes_grants_nothing_before_it_has_asked_the_others() {
     let (mut fleet, names) = fleet(9);
     let owner = fleet.owner("w");
     fleet.load(4.0, &[("w", 400.0)], &names);
     fleet.freeze(&owner, 20);
-    fleet.run(time::Duration::from_secs(20));
-    let woken = fleet.now;
-
+    fleet.run(time::Duration::from_secs(11));
     for _ in 0..30 {
         fleet.call(&owner, "w");
     }
+    fleet.run(time::Duration::from_secs(9));
+    let woken = fleet.now - 1;
+
     fleet.run(time::Duration::from_millis(20));
     let early = served(&fleet, woken);
     fleet.load(5.0, LOADS, &names);
--- a/crates/flamingotrail-runtime/src/gateway/executor.rs
+++ b/crates/flamingotrail-runtime/src/gateway/executor.rs
@@ -133,6 +133,9 @@
                 self.ready.send_replace(ready);
             }
             output::Output::Stopped => {}
+            output::Output::CountCall(workspace, outcome) => {
+                self.metrics.count_workspace_call(workspace.as_str(), outcome);
+            }
             output::Output::Count(event) => self.metrics.count_event(event),
             output::Output::Event(event) => {
                 self.metrics.count_event(event.name);
--- a/crates/flamingotrail-runtime/src/gateway/metrics.rs
+++ b/crates/flamingotrail-runtime/src/gateway/metrics.rs
@@ -1,5 +1,7 @@
 //! Metrics of a gateway, in the Prometheus text format.
 
+use std::cell;
+use std::collections;
 use std::rc;
 use std::time;
 
@@ -15,6 +17,11 @@
 const LATENCY_BUCKETS: &[f64] =
     &[0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0];
 
+/// Maximum number of workspaces with series of their own.
+const MAX_WORKSPACES: usize = 50;
+/// Label of all other workspaces.
+const OTHER_WORKSPACES: &str = "other";
+
 /// The gateway's metrics.
 #[derive(Clone)]
 pub struct Metrics {
@@ -29,6 +36,10 @@
     log_calls: prometheus::IntCounterVec,
     /// Duration of calls to the log.
     log_seconds: prometheus::Histogram,
+    /// Calls of workspaces that have an allowance, by workspace and outcome.
+    workspace_calls: prometheus::IntCounterVec,
+    /// Workspaces that have series of their own.
+    workspaces: cell::RefCell<collections::BTreeSet<String>>,
 }
 
 impl Metrics {
@@ -70,6 +81,13 @@
                 "Time of calls to the log.",
                 LATENCY_BUCKETS,
             )?,
+            workspace_calls: registry::counter_vec(
+                &registry,
+                "gateway_workspace_calls_total",
+                "Calls of workspaces with an allowance by outcome; those of most as \"other\".",
+                &["workspace", "outcome"],
+            )?,
+            workspaces: cell::RefCell::default(),
             registry,
         })
     }
@@ -79,6 +97,16 @@
         self.events.with_label_values(&[name]).inc();
     }
 
+    /// Counts a call of a workspace. The first workspaces have series of their own.
+    pub fn count_workspace_call(&self, workspace: &str, outcome: &str) {
+        let mut workspaces = self.workspaces.borrow_mut();
+        if !workspaces.contains(workspace) && workspaces.len() < MAX_WORKSPACES {
+            workspaces.insert(workspace.to_owned());
+        }
+        let name = if workspaces.contains(workspace) { workspace } else { OTHER_WORKSPACES };
+        self.workspace_calls.with_label_values(&[name, outcome]).inc();
+    }
+
     /// Counts a caller's request by response status and records its duration.
     pub fn record_response(&self, status: u16, duration: time::Duration) {
         self.responses.with_label_values(&[status.to_string().as_str()]).inc();
