--- a/crates/flamingotrail/tests/check.rs
+++ b/crates/flamingotrail/tests/check.rs
@@ -5,14 +5,14 @@
 use std::path;
 use std::process;
 
-const KEY: &str = "42q492cqf75rjvz48wua";
+const KEY: &str = "first-example-key-of-desk";
 
 fn document(version: u64, timeout_ms: u64, keys: &str) -> String {
     format!(
         "{{\"version\":{version},\"routes\":[{{\"name\":\"r\",\"hostname\":\"h\",\
          \"path_prefix\":\"/p/\",\"route_type\":\"safe\",\"timeout_ms\":{timeout_ms},\
          \"target_latency_ms\":250,\"service\":\"s\"}}],\"services\":[{{\"name\":\"s\"}}],\
-         \"tenants\":[{{\"name\":\"hule930\",\"api_keys\":[{keys}]}}]}}"
+         \"tenants\":[{{\"name\":\"desk\",\"api_keys\":[{keys}]}}]}}"
     )
 }
 
