--- a/crates/flamingotrail-gateway/src/tables/allowances.rs
+++ b/crates/flamingotrail-gateway/src/tables/allowances.rs
@@ -40,12 +40,16 @@
     pub run_at: core_time::Timestamp,
 }
 
-/// Parts of the tolerance: what the rate gains over a window, so that callers near their limit are
-/// served while the bound holds; the pool's capacity beyond the burst; what units add by being spent
-/// later than granted; and what leases accumulate. The rest covers messages that are under way.
+// Parts of the tolerance. What is left of it covers messages that are under way.
+
+/// Part that the rate gains over a window, so that callers near their limit are served while the bound
+/// holds.
 const RATE_PART: f64 = 0.3;
+/// Part that the pool holds beyond the burst.
 const POOL_PART: f64 = 0.1;
+/// Part that units may add by being spent later than granted.
 const UNITS_PART: f64 = 0.25;
+/// Part that leases may accumulate.
 const LEASES_PART: f64 = 0.3;
 
 /// An allowance with its tolerance, divided among the causes of an excess.
