Tests: crowds of clients that don't behave exceed a process's memory and descriptors

Callers saw a gateway end: it ran out of memory while many clients sent bodies that they did not finish. These tests start the programs on loopback with lowered limits and check the process, its peak memory, its descriptors, and that an ordinary request is answered while the crowd stays connected. No time-out frees anything meanwhile.

--- a/crates/flamingotrail-standins/src/fleet/gateways.rs
+++ b/crates/flamingotrail-standins/src/fleet/gateways.rs
@@ -18,6 +18,37 @@
 /// Time between two polls of a condition.
 const POLL_INTERVAL: time::Duration = time::Duration::from_millis(20);
 
+/// What a gateway's settings say of its machine and its store.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// Time after which the store drops a record.
+    pub retention: time::Duration,
+    /// Memory of the process, in megabytes; the settings name none if it is `None`.
+    pub memory_mb: Option<u64>,
+    /// Maximum number of descriptors; the settings name none if it is `None`.
+    pub max_descriptors: Option<u64>,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Options { retention: DEFAULT_RETENTION, memory_mb: None, max_descriptors: None }
+    }
+}
+
+impl Options {
+    /// Returns the section of the settings file with the limits of the machine.
+    fn limits(&self) -> String {
+        let memory = self.memory_mb.map(|memory| format!("  memory_mb: {memory}\n"));
+        let descriptors = self.max_descriptors.map(|count| format!("  max_fds: {count}\n"));
+        let lines: String = memory.into_iter().chain(descriptors).collect();
+        if lines.is_empty() {
+            lines
+        } else {
+            format!("limits:\n{lines}")
+        }
+    }
+}
+
 /// A gateway process.
 pub struct Gateway {
     /// Address for callers.
@@ -42,7 +73,7 @@
     name: &str,
     store: net::SocketAddr,
 ) -> io::Result<Gateway> {
-    start_with_retention(program, folder, name, store, DEFAULT_RETENTION)
+    start_with_options(program, folder, name, store, &Options::default())
 }
 
 /// Starts the gateway `program` with a store that drops records after `retention`.
@@ -57,7 +88,24 @@
     store: net::SocketAddr,
     retention: time::Duration,
 ) -> io::Result<Gateway> {
-    let retention_s = retention.as_secs();
+    let options = Options { retention, ..Options::default() };
+    start_with_options(program, folder, name, store, &options)
+}
+
+/// Starts the gateway `program` with `options` in its settings.
+///
+/// # Errors
+///
+/// Returns an error if no port is free, a file can't be written, or the program can't be started.
+pub fn start_with_options(
+    program: &path::Path,
+    folder: &path::Path,
+    name: &str,
+    store: net::SocketAddr,
+    options: &Options,
+) -> io::Result<Gateway> {
+    let retention_s = options.retention.as_secs();
+    let limits = options.limits();
     let [caller_address, readiness] = [processes::free_address()?, processes::free_address()?];
     let [link, metrics_address] = [processes::free_address()?, processes::free_address()?];
     fs::create_dir_all(folder)?;
@@ -69,7 +117,7 @@
             "node_name: {name}\nip: 127.0.0.1\nzone: north-a\nregion: north\nzones:\n  north-a: north\n\
              listen_addrs:\n  front: {caller_address}\n  ready: {readiness}\n\
              internal_ports:\n  - {link_port}\n  - {link_port}\nheartbeat_ms: 1200\n\
-             bounds:\n  drain_ms: 3000\n  grace_s: 8\n\
+             {limits}bounds:\n  drain_ms: 3000\n  grace_s: 8\n\
              platform:\n  address: {store}\n  writes_per_s: 800\n  parts: 4\n  record_bytes: 262144\n  \
              call_bytes: 2097152\n  retention_s: {retention_s}\n"
         ),
@@ -125,10 +173,21 @@
     ///
     /// Returns an error if the process has exited or its status can't be read.
     pub fn peak_memory_kb(&self) -> io::Result<u64> {
-        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()))?;
-        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-        let number = line.and_then(|text| text.trim().strip_suffix(" kB"));
-        number.and_then(|text| text.parse().ok()).ok_or(io::ErrorKind::InvalidData.into())
+        processes::peak_memory_kb(self.child.id())
+    }
+
+    /// Number of descriptors that the process has open.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process has exited.
+    pub fn open_descriptors(&self) -> io::Result<usize> {
+        processes::open_descriptors(self.child.id())
+    }
+
+    /// Address of the readiness check.
+    pub fn readiness_address(&self) -> net::SocketAddr {
+        self.readiness
     }
 
     /// Whether the process is still running.
--- a/crates/flamingotrail-standins/src/fleet/mod.rs
+++ b/crates/flamingotrail-standins/src/fleet/mod.rs
@@ -2,6 +2,7 @@
 //! platform's published protocol and use one blocking thread per connection.
 
 pub mod caller;
+pub mod crowd;
 pub mod gateways;
 pub mod platform;
 pub mod runner;
--- a/crates/flamingotrail-standins/src/fleet/platform.rs
+++ b/crates/flamingotrail-standins/src/fleet/platform.rs
@@ -73,3 +73,22 @@
     document["tenants"] = rows.collect();
     document.to_string()
 }
+
+/// Returns `configuration` with limits for callers' requests whose time-outs are so long that a test
+/// ends before them.
+///
+/// # Panics
+///
+/// Panics if `configuration` is not a JSON object.
+pub fn with_limits(configuration: &str, max_head_bytes: usize, max_body_bytes: usize) -> String {
+    const TIMEOUT_MS: u64 = 120_000;
+    let mut document: serde_json::Value =
+        serde_json::from_str(configuration).expect("the configuration is JSON");
+    document["limits"] = serde_json::json!({
+        "max_header_bytes": max_head_bytes,
+        "max_body_bytes": max_body_bytes,
+        "header_timeout_ms": TIMEOUT_MS,
+        "idle_timeout_ms": TIMEOUT_MS,
+    });
+    document.to_string()
+}
--- a/crates/flamingotrail-standins/src/local/cluster.rs
+++ b/crates/flamingotrail-standins/src/local/cluster.rs
@@ -88,6 +88,20 @@
         deployment: deployment::Deployment,
         entries: usize,
         folder: &path::Path,
+    ) -> io::Result<Self> {
+        Cluster::start_with_environment(deployment, entries, folder, &[]).await
+    }
+
+    /// Starts a cluster whose daemons have additional environment variables.
+    ///
+    /// # Errors
+    ///
+    /// Returns the errors of `start`.
+    pub async fn start_with_environment(
+        deployment: deployment::Deployment,
+        entries: usize,
+        folder: &path::Path,
+        environment: &[(&str, &str)],
     ) -> io::Result<Self> {
         let fakes = sync::Arc::new(build_fakes(&deployment));
         let fakes_address = processes::free_address()?;
@@ -101,6 +115,7 @@
             fakes.clone(),
             fakes_address,
         )?;
+        let daemons = daemons.with_environment(environment);
         let cut_links = relay::CutLinks::new();
         let folder = folder.to_owned();
         let mut cluster = Cluster { deployment, fakes, fakes_address, daemons, cut_links, folder };
--- a/crates/flamingotrail-standins/src/local/processes.rs
+++ b/crates/flamingotrail-standins/src/local/processes.rs
@@ -51,6 +51,7 @@
     fakes_address: net::SocketAddr,
     fakes: sync::Arc<http::FakeSystems>,
     flags: Vec<String>,
+    environment: Vec<(String, String)>,
 }
 
 /// Ports to allocate from. They lie below the usual ephemeral range, so no outgoing connection
@@ -120,6 +121,27 @@
     spawn(command)?.wait_with_output()
 }
 
+/// Peak of a process's resident memory, in kilobytes.
+///
+/// # Errors
+///
+/// Returns an error if the process has exited or its status can't be read.
+pub fn peak_memory_kb(process: u32) -> io::Result<u64> {
+    let status = fs::read_to_string(format!("/proc/{process}/status"))?;
+    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+    let number = line.and_then(|text| text.trim().strip_suffix(" kB"));
+    number.and_then(|text| text.parse().ok()).ok_or(io::ErrorKind::InvalidData.into())
+}
+
+/// Number of descriptors that a process has open.
+///
+/// # Errors
+///
+/// Returns an error if the process has exited.
+pub fn open_descriptors(process: u32) -> io::Result<usize> {
+    Ok(fs::read_dir(format!("/proc/{process}/fd"))?.count())
+}
+
 impl Daemons {
     /// Prepares the daemons of `deployment` with `entries` entries, without starting them.
     /// `binary_dir` holds the binaries of the daemon and the client; `folder` receives keys and
@@ -153,6 +175,7 @@
             fakes_address,
             fakes,
             flags: Vec::new(),
+            environment: Vec::new(),
         })
     }
 
@@ -162,6 +185,24 @@
         self
     }
 
+    /// Adds environment variables to every daemon.
+    pub fn with_environment(mut self, variables: &[(&str, &str)]) -> Self {
+        let owned = |(name, value): &(&str, &str)| ((*name).to_owned(), (*value).to_owned());
+        self.environment = variables.iter().map(owned).collect();
+        self
+    }
+
+    /// Id of a daemon's process, if it runs.
+    pub fn process_id(&self, index: usize) -> Option<u32> {
+        self.rows[index].child.as_ref().map(process::Child::id)
+    }
+
+    /// Whether a daemon's process is running.
+    pub fn is_running(&mut self, index: usize) -> bool {
+        let child = self.rows[index].child.as_mut();
+        child.is_some_and(|child| matches!(child.try_wait(), Ok(None)))
+    }
+
     /// Generates keys, starts the relays and the daemons, and adds them to the instance list.
     ///
     /// # Errors
@@ -235,6 +276,7 @@
             .arg(keys.join("authority.pem"))
             .env("FLAMINGOTRAIL_CONTINUATION_SECRET", CONTINUATION_SECRET)
             .args(&self.flags)
+            .envs(self.environment.iter().map(|(name, value)| (name, value)))
             .stdin(process::Stdio::null())
             .stdout(process::Stdio::null())
             .stderr(log);
--- /dev/null
+++ b/crates/flamingotrail-standins/tests/crowds_at_entries.rs
@@ -0,0 +1,163 @@
+//! Crowds of clients that send what an entry instance has to hold and stay connected. The tests check
+//! the process, its memory and descriptors, and that a program runs meanwhile.
+
+use std::net;
+use std::path;
+use std::sync;
+
+use flamingotrail_standins::deployment;
+use flamingotrail_standins::fleet::crowd;
+use flamingotrail_standins::local::caller;
+use flamingotrail_standins::local::cluster;
+use flamingotrail_standins::local::processes;
+use flamingotrail_standins::workload;
+
+/// Most memory that the entry may occupy, in megabytes.
+const MEMORY_MB: u64 = 64;
+/// The same in kilobytes.
+const MAX_MEMORY_KB: u64 = MEMORY_MB * 1_000_000 / 1024;
+/// Most descriptors that the entry may have open.
+const MAX_DESCRIPTORS: usize = 400;
+/// Largest body of a request, in bytes.
+const MAX_BODY_BYTES: usize = 1 << 20;
+/// Clients that send bodies.
+const CLIENTS: usize = 96;
+/// Clients that send little.
+const MANY_CLIENTS: usize = 600;
+/// Index of the entry in the cluster's daemons.
+const ENTRY: usize = 0;
+/// Request line and headers of a chat.
+const CHAT: &str = "POST /v1/chat/completions HTTP/1.1\r\nHost: desk.example\r\n\
+                    Authorization: Bearer desk-token\r\nContent-Type: application/json";
+
+/// Lets one test run at a time.
+static ONE_AT_A_TIME: sync::Mutex<()> = sync::Mutex::new(());
+
+async fn start_cluster(name: &str) -> cluster::Cluster {
+    let deployment = deployment::fjordhest().with_regions(1).with_endpoints(1, 1);
+    let folder = format!("flamingotrail-crowd-{name}-{}", std::process::id());
+    let folder: path::PathBuf = std::env::temp_dir().join(folder);
+    let environment = [
+        ("FLAMINGOTRAIL_MEMORY_MB", MEMORY_MB.to_string()),
+        ("FLAMINGOTRAIL_MAX_DESCRIPTORS", MAX_DESCRIPTORS.to_string()),
+        ("FLAMINGOTRAIL_MAX_BODY_BYTES", MAX_BODY_BYTES.to_string()),
+    ];
+    let environment: Vec<(&str, &str)> =
+        environment.iter().map(|(name, value)| (*name, value.as_str())).collect();
+    let cluster =
+        cluster::Cluster::start_with_environment(deployment, 1, &folder, &environment).await;
+    cluster.expect("the cluster starts; scripts/test builds the binaries")
+}
+
+fn program() -> workload::Program {
+    let steps = vec![workload::Step::Model { text: "go #20".to_owned(), tokens: 20 }];
+    workload::Program {
+        number: 1,
+        kind: "test",
+        workspace: "desk".to_owned(),
+        region: "vestland".to_owned(),
+        starts_at: std::time::Duration::ZERO,
+        steps,
+    }
+}
+
+/// Runs a program while the crowd that `start` connects to the entry stays, and checks the process.
+fn run_beside_crowd(
+    name: &str,
+    start: impl Fn(net::SocketAddr, net::SocketAddr) -> crowd::Crowd + Send + 'static,
+) {
+    let _turn = ONE_AT_A_TIME.lock().unwrap_or_else(sync::PoisonError::into_inner);
+    actix_rt::System::new().block_on(async {
+        let mut cluster = start_cluster(name).await;
+        let (callers, admin) = {
+            let entry = &cluster.daemons.rows[ENTRY];
+            (entry.listen, entry.admin)
+        };
+
+        let crowd = actix_rt::task::spawn_blocking(move || start(callers, admin)).await;
+        let crowd = crowd.expect("the crowd was started");
+        let caller =
+            caller::Caller::new(cluster.daemons.entry_addresses(), &cluster.deployment.model);
+        caller.run_program(&program(), "desk-token").await;
+
+        assert!(!crowd.is_empty(), "no client was connected");
+        assert!(cluster.daemons.is_running(ENTRY), "the entry has ended");
+        assert_eq!(caller.stats().done, 1, "{:?}", caller.stats());
+        let process = cluster.daemons.process_id(ENTRY).expect("running");
+        let peak_kb = processes::peak_memory_kb(process).expect("running");
+        let descriptors = processes::open_descriptors(process).expect("running");
+        println!("peak {peak_kb} kB of {MAX_MEMORY_KB}, {descriptors} of {MAX_DESCRIPTORS}");
+        assert!(peak_kb < MAX_MEMORY_KB, "{peak_kb} kB of {MAX_MEMORY_KB}");
+        assert!(descriptors <= MAX_DESCRIPTORS, "{descriptors} of {MAX_DESCRIPTORS}");
+    });
+}
+
+// Guards against many chunked bodies at once that stop just short of their end: no time-out ended
+// them.
+#[test]
+fn bodies_in_large_chunks_stay_within_memory_of_entries() {
+    run_beside_crowd("large-chunks", |callers, _| {
+        let sent = MAX_BODY_BYTES - crowd::LARGE_CHUNK_BYTES;
+        let behaviour = crowd::Behaviour::with_chunks(CHAT, crowd::LARGE_CHUNK_BYTES, sent);
+        crowd::Crowd::start(callers, CLIENTS, &behaviour)
+    });
+}
+
+// Guards against the same with chunks of a few bytes.
+#[test]
+fn bodies_in_very_small_chunks_stay_within_memory_of_entries() {
+    run_beside_crowd("small-chunks", |callers, _| {
+        let sent = MAX_BODY_BYTES - crowd::SMALL_CHUNK_BYTES;
+        let behaviour = crowd::Behaviour::with_chunks(CHAT, crowd::SMALL_CHUNK_BYTES, sent);
+        crowd::Crowd::start(callers, CLIENTS, &behaviour)
+    });
+}
+
+// Guards against bodies far over the limit that are announced, and sent although they are refused.
+#[test]
+fn announced_bodies_over_the_limit_stay_within_memory_of_entries() {
+    run_beside_crowd("announced", |callers, _| {
+        let behaviour = crowd::Behaviour::with_length(CHAT, 1 << 30, 8 * MAX_BODY_BYTES);
+        crowd::Crowd::start(callers, CLIENTS, &behaviour)
+    });
+}
+
+// Guards against bodies far over the limit that are sent in chunks without an announcement.
+#[test]
+fn unannounced_bodies_over_the_limit_stay_within_memory_of_entries() {
+    run_beside_crowd("unannounced", |callers, _| {
+        let sent = 8 * MAX_BODY_BYTES;
+        let behaviour = crowd::Behaviour::with_chunks(CHAT, crowd::LARGE_CHUNK_BYTES, sent);
+        crowd::Crowd::start(callers, CLIENTS, &behaviour.interleaved())
+    });
+}
+
+// Guards against many large bodies of legal size at once that stop just short of their end.
+#[test]
+fn unfinished_bodies_of_legal_size_stay_within_memory_of_entries() {
+    run_beside_crowd("unfinished", |callers, _| {
+        let behaviour = crowd::Behaviour::with_length(CHAT, MAX_BODY_BYTES, MAX_BODY_BYTES - 1);
+        crowd::Crowd::start(callers, CLIENTS, &behaviour)
+    });
+}
+
+// Guards against the same piece by piece: all bodies grow together.
+#[test]
+fn bodies_of_legal_size_that_grow_together_stay_within_memory_of_entries() {
+    run_beside_crowd("pieces", |callers, _| {
+        let behaviour = crowd::Behaviour::with_length(CHAT, MAX_BODY_BYTES, MAX_BODY_BYTES - 1);
+        crowd::Crowd::start(callers, CLIENTS, &behaviour.interleaved())
+    });
+}
+
+// Guards against connections that use up the descriptors: no caller could connect any more.
+#[test]
+fn silent_connections_leave_descriptors_for_others_of_entries() {
+    run_beside_crowd("silent", |callers, _| crowd::Crowd::start_silent(callers, MANY_CLIENTS));
+}
+
+// Guards against the same at the admin server.
+#[test]
+fn connections_to_the_admin_server_leave_descriptors_for_callers_of_entries() {
+    run_beside_crowd("admin", |_, admin| crowd::Crowd::start_silent(admin, MANY_CLIENTS));
+}
--- /dev/null
+++ b/crates/flamingotrail-standins/tests/crowds_at_gateways.rs
@@ -0,0 +1,372 @@
+//! Crowds of clients that send what a gateway has to hold and stay connected. The tests check the
+//! process, its memory and descriptors, and that an ordinary request is answered meanwhile. No
+//! time-out frees anything while they run.
+
+use std::sync;
+use std::time;
+
+use flamingotrail_standins::fleet::caller;
+use flamingotrail_standins::fleet::crowd;
+use flamingotrail_standins::fleet::gateways;
+use flamingotrail_standins::fleet::platform;
+use flamingotrail_standins::fleet::server;
+use flamingotrail_standins::fleet::small;
+
+/// Memory of the gateway's machine, in megabytes.
+const MEMORY_MB: u64 = 48;
+/// Most that the gateway may occupy of it, in kilobytes.
+const MAX_MEMORY_KB: u64 = MEMORY_MB * 1_000_000 / 1024;
+/// Memory of the users' smallest machine, in megabytes.
+const SMALLEST_MACHINE_MB: u64 = 88;
+/// Descriptors of the gateway's machine.
+const MAX_DESCRIPTORS: u64 = 400;
+/// Largest head of a request, in bytes.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+/// Largest body of a request, in bytes.
+const MAX_BODY_BYTES: usize = 1 << 20;
+/// Largest body of a request on the users' machines, in bytes.
+const USERS_MAX_BODY_BYTES: usize = 4 << 20;
+/// Clients that send bodies.
+const CLIENTS: usize = 96;
+/// Clients that send little.
+const MANY_CLIENTS: usize = 600;
+/// Bytes by which a body that was begun misses its end.
+const MISSING_BYTES: usize = 1;
+/// Request line and host of a call that may run only once.
+const BOOKING: &str = "POST /book/1 HTTP/1.1\r\nHost: desk.example\r\nDeadline-Ms: 100000";
+/// Request line and host of a turn without history.
+const QUESTION: &str = "POST /ask/1 HTTP/1.1\r\nHost: desk.example\r\nDeadline-Ms: 100000";
+
+/// Lets one test run at a time.
+static ONE_AT_A_TIME: sync::Mutex<()> = sync::Mutex::new(());
+
+/// A fleet with one gateway on a small machine.
+struct Fleet {
+    small: small::Fleet,
+    gateway: gateways::Gateway,
+    _turn: sync::MutexGuard<'static, ()>,
+}
+
+fn start_fleet(name: &str) -> Fleet {
+    let options = gateways::Options { memory_mb: Some(MEMORY_MB), ..Default::default() };
+    start_fleet_with(name, &options, MAX_BODY_BYTES)
+}
+
+fn start_fleet_with(name: &str, options: &gateways::Options, max_body_bytes: usize) -> Fleet {
+    let turn = ONE_AT_A_TIME.lock().unwrap_or_else(sync::PoisonError::into_inner);
+    let small = small::start(&format!("crowd-{name}")).expect("no free port");
+    let configuration = platform::configuration(4, 0);
+    let configuration = platform::with_limits(&configuration, MAX_HEAD_BYTES, max_body_bytes);
+    small.store.set("keyed.op", "config", &configuration);
+    let gateway = gateways::start_with_options(
+        &small::program(),
+        &small.folder,
+        "one",
+        small.store_address,
+        options,
+    );
+    let gateway = gateway.expect("the gateway starts; scripts/test builds the program");
+    assert!(gateway.wait_until_ready(), "the gateway did not become ready");
+    Fleet { small, gateway, _turn: turn }
+}
+
+impl Fleet {
+    fn start_crowd(&self, clients: usize, behaviour: &crowd::Behaviour) -> crowd::Crowd {
+        crowd::Crowd::start(self.gateway.caller_address, clients, behaviour)
+    }
+
+    fn call(&self, id: &str, body: &str) -> caller::Response {
+        let headers = [("Request-Id", id), ("Deadline-Ms", "5000")];
+        caller::call(self.gateway.caller_address, "POST", "/book/1", &headers, body)
+            .expect("no response")
+    }
+
+    /// Checks the process and that an ordinary request is answered while `crowd` is connected.
+    fn assert_sound(&mut self, crowd: &crowd::Crowd, max_memory_kb: u64) {
+        self.small.plain.set_delay(time::Duration::ZERO);
+        assert!(!crowd.is_empty(), "no client was connected");
+        assert!(self.gateway.is_running(), "the gateway has ended");
+        let response = self.call("ordinary", "a short body");
+        assert_eq!(response.status, 200, "{}", response.text);
+        let peak_kb = self.gateway.peak_memory_kb().expect("running");
+        println!("peak {peak_kb} kB of {max_memory_kb}");
+        assert!(peak_kb < max_memory_kb, "{peak_kb} kB of {max_memory_kb}");
+    }
+
+    fn assert_descriptors(&self) {
+        let open = self.gateway.open_descriptors().expect("running") as u64;
+        println!("{open} descriptors of {MAX_DESCRIPTORS}");
+        assert!(open <= MAX_DESCRIPTORS, "{open} descriptors of {MAX_DESCRIPTORS}");
+    }
+}
+
+// Guards against many chunked bodies at once that stop just short of their end: each was kept until
+// a time-out, and the process ran out of memory.
+#[test]
+fn bodies_in_large_chunks_stay_within_memory() {
+    let mut fleet = start_fleet("large-chunks");
+    let sent = MAX_BODY_BYTES - crowd::LARGE_CHUNK_BYTES;
+    let behaviour = crowd::Behaviour::with_chunks(BOOKING, crowd::LARGE_CHUNK_BYTES, sent);
+
+    let crowd = fleet.start_crowd(CLIENTS, &behaviour);
+
+    fleet.assert_sound(&crowd, MAX_MEMORY_KB);
+}
+
+// Guards against the same with chunks of a few bytes, whose framing is larger than their data.
+#[test]
+fn bodies_in_very_small_chunks_stay_within_memory() {
+    let mut fleet = start_fleet("small-chunks");
+    let sent = MAX_BODY_BYTES - crowd::SMALL_CHUNK_BYTES;
+    let behaviour = crowd::Behaviour::with_chunks(BOOKING, crowd::SMALL_CHUNK_BYTES, sent);
+
+    let crowd = fleet.start_crowd(CLIENTS, &behaviour);
+
+    fleet.assert_sound(&crowd, MAX_MEMORY_KB);
+}
+
+// Guards against bodies far over the limit that are announced, and sent although they are refused.
+#[test]
+fn announced_bodies_over_the_limit_stay_within_memory() {
+    let mut fleet = start_fleet("announced");
+    let (announced, sent) = (1 << 30, 8 * MAX_BODY_BYTES);
+    let behaviour = crowd::Behaviour::with_length(BOOKING, announced, sent);
+
+    let crowd = fleet.start_crowd(CLIENTS, &behaviour);
+
+    fleet.assert_sound(&crowd, MAX_MEMORY_KB);
+}
+
+// Guards against bodies far over the limit that are sent in chunks without an announcement.
+#[test]
+fn unannounced_bodies_over_the_limit_stay_within_memory() {
+    let mut fleet = start_fleet("unannounced");
+    let sent = 8 * MAX_BODY_BYTES;
+    let behaviour = crowd::Behaviour::with_chunks(BOOKING, crowd::LARGE_CHUNK_BYTES, sent);
+
+    let crowd = fleet.start_crowd(CLIENTS, &behaviour.interleaved());
+
+    fleet.assert_sound(&crowd, MAX_MEMORY_KB);
+}
+
+// Guards against many large bodies of legal size at once that stop just short of their end.
+#[test]
+fn unfinished_bodies_of_legal_size_stay_within_memory() {
+    let mut fleet = start_fleet("unfinished");
+    let sent = MAX_BODY_BYTES - MISSING_BYTES;
+    let behaviour = crowd::Behaviour::with_length(BOOKING, MAX_BODY_BYTES, sent);
+
+    let crowd = fleet.start_crowd(CLIENTS, &behaviour);
+
+    fleet.assert_sound(&crowd, MAX_MEMORY_KB);
+}
+
+// Guards against the same piece by piece: all bodies grow together.
+#[test]
+fn bodies_of_legal_size_that_grow_together_stay_within_memory() {
+    let mut fleet = start_fleet("pieces");
+    let sent = MAX_BODY_BYTES - MISSING_BYTES;
+    let behaviour = crowd::Behaviour::with_length(BOOKING, MAX_BODY_BYTES, sent);
+
+    let crowd = fleet.start_crowd(CLIENTS, &behaviour.interleaved());
+
+    fleet.assert_sound(&crowd, MAX_MEMORY_KB);
+}
+
+// Guards against many large bodies of legal size that are complete: their calls wait for an endpoint.
+#[test]
+fn complete_bodies_of_legal_size_stay_within_memory() {
+    let mut fleet = start_fleet("complete");
+    fleet.small.plain.set_delay(time::Duration::from_secs(4));
+    let behaviour = crowd::Behaviour::with_length(BOOKING, MAX_BODY_BYTES, MAX_BODY_BYTES);
+
+    let crowd = fleet.start_crowd(CLIENTS, &behaviour);
+
+    fleet.assert_sound(&crowd, MAX_MEMORY_KB);
+}
+
+// Guards against bodies of the users' largest size on their smallest machine.
+#[test]
+fn bodies_of_the_users_largest_size_stay_within_their_smallest_machine() {
+    let options = gateways::Options { memory_mb: Some(SMALLEST_MACHINE_MB), ..Default::default() };
+    let mut fleet = start_fleet_with("users", &options, USERS_MAX_BODY_BYTES);
+    let sent = USERS_MAX_BODY_BYTES - MISSING_BYTES;
+    let behaviour = crowd::Behaviour::with_length(BOOKING, USERS_MAX_BODY_BYTES, sent);
+
+    let crowd = fleet.start_crowd(CLIENTS / 2, &behaviour);
+
+    fleet.assert_sound(&crowd, SMALLEST_MACHINE_MB * 1_000_000 / 1024);
+}
+
+// Guards against a limit that also keeps out a single request inside the limits.
+#[test]
+fn single_request_of_the_largest_size_is_served() {
+    let options = gateways::Options { memory_mb: Some(SMALLEST_MACHINE_MB), ..Default::default() };
+    let fleet = start_fleet_with("single", &options, USERS_MAX_BODY_BYTES);
+
+    let response = fleet.call("large", &"x".repeat(USERS_MAX_BODY_BYTES));
+
+    assert_eq!(response.status, 200, "{}", response.text);
+    assert_eq!(fleet.small.plain.requests()[0].body.len(), USERS_MAX_BODY_BYTES);
+}
+
+// Guards against a refusal that promises that the request has not run, of one that has.
+#[test]
+fn refused_requests_of_a_crowd_have_not_run() {
+    let fleet = start_fleet("promise");
+    let body = "x".repeat(MAX_BODY_BYTES);
+    let address = fleet.gateway.caller_address;
+    let call = |number: usize| {
+        let id = format!("r{number}");
+        let headers = [("Request-Id", id.as_str()), ("Deadline-Ms", "5000")];
+        // A connection that is closed without a response promises nothing.
+        let response = caller::call(address, "POST", "/book/1", &headers, &body).ok()?;
+        (response.status == 503 || response.status == 408).then_some(id)
+    };
+
+    let refused: Vec<String> = std::thread::scope(|scope| {
+        let handles: Vec<_> =
+            (0..CLIENTS).map(|number| scope.spawn(move || call(number))).collect();
+        handles.into_iter().filter_map(|handle| handle.join().expect("no panic")).collect()
+    });
+
+    let ran = fleet.small.plain.requests();
+    let ran: Vec<&str> = ran.iter().filter_map(|request| request.header("request-id")).collect();
+    let both: Vec<&String> = refused.iter().filter(|id| ran.contains(&id.as_str())).collect();
+    assert!(both.is_empty(), "refused, but run: {both:?}");
+}
+
+// Guards against many heads that do not end.
+#[test]
+fn unfinished_heads_stay_within_memory() {
+    let mut fleet = start_fleet("heads");
+    let behaviour = crowd::Behaviour::unfinished_head(BOOKING, MAX_HEAD_BYTES - 1024);
+
+    let crowd = fleet.start_crowd(MANY_CLIENTS, &behaviour);
+
+    fleet.assert_sound(&crowd, MAX_MEMORY_KB);
+}
+
+// Guards against requests that are sent ahead on connections whose first request is still running.
+#[test]
+fn requests_that_are_sent_ahead_stay_within_memory() {
+    let mut fleet = start_fleet("ahead");
+    fleet.small.plain.set_delay(time::Duration::from_secs(4));
+    let behaviour = crowd::Behaviour::with_length(BOOKING, 10, 10).with_bytes_ahead(256 << 10);
+
+    let crowd = fleet.start_crowd(MANY_CLIENTS, &behaviour);
+
+    fleet.assert_sound(&crowd, MAX_MEMORY_KB);
+}
+
+// Guards against clients that do not read large responses.
+#[test]
+fn responses_that_are_not_taken_stay_within_memory() {
+    let mut fleet = start_fleet("not-taken");
+    fleet.small.plain.respond_with(|request, _| {
+        let id = request.header("request-id").unwrap_or_default();
+        let signature = format!("s.{id}");
+        let headers = [("Response-Signature", signature.as_str()), ("Request-Id", id)];
+        let size = if id == "ordinary" { 8 } else { 4 << 20 };
+        server::response(200, &headers, &vec![b'x'; size])
+    });
+    let behaviour = crowd::Behaviour::with_length(BOOKING, 10, 10);
+
+    let crowd = fleet.start_crowd(CLIENTS, &behaviour);
+
+    fleet.assert_sound(&crowd, MAX_MEMORY_KB);
+}
+
+// Guards against clients that do not read the events of long streams.
+#[test]
+fn events_that_are_not_taken_stay_within_memory() {
+    let mut fleet = start_fleet("events-not-taken");
+    fleet.small.model.respond_with(|request, _| {
+        let id = request.header("request-id").unwrap_or_default();
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: s.{id}\r\n\
+             Content-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+        );
+        let events =
+            (1..=4_000).map(|number| format!("id: {number}\ndata: {}\n\n", "x".repeat(1_000)));
+        let bytes = std::iter::once(head).chain(events).collect::<String>();
+        server::Response::Truncated(bytes.into_bytes())
+    });
+    let behaviour = crowd::Behaviour::with_length(QUESTION, 10, 10);
+
+    let crowd = fleet.start_crowd(CLIENTS, &behaviour);
+
+    fleet.assert_sound(&crowd, MAX_MEMORY_KB);
+}
+
+// Guards against histories of turns with large inputs, which are kept after the turns have ended.
+#[test]
+fn histories_of_large_turns_stay_within_memory() {
+    let mut fleet = start_fleet("histories");
+    let turn = "POST /chat/1 HTTP/1.1\r\nHost: desk.example\r\nDeadline-Ms: 100000\r\n\
+                Connection: close";
+    let behaviour = crowd::Behaviour::with_length(turn, MAX_BODY_BYTES, MAX_BODY_BYTES);
+
+    let crowds: Vec<crowd::Crowd> =
+        (0..CLIENTS / 4).map(|_| fleet.start_crowd(4, &behaviour)).collect();
+
+    fleet.assert_sound(&crowds[0], MAX_MEMORY_KB);
+}
+
+// Guards against connections that use up the descriptors: no caller could connect any more.
+#[test]
+fn silent_connections_leave_descriptors_for_others() {
+    let options =
+        gateways::Options { max_descriptors: Some(MAX_DESCRIPTORS), ..Default::default() };
+    let mut fleet = start_fleet_with("silent", &options, MAX_BODY_BYTES);
+
+    let crowd = crowd::Crowd::start_silent(fleet.gateway.caller_address, MANY_CLIENTS);
+
+    fleet.assert_sound(&crowd, SMALLEST_MACHINE_MB * 1_000_000 / 1024);
+    fleet.assert_descriptors();
+}
+
+// Guards against the same with requests that have begun.
+#[test]
+fn unfinished_requests_leave_descriptors_for_others() {
+    let options =
+        gateways::Options { max_descriptors: Some(MAX_DESCRIPTORS), ..Default::default() };
+    let mut fleet = start_fleet_with("begun", &options, MAX_BODY_BYTES);
+    let behaviour = crowd::Behaviour::with_length(BOOKING, 100, 99);
+
+    let crowd = fleet.start_crowd(MANY_CLIENTS, &behaviour);
+
+    fleet.assert_sound(&crowd, SMALLEST_MACHINE_MB * 1_000_000 / 1024);
+    fleet.assert_descriptors();
+}
+
+// Guards against the same at the other listeners of the process: links, readiness checks, metrics.
+#[test]
+fn other_listeners_leave_descriptors_for_callers() {
+    let options =
+        gateways::Options { max_descriptors: Some(MAX_DESCRIPTORS), ..Default::default() };
+    let mut fleet = start_fleet_with("listeners", &options, MAX_BODY_BYTES);
+    let gateway = &fleet.gateway;
+    let others = [gateway.link_address, gateway.readiness_address(), gateway.metrics_address];
+
+    let crowds = others.map(|address| crowd::Crowd::start_silent(address, MANY_CLIENTS / 3));
+
+    assert!(fleet.gateway.is_ready(), "the readiness check gets no answer");
+    fleet.assert_sound(&crowds[0], SMALLEST_MACHINE_MB * 1_000_000 / 1024);
+    fleet.assert_descriptors();
+}
+
+// Guards against unfinished bodies at the other listeners.
+#[test]
+fn unfinished_bodies_at_other_listeners_stay_within_memory() {
+    let mut fleet = start_fleet("listener-bodies");
+    let gateway = &fleet.gateway;
+    let others = [gateway.link_address, gateway.readiness_address(), gateway.metrics_address];
+    let record = "POST /v1/records HTTP/1.1\r\nHost: peer";
+    let behaviour = crowd::Behaviour::with_length(record, 2 << 20, (2 << 20) - MISSING_BYTES);
+
+    let crowds = others.map(|address| crowd::Crowd::start(address, CLIENTS / 3, &behaviour));
+
+    assert!(fleet.gateway.is_ready(), "the readiness check gets no answer");
+    fleet.assert_sound(&crowds[0], MAX_MEMORY_KB);
+}
