Gateway: connections that do nothing use up the descriptors

Callers saw connections that were accepted and never answered, or not accepted at all: every listener took any number of connections, and each was kept until a time-out. A crowd that says nothing, or stops within a request, leaves the process no descriptors for anyone else.

Each connection now has a row in a table (runtime/src/connections), and each listener a limit that follows from the machine's descriptors and memory. At the limit the connection that has been silent or incomplete for longest closes for the new one; running requests are never cut off. Idle connections have no buffer any more.

At 88 MB and 4,100 descriptors a gateway keeps over 1,000 callers' connections.

--- a/crates/flamingotrail-runtime/src/configs/daemon.rs
+++ b/crates/flamingotrail-runtime/src/configs/daemon.rs
@@ -10,6 +10,8 @@
 use flamingotrail_core::ids;
 use flamingotrail_core::settings;
 
+use crate::configs::limits;
+
 /// Runs a flamingotrail instance: an entry instance, which serves callers, an endpoint instance or
 /// a gateway.
 #[derive(Clone, Debug, clap::Parser)]
@@ -118,6 +120,9 @@
     /// Port that serves metrics on the instance's IP address; role `gateway` only.
     #[arg(long, env = "FLAMINGOTRAIL_METRICS_PORT", default_value = "9464")]
     pub metrics_port: String,
+    /// Limits of what the process holds for its clients.
+    #[command(flatten)]
+    pub limits: limits::LimitArgs,
     /// Seed of the random number generator; taken from the clock if omitted.
     #[arg(long, env = "FLAMINGOTRAIL_SEED", default_value = "")]
     pub seed: String,
@@ -142,6 +147,8 @@
     pub log_level: log::LevelFilter,
     /// Port that serves metrics on the instance's IP address.
     pub metrics_port: u16,
+    /// Limits of what the process holds for its clients.
+    pub limits: limits::LimitSettings,
 }
 
 impl TryFrom<&DaemonArgs> for GatewayConfig {
@@ -157,7 +164,9 @@
         let metrics_port = args.metrics_port.parse().map_err(|_| {
             format!("--metrics-port {:?} is not valid; must be a port number", args.metrics_port)
         })?;
-        Ok(GatewayConfig { log_level, metrics_port })
+        let limits = limits::LimitSettings::try_from(&args.limits);
+        let limits = limits.map_err(|errors| errors.join("\n"))?;
+        Ok(GatewayConfig { log_level, metrics_port, limits })
     }
 }
 
@@ -186,6 +195,8 @@
     pub tls: TlsFiles,
     /// Maximum size of a request body in bytes.
     pub max_body_bytes: usize,
+    /// Limits of what the process holds for its clients.
+    pub limits: limits::LimitSettings,
     /// Capacity of the control thread's inbox.
     pub inbox_capacity: usize,
     /// Number of threads that serve callers.
@@ -302,6 +313,13 @@
         count.max(1)
     }
 
+    fn limits(&mut self, args: &limits::LimitArgs) -> limits::LimitSettings {
+        limits::LimitSettings::try_from(args).unwrap_or_else(|errors| {
+            self.errors.extend(errors);
+            limits::LimitSettings::default()
+        })
+    }
+
     fn file(&mut self, flag: &str, value: &str) -> path::PathBuf {
         let path = path::PathBuf::from(value);
         if !path.is_file() {
@@ -345,6 +363,7 @@
                 authority: parser.file("tls-authority", &args.tls_authority),
             },
             max_body_bytes: parser.count("max-body-bytes", &args.max_body_bytes),
+            limits: parser.limits(&args.limits),
             inbox_capacity: parser.count("inbox", &args.inbox),
             threads: parser.count("threads", &args.threads),
             seed: seed(parser, args),
@@ -353,6 +372,7 @@
                 parser.parse_or("log-level", &args.log_level, log::LevelFilter::Info, requirement)
             },
         };
+        value_parser.errors.extend(config.limits.check_body(config.max_body_bytes));
         if value_parser.errors.is_empty() {
             Ok(config)
         } else {
--- /dev/null
+++ b/crates/flamingotrail-runtime/src/configs/limits.rs
@@ -0,0 +1,141 @@
+//! Settings of what a process may hold for its clients. Those that are not set follow from the
+//! machine.
+
+use crate::connections::limits;
+
+/// Part of the process's memory for the histories of turns.
+const HISTORY_DIVISOR: usize = 6;
+/// Bytes in a megabyte.
+const BYTES_PER_MB: usize = 1_000_000;
+/// Descriptors of a process whose machine names no limit.
+const DEFAULT_DESCRIPTORS: usize = 4_096;
+/// Memory of a process whose machine can't be asked, in bytes.
+const DEFAULT_MEMORY_BYTES: usize = 88 * BYTES_PER_MB;
+
+/// Flags of the limits.
+#[derive(Clone, Debug, Default, clap::Args)]
+pub struct LimitArgs {
+    /// Memory that the process may use, in megabytes. By default that of the platform's settings file
+    /// (role `gateway`) or of the machine.
+    #[arg(long, env = "FLAMINGOTRAIL_MEMORY_MB", default_value = "")]
+    pub memory_mb: String,
+    /// Descriptors that the process may have open. By default those of the platform's settings file
+    /// (role `gateway`) or of the process's limit.
+    #[arg(long, env = "FLAMINGOTRAIL_MAX_DESCRIPTORS", default_value = "")]
+    pub max_descriptors: String,
+    /// Maximum number of callers' connections. By default half of the descriptors that are left for
+    /// sockets, and at most one for each 60 KiB of memory.
+    #[arg(long, env = "FLAMINGOTRAIL_MAX_CONNECTIONS", default_value = "")]
+    pub max_connections: String,
+    /// Maximum size of all requests together that are received or run, in bytes. By default a sixth of
+    /// the memory.
+    #[arg(long, env = "FLAMINGOTRAIL_MAX_REQUEST_MEMORY", default_value = "")]
+    pub max_request_memory: String,
+    /// Maximum size of all responses together that their clients have not taken, in bytes. By default
+    /// an eighth of the memory.
+    #[arg(long, env = "FLAMINGOTRAIL_MAX_RESPONSE_MEMORY", default_value = "")]
+    pub max_response_memory: String,
+    /// Maximum size of the histories of turns in memory, in bytes; role `gateway` only. By default a
+    /// sixth of the memory.
+    #[arg(long, env = "FLAMINGOTRAIL_MAX_HISTORY_MEMORY", default_value = "")]
+    pub max_history_memory: String,
+}
+
+/// Validated limits; `None` for those that follow from the machine.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LimitSettings {
+    memory_bytes: Option<usize>,
+    descriptors: Option<usize>,
+    overrides: limits::Overrides,
+    max_history_bytes: Option<usize>,
+}
+
+impl TryFrom<&LimitArgs> for LimitSettings {
+    type Error = Vec<String>;
+
+    fn try_from(args: &LimitArgs) -> Result<Self, Vec<String>> {
+        let mut errors = Vec::new();
+        let mut count = |flag: &str, value: &str| -> Option<usize> {
+            match value {
+                "" => None,
+                value => match value.parse::<usize>() {
+                    Ok(1..) => value.parse().ok(),
+                    Ok(0) | Err(_) => {
+                        let requirement = "must be a whole number above 0; omit it for the default";
+                        errors.push(format!("--{flag}: `{value}` is not valid; {requirement}"));
+                        None
+                    }
+                },
+            }
+        };
+        let memory_mb = count("memory-mb", &args.memory_mb);
+        let settings = LimitSettings {
+            memory_bytes: memory_mb.map(|memory: usize| memory.saturating_mul(BYTES_PER_MB)),
+            descriptors: count("max-descriptors", &args.max_descriptors),
+            overrides: limits::Overrides {
+                max_connections: count("max-connections", &args.max_connections),
+                max_request_bytes: count("max-request-memory", &args.max_request_memory),
+                max_response_bytes: count("max-response-memory", &args.max_response_memory),
+            },
+            max_history_bytes: count("max-history-memory", &args.max_history_memory),
+        };
+        if errors.is_empty() {
+            Ok(settings)
+        } else {
+            Err(errors)
+        }
+    }
+}
+
+impl LimitSettings {
+    /// Returns the settings with what the platform says of the machine, where they set nothing.
+    pub fn with_platform(mut self, memory_bytes: usize, descriptors: Option<usize>) -> Self {
+        self.memory_bytes = self.memory_bytes.or(Some(memory_bytes));
+        self.descriptors = self.descriptors.or(descriptors);
+        self
+    }
+
+    /// Memory that the process may use, in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        self.memory_bytes.unwrap_or_else(machine_memory)
+    }
+
+    /// Maximum size of the histories of turns in memory, in bytes.
+    pub fn max_history_bytes(&self) -> usize {
+        self.max_history_bytes.unwrap_or(self.memory_bytes() / HISTORY_DIVISOR)
+    }
+
+    /// Limits of what the process holds for its clients.
+    pub fn connection_limits(&self) -> limits::Limits {
+        let machine = limits::Machine {
+            memory_bytes: self.memory_bytes(),
+            descriptors: self.descriptors.unwrap_or_else(process_descriptors),
+        };
+        limits::Limits::new(&machine, &self.overrides)
+    }
+
+    /// Returns an error if the memory for requests was set and has no room for one with a body of
+    /// `max_body_bytes`.
+    pub fn check_body(&self, max_body_bytes: usize) -> Option<String> {
+        let needed = limits::Limits::request_bytes_for(max_body_bytes);
+        let set = self.overrides.max_request_bytes.filter(|set| *set < needed)?;
+        Some(format!(
+            "--max-request-memory: `{set}` has no room for a body of --max-body-bytes \
+             {max_body_bytes}; set it to {needed} or more, or lower --max-body-bytes"
+        ))
+    }
+}
+
+fn machine_memory() -> usize {
+    let info = rustix::system::sysinfo();
+    let bytes = u64::from(info.mem_unit).saturating_mul(info.totalram as u64);
+    match usize::try_from(bytes) {
+        Ok(bytes @ 1..) => bytes,
+        Ok(0) | Err(_) => DEFAULT_MEMORY_BYTES,
+    }
+}
+
+fn process_descriptors() -> usize {
+    let limit = rustix::process::getrlimit(rustix::process::Resource::Nofile).current;
+    limit.and_then(|limit| usize::try_from(limit).ok()).unwrap_or(DEFAULT_DESCRIPTORS)
+}
--- a/crates/flamingotrail-runtime/src/configs/mod.rs
+++ b/crates/flamingotrail-runtime/src/configs/mod.rs
@@ -1,3 +1,4 @@
 //! Settings of the daemon.
 
 pub mod daemon;
+pub mod limits;
--- /dev/null
+++ b/crates/flamingotrail-runtime/src/connections/limits.rs
@@ -0,0 +1,115 @@
+//! Limits of what a process holds for its clients, and their defaults.
+
+/// Memory that a connection takes beside what its row counts, in bytes: its task, its socket, and an
+/// ordinary request.
+pub const CONNECTION_BYTES: usize = 10 << 10;
+/// Bytes of a request that count as part of its connection.
+pub const FREE_REQUEST_BYTES: usize = 8 << 10;
+/// Requests over this size share a part of the memory, so that they leave room for the others.
+pub const SMALL_REQUEST_BYTES: usize = 64 << 10;
+/// Part of the memory for requests that large running ones may take, in percent.
+const LARGE_REQUESTS_PERCENT: usize = 75;
+/// Parts of the process's memory for each kind of bytes.
+const CONNECTIONS_DIVISOR: usize = 6;
+const REQUESTS_DIVISOR: usize = 6;
+const RESPONSES_DIVISOR: usize = 8;
+/// Descriptors that are left for files.
+const FILE_DESCRIPTORS: usize = 200;
+/// Parts of the descriptors for each kind of connections; the rest is for those that the process
+/// opens itself.
+const CALLERS_DIVISOR: usize = 2;
+const OTHERS_DIVISOR: usize = 8;
+/// Most connections to listeners for monitoring that any process needs.
+const MAX_MONITORING_CONNECTIONS: usize = 64;
+
+/// Kind of a listener. Each has a limit of its own, so that a crowd at one leaves the others room.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Listener {
+    /// Callers.
+    Callers,
+    /// Other processes of the system.
+    Peers,
+    /// Readiness checks.
+    Readiness,
+    /// Metrics and operators.
+    Operators,
+}
+
+/// What the machine offers the process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Machine {
+    /// Memory in bytes.
+    pub memory_bytes: usize,
+    /// Number of descriptors.
+    pub descriptors: usize,
+}
+
+/// Limits that an operator has set; `None` for those that follow from the machine.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Overrides {
+    /// Maximum number of callers' connections.
+    pub max_connections: Option<usize>,
+    /// Maximum number of bytes of all requests together.
+    pub max_request_bytes: Option<usize>,
+    /// Maximum number of bytes of all responses together that their clients have not taken.
+    pub max_response_bytes: Option<usize>,
+}
+
+/// Limits of what a process holds for its clients.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Maximum number of connections of callers.
+    pub callers: usize,
+    /// Maximum number of connections of other processes of the system.
+    pub peers: usize,
+    /// Maximum number of connections to each listener for monitoring.
+    pub monitoring: usize,
+    /// Maximum number of bytes of all requests together.
+    pub request_bytes: usize,
+    /// Maximum number of bytes of all responses together that their clients have not taken.
+    pub response_bytes: usize,
+}
+
+impl Limits {
+    /// Returns the limits for a process on `machine`, with those that an operator has set.
+    pub fn new(machine: &Machine, overrides: &Overrides) -> Self {
+        let sockets = machine
+            .descriptors
+            .saturating_sub(FILE_DESCRIPTORS)
+            .max(machine.descriptors / CALLERS_DIVISOR)
+            .min(machine.descriptors);
+        let by_memory = machine.memory_bytes / CONNECTIONS_DIVISOR / CONNECTION_BYTES;
+        let callers = (sockets / CALLERS_DIVISOR).min(by_memory);
+        let others = (sockets / OTHERS_DIVISOR).min(by_memory).max(1);
+        Limits {
+            callers: overrides.max_connections.unwrap_or(callers).max(1),
+            peers: others,
+            monitoring: others.min(MAX_MONITORING_CONNECTIONS),
+            request_bytes: overrides
+                .max_request_bytes
+                .unwrap_or(machine.memory_bytes / REQUESTS_DIVISOR),
+            response_bytes: overrides
+                .max_response_bytes
+                .unwrap_or(machine.memory_bytes / RESPONSES_DIVISOR),
+        }
+    }
+
+    /// Maximum number of connections to `listener`.
+    pub fn connections(&self, listener: Listener) -> usize {
+        match listener {
+            Listener::Callers => self.callers,
+            Listener::Peers => self.peers,
+            Listener::Readiness | Listener::Operators => self.monitoring,
+        }
+    }
+
+    /// Maximum number of bytes of running requests over [`SMALL_REQUEST_BYTES`].
+    pub fn large_request_bytes(&self) -> usize {
+        self.request_bytes.saturating_mul(LARGE_REQUESTS_PERCENT) / 100
+    }
+
+    /// Returns the memory for requests that a single one of `bytes` needs.
+    pub fn request_bytes_for(bytes: usize) -> usize {
+        bytes.saturating_mul(100) / LARGE_REQUESTS_PERCENT + SMALL_REQUEST_BYTES
+    }
+}
--- /dev/null
+++ b/crates/flamingotrail-runtime/src/connections/listener.rs
@@ -0,0 +1,65 @@
+//! Accepts connections for a listener, one at a time.
+
+use std::cell;
+use std::io;
+use std::net;
+use std::time;
+
+use crate::connections;
+use crate::connections::limits;
+use crate::http1;
+
+/// Delay after a failed accept: the process may have run out of file descriptors.
+const RETRY_DELAY: time::Duration = time::Duration::from_millis(20);
+/// Minimum time between two log lines on failed accepts.
+const LINE_INTERVAL: time::Duration = time::Duration::from_secs(1);
+
+/// A bound address whose connections have rows in the table.
+pub struct Listener {
+    tcp: tokio::net::TcpListener,
+    connections: connections::Connections,
+    kind: limits::Listener,
+    last_line: cell::Cell<Option<time::Instant>>,
+}
+
+impl Listener {
+    /// Binds `address`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if `address` can't be bound.
+    pub async fn bind(
+        address: net::SocketAddr,
+        connections: connections::Connections,
+        kind: limits::Listener,
+    ) -> io::Result<Self> {
+        let tcp = tokio::net::TcpListener::bind(address).await?;
+        Ok(Listener { tcp, connections, kind, last_line: cell::Cell::new(None) })
+    }
+
+    /// Returns the next connection. Those for which there is no place are closed.
+    pub async fn accept(&self) -> http1::Connection {
+        loop {
+            match self.tcp.accept().await {
+                Ok((stream, _)) => {
+                    if let Some(lease) = self.connections.open(self.kind).await {
+                        return http1::Connection::new(stream, lease);
+                    }
+                }
+                Err(error) => {
+                    self.log_failure(&error);
+                    actix_rt::time::sleep(RETRY_DELAY).await;
+                }
+            }
+        }
+    }
+
+    fn log_failure(&self, error: &io::Error) {
+        let now = time::Instant::now();
+        let is_due = |last: time::Instant| now.duration_since(last) >= LINE_INTERVAL;
+        if self.last_line.get().is_none_or(is_due) {
+            self.last_line.set(Some(now));
+            log::warn!("event=accept_failed error={:?}", error.to_string());
+        }
+    }
+}
--- /dev/null
+++ b/crates/flamingotrail-runtime/src/connections/table.rs
@@ -0,0 +1,266 @@
+//! Table of connections.
+
+use std::collections;
+use std::time;
+
+use tokio_util::sync as token;
+
+use crate::connections::limits;
+
+/// Id of a connection within its process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ConnectionId(u64);
+
+/// What a connection is doing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// It waits for a request.
+    Idle,
+    /// A request is being received.
+    Receiving,
+    /// A request is complete. It may have run, so it can't be refused any more.
+    Running,
+    /// It ends.
+    Closing,
+}
+
+/// A connection.
+#[derive(Debug)]
+pub struct Row {
+    /// Listener that has accepted it.
+    pub listener: limits::Listener,
+    /// What it is doing.
+    pub phase: Phase,
+    /// When the phase began.
+    pub since: time::Instant,
+    /// Bytes of its request.
+    pub request_bytes: usize,
+    /// Bytes of its response that the client has not taken.
+    pub response_bytes: usize,
+    /// Bytes that the connection held when it was told to close, until it drops them.
+    dropping_bytes: usize,
+    /// When the client last took bytes of its response, initially when the request was complete.
+    pub taken_at: time::Instant,
+    /// Cancelled when the connection has to be closed to make room.
+    token: token::CancellationToken,
+}
+
+impl Row {
+    /// Whether the connection was told to close.
+    pub fn is_told_to_close(&self) -> bool {
+        self.token.is_cancelled()
+    }
+
+    /// Bytes of the request that count for the limit.
+    pub fn counted_request_bytes(&self) -> usize {
+        self.request_bytes.saturating_sub(limits::FREE_REQUEST_BYTES)
+    }
+}
+
+/// What the connections of a process hold.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Usage {
+    /// Number of connections.
+    pub connections: usize,
+    /// Bytes of requests.
+    pub request_bytes: usize,
+    /// Bytes of responses that clients have not taken.
+    pub response_bytes: usize,
+}
+
+/// Connections by id, and totals of what they hold.
+#[derive(Debug)]
+pub struct Table {
+    /// Limits of the process.
+    pub limits: limits::Limits,
+    /// Rows by id.
+    pub rows: collections::BTreeMap<ConnectionId, Row>,
+    counts: collections::BTreeMap<limits::Listener, usize>,
+    /// Bytes of requests, without those of connections that were told to close.
+    request_bytes: usize,
+    /// Bytes of running requests that are large.
+    large_running_bytes: usize,
+    response_bytes: usize,
+    /// Bytes of connections that were told to close and have not dropped them yet.
+    dropping_bytes: usize,
+    next_id: u64,
+}
+
+impl Table {
+    /// Creates an empty table.
+    pub fn new(limits: limits::Limits) -> Self {
+        Table {
+            limits,
+            rows: collections::BTreeMap::new(),
+            counts: collections::BTreeMap::new(),
+            request_bytes: 0,
+            large_running_bytes: 0,
+            response_bytes: 0,
+            dropping_bytes: 0,
+            next_id: 0,
+        }
+    }
+
+    /// Adds a connection; `None` if the listener has as many as it may.
+    pub fn insert(
+        &mut self,
+        listener: limits::Listener,
+        now: time::Instant,
+    ) -> Option<ConnectionId> {
+        let count = self.counts.entry(listener).or_default();
+        if *count >= self.limits.connections(listener) {
+            return None;
+        }
+        *count += 1;
+        let id = ConnectionId(self.next_id);
+        self.next_id += 1;
+        let row = Row {
+            listener,
+            phase: Phase::Idle,
+            since: now,
+            request_bytes: 0,
+            response_bytes: 0,
+            dropping_bytes: 0,
+            taken_at: now,
+            token: token::CancellationToken::new(),
+        };
+        self.rows.insert(id, row);
+        Some(id)
+    }
+
+    /// Returns the token that is cancelled when the connection has to be closed.
+    pub fn token(&self, id: ConnectionId) -> token::CancellationToken {
+        self.rows.get(&id).map(|row| row.token.clone()).unwrap_or_default()
+    }
+
+    /// Removes a connection that has ended.
+    pub fn remove(&mut self, id: ConnectionId) {
+        self.set_request_bytes(id, 0);
+        let Some(row) = self.rows.remove(&id) else { return };
+        self.response_bytes -= row.response_bytes;
+        self.dropping_bytes -= row.dropping_bytes;
+        if let Some(count) = self.counts.get_mut(&row.listener) {
+            *count -= 1;
+        }
+    }
+
+    /// Tells a connection to close, which drops what it holds.
+    pub fn tell_to_close(&mut self, id: ConnectionId) {
+        let Some(row) = self.rows.get_mut(&id).filter(|row| !row.is_told_to_close()) else {
+            return;
+        };
+        row.dropping_bytes = row.request_bytes + row.response_bytes;
+        self.dropping_bytes += row.dropping_bytes;
+        self.response_bytes -= std::mem::take(&mut row.response_bytes);
+        self.set_request_bytes(id, 0);
+        if let Some(row) = self.rows.get_mut(&id) {
+            row.token.cancel();
+        }
+    }
+
+    /// Whether connections that were told to close still hold something.
+    pub fn is_dropping(&self) -> bool {
+        self.dropping_bytes > 0
+    }
+
+    /// Bytes of requests, with those that are being dropped.
+    pub fn request_bytes_at_most(&self) -> usize {
+        self.request_bytes + self.dropping_bytes
+    }
+
+    /// The connection waits for its next request.
+    pub fn set_idle(&mut self, id: ConnectionId, now: time::Instant) {
+        self.set_request_bytes(id, 0);
+        let Some(row) = self.rows.get_mut(&id) else { return };
+        self.response_bytes -= std::mem::take(&mut row.response_bytes);
+        (row.phase, row.since) = (Phase::Idle, now);
+    }
+
+    /// The first byte of a request has arrived.
+    pub fn begin_request(&mut self, id: ConnectionId, now: time::Instant) {
+        if let Some(row) = self.rows.get_mut(&id) {
+            (row.phase, row.since) = (Phase::Receiving, now);
+        }
+    }
+
+    /// The request is complete. Returns false if the connection was told to close before.
+    pub fn complete_request(&mut self, id: ConnectionId, now: time::Instant) -> bool {
+        let Some(row) = self.rows.get_mut(&id).filter(|row| !row.is_told_to_close()) else {
+            return false;
+        };
+        (row.phase, row.since, row.taken_at) = (Phase::Running, now, now);
+        let bytes = row.request_bytes;
+        if bytes > limits::SMALL_REQUEST_BYTES {
+            self.large_running_bytes += bytes;
+        }
+        true
+    }
+
+    /// The connection ends, and has dropped what it held.
+    pub fn begin_close(&mut self, id: ConnectionId, now: time::Instant) {
+        self.set_idle(id, now);
+        if let Some(row) = self.rows.get_mut(&id) {
+            row.phase = Phase::Closing;
+            self.dropping_bytes -= std::mem::take(&mut row.dropping_bytes);
+        }
+    }
+
+    /// Sets how many bytes of its request a connection holds.
+    pub fn set_request_bytes(&mut self, id: ConnectionId, bytes: usize) {
+        let Some(row) = self.rows.get_mut(&id).filter(|row| !row.is_told_to_close()) else {
+            return;
+        };
+        if row.phase == Phase::Running && row.request_bytes > limits::SMALL_REQUEST_BYTES {
+            self.large_running_bytes -= row.request_bytes;
+        }
+        self.request_bytes -= row.counted_request_bytes();
+        row.request_bytes = bytes;
+        self.request_bytes += row.counted_request_bytes();
+    }
+
+    /// Adds bytes of a response.
+    pub fn add_response_bytes(&mut self, id: ConnectionId, bytes: usize) {
+        if let Some(row) = self.rows.get_mut(&id).filter(|row| !row.is_told_to_close()) {
+            row.response_bytes += bytes;
+            self.response_bytes += bytes;
+        }
+    }
+
+    /// Releases bytes of a response that the client has taken.
+    pub fn release_response(&mut self, id: ConnectionId, bytes: usize, now: time::Instant) {
+        if let Some(row) = self.rows.get_mut(&id) {
+            let released = bytes.min(row.response_bytes);
+            row.response_bytes -= released;
+            row.taken_at = now;
+            self.response_bytes -= released;
+        }
+    }
+
+    /// Whether a listener has connections that end.
+    pub fn has_closing(&self, listener: limits::Listener) -> bool {
+        let mut rows = self.rows.values().filter(|row| row.listener == listener);
+        rows.any(|row| row.is_told_to_close() || row.phase == Phase::Closing)
+    }
+
+    /// Whether running requests leave room for one of `bytes`. Small ones always have it, since the
+    /// large ones may take only a part of the memory.
+    pub fn leaves_room_beside_running(&self, bytes: usize) -> bool {
+        bytes <= limits::SMALL_REQUEST_BYTES
+            || self.large_running_bytes + bytes <= self.limits.large_request_bytes()
+    }
+
+    /// What the connections hold.
+    pub fn usage(&self) -> Usage {
+        Usage {
+            connections: self.rows.len(),
+            request_bytes: self.request_bytes,
+            response_bytes: self.response_bytes,
+        }
+    }
+
+    /// Raises the memory for requests so that a single one of `bytes` fits.
+    pub fn admit_requests_of(&mut self, bytes: usize) {
+        let needed = limits::Limits::request_bytes_for(bytes);
+        self.limits.request_bytes = self.limits.request_bytes.max(needed);
+    }
+}
--- a/crates/flamingotrail-runtime/src/gateway/callers.rs
+++ b/crates/flamingotrail-runtime/src/gateway/callers.rs
@@ -24,15 +24,17 @@
 use tokio::sync::watch;
 
 use crate::clock;
+use crate::connections;
+use crate::connections::limits as connection_limits;
+use crate::connections::listener;
+use crate::connections::report;
 use crate::gateway::control;
-use crate::gateway::http1;
 use crate::gateway::metrics;
 use crate::gateway::pending_calls;
+use crate::http1;
 
-/// Delay after a failed accept: the process may have run out of file descriptors.
-const ACCEPT_RETRY_DELAY: time::Duration = time::Duration::from_millis(20);
-/// `Retry-After` of refusals while the control thread's inbox is full.
-const INBOX_FULL_RETRY_AFTER: time::Duration = time::Duration::from_millis(200);
+/// `Retry-After` of refusals while there is no room for a request.
+const NO_ROOM_RETRY_AFTER: time::Duration = time::Duration::from_millis(200);
 
 /// Progress of a graceful shutdown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -55,6 +57,7 @@
     limits: rc::Rc<cell::Cell<configuration::RequestLimits>>,
     stage: watch::Receiver<ShutdownStage>,
     metrics: rc::Rc<metrics::Metrics>,
+    connections: connections::Connections,
 }
 
 impl CallerServer {
@@ -66,8 +69,18 @@
         limits: rc::Rc<cell::Cell<configuration::RequestLimits>>,
         stage: watch::Receiver<ShutdownStage>,
         metrics: rc::Rc<metrics::Metrics>,
+        connections: connections::Connections,
     ) -> Self {
-        CallerServer { inputs, calls, clock, next_call: rc::Rc::default(), limits, stage, metrics }
+        CallerServer {
+            inputs,
+            calls,
+            clock,
+            next_call: rc::Rc::default(),
+            limits,
+            stage,
+            metrics,
+            connections,
+        }
     }
 
     /// Accepts connections at `address` until the last stage of a shutdown.
@@ -76,13 +89,16 @@
     ///
     /// Fails if `address` can't be bound.
     pub async fn listen(self, address: net::SocketAddr) -> io::Result<()> {
-        let listener = tokio::net::TcpListener::bind(address).await?;
+        let kind = connection_limits::Listener::Callers;
+        let listener = listener::Listener::bind(address, self.connections.clone(), kind).await?;
         let mut stage = self.stage.clone();
         actix_rt::spawn(async move {
             loop {
                 tokio::select! {
                     biased;
-                    accepted = listener.accept() => self.handle_accept(accepted).await,
+                    connection = listener.accept() => {
+                        actix_rt::spawn(self.clone().serve_connection(connection));
+                    }
                     _ = stage.wait_for(|stage| *stage == ShutdownStage::Closed) => return,
                 }
             }
@@ -90,18 +106,6 @@
         Ok(())
     }
 
-    async fn handle_accept(&self, accepted: io::Result<(tokio::net::TcpStream, net::SocketAddr)>) {
-        match accepted {
-            Ok((stream, _)) => {
-                actix_rt::spawn(self.clone().serve_connection(http1::Connection::new(stream)));
-            }
-            Err(error) => {
-                log::warn!("event=accept_failed error={:?}", error.to_string());
-                actix_rt::time::sleep(ACCEPT_RETRY_DELAY).await;
-            }
-        }
-    }
-
     async fn serve_connection(mut self, mut connection: http1::Connection) {
         loop {
             let limits = self.limits.get();
@@ -111,13 +115,17 @@
             let incoming = match connection.read_request(&limits).await {
                 Ok(incoming) => incoming,
                 Err(http1::ReadError::Status(status)) => {
-                    log::info!("event=request_rejected status={}", status.as_u16());
-                    let size = body::BodySize::Sized(0);
+                    self.connections.report().count(report::Cause::Invalid, 1);
                     let response = http1::empty_response(status, true);
-                    if connection.write_head(response, size, None).await.is_ok() {
-                        connection.close().await;
+                    return write_and_close(connection, response).await;
+                }
+                Err(http1::ReadError::NoRoom(_)) => {
+                    let status = StatusCode::SERVICE_UNAVAILABLE;
+                    let mut response = http1::empty_response(status, true);
+                    if let Err(error) = set_retry_after(&mut response, NO_ROOM_RETRY_AFTER) {
+                        log::error!("event=header_invalid error={:?}", error.to_string());
                     }
-                    return;
+                    return write_and_close(connection, response).await;
                 }
                 Err(error) => {
                     log::debug!("event=request_incomplete error={:?}", error.to_string());
@@ -148,7 +156,7 @@
             log::warn!("event=inbox_full call={call}");
             let refusal = output::Refusal {
                 reason: output::Reason::Unavailable,
-                retry_after: Some(INBOX_FULL_RETRY_AFTER),
+                retry_after: Some(NO_ROOM_RETRY_AFTER),
             };
             return self.write_refusal(connection, refusal).await.unwrap_or(false);
         }
@@ -225,11 +233,7 @@
     ) -> io::Result<bool> {
         let mut response = http1::empty_response(refusal_status(refusal.reason), self.is_closing());
         if let Some(delay) = refusal.retry_after {
-            let value = header::HeaderValue::from_str(&format!("{:.3}", delay.as_secs_f64()));
-            let value = value.map_err(io::Error::other)?;
-            response
-                .headers_mut()
-                .insert(header::HeaderName::from_static(protocol::RETRY_AFTER), value);
+            set_retry_after(&mut response, delay)?;
         }
         connection.write_head(response, body::BodySize::Sized(0), None).await?;
         Ok(self.keeps_alive(connection))
@@ -272,6 +276,20 @@
     }
 }
 
+fn set_retry_after(response: &mut Response<()>, delay: time::Duration) -> io::Result<()> {
+    let value = header::HeaderValue::from_str(&format!("{:.3}", delay.as_secs_f64()));
+    let value = value.map_err(io::Error::other)?;
+    response.headers_mut().insert(header::HeaderName::from_static(protocol::RETRY_AFTER), value);
+    Ok(())
+}
+
+/// Writes the last response of a connection, which has no body.
+async fn write_and_close(mut connection: http1::Connection, response: Response<()>) {
+    if connection.write_head(response, body::BodySize::Sized(0), None).await.is_ok() {
+        connection.close().await;
+    }
+}
+
 fn refusal_status(reason: output::Reason) -> StatusCode {
     match reason {
         output::Reason::NoRoute | output::Reason::NoSuchTurn => StatusCode::NOT_FOUND,
--- a/crates/flamingotrail-runtime/src/gateway/metrics.rs
+++ b/crates/flamingotrail-runtime/src/gateway/metrics.rs
@@ -8,6 +8,8 @@
 use actix_http::StatusCode;
 use bytes::Bytes;
 
+use crate::connections;
+use crate::connections::metrics as connection_metrics;
 use crate::gateway::monitoring;
 use crate::metrics as registry;
 
@@ -26,6 +28,7 @@
 #[derive(Clone)]
 pub struct Metrics {
     registry: prometheus::Registry,
+    connections: connection_metrics::ConnectionMetrics,
     /// Events by name.
     events: prometheus::IntCounterVec,
     /// Requests by response status; 0 if the connection ended before a response.
@@ -48,9 +51,10 @@
     /// # Errors
     ///
     /// Fails if a name is registered twice.
-    pub fn new() -> Result<Self, prometheus::Error> {
+    pub fn new(connections: connections::Connections) -> Result<Self, prometheus::Error> {
         let registry = prometheus::Registry::new();
         Ok(Metrics {
+            connections: connection_metrics::ConnectionMetrics::new(&registry, connections)?,
             events: registry::counter_vec(
                 &registry,
                 "gateway_events_total",
@@ -126,6 +130,7 @@
         if path != METRICS_PATH {
             return (StatusCode::NOT_FOUND, Bytes::new());
         }
+        self.connections.refresh();
         match prometheus::TextEncoder::new().encode_to_string(&self.registry.gather()) {
             Ok(text) => (StatusCode::OK, text.into()),
             Err(error) => {
--- a/crates/flamingotrail-runtime/src/gateway/mod.rs
+++ b/crates/flamingotrail-runtime/src/gateway/mod.rs
@@ -11,7 +11,6 @@
 pub mod control;
 pub mod executor;
 pub mod health_checks;
-pub mod http1;
 pub mod metrics;
 pub mod monitoring;
 pub mod peers;
--- a/crates/flamingotrail-runtime/src/gateway/monitoring.rs
+++ b/crates/flamingotrail-runtime/src/gateway/monitoring.rs
@@ -8,7 +8,13 @@
 use bytes::Bytes;
 use flamingotrail_adapter::configuration;
 
-use crate::gateway::http1;
+use crate::connections;
+use crate::connections::limits as connection_limits;
+use crate::connections::listener;
+use crate::http1;
+
+/// Largest body of a request, in bytes. Requests for monitoring have none.
+const MAX_BODY_BYTES: usize = 1024;
 
 /// Handles requests by path.
 pub trait Handler {
@@ -24,29 +30,23 @@
 pub async fn listen(
     address: net::SocketAddr,
     handler: impl Handler + Clone + 'static,
+    connections: connections::Connections,
+    kind: connection_limits::Listener,
 ) -> io::Result<()> {
-    let listener = tokio::net::TcpListener::bind(address).await?;
+    let listener = listener::Listener::bind(address, connections, kind).await?;
     actix_rt::spawn(async move {
         loop {
-            match listener.accept().await {
-                Ok((stream, _)) => {
-                    actix_rt::spawn(serve_connection(
-                        http1::Connection::new(stream),
-                        handler.clone(),
-                    ));
-                }
-                Err(error) => {
-                    log::warn!("event=accept_failed error={:?}", error.to_string());
-                    actix_rt::time::sleep(std::time::Duration::from_millis(100)).await;
-                }
-            }
+            actix_rt::spawn(serve_connection(listener.accept().await, handler.clone()));
         }
     });
     Ok(())
 }
 
 async fn serve_connection(mut connection: http1::Connection, handler: impl Handler) {
-    let limits = configuration::RequestLimits::default();
+    let limits = configuration::RequestLimits {
+        max_body_bytes: MAX_BODY_BYTES,
+        ..configuration::RequestLimits::default()
+    };
     while connection.wait_for_request(&limits).await.is_ok() {
         let Ok(incoming) = connection.read_request(&limits).await else { return };
         let (status, text) = handler.handle(incoming.request.path());
--- a/crates/flamingotrail-runtime/src/gateway/peers.rs
+++ b/crates/flamingotrail-runtime/src/gateway/peers.rs
@@ -24,9 +24,12 @@
 use flamingotrail_wire::paths;
 use tokio::sync::oneshot;
 
+use crate::connections;
+use crate::connections::limits as connection_limits;
+use crate::connections::listener;
 use crate::gateway::control;
-use crate::gateway::http1;
 use crate::gateway::pool;
+use crate::http1;
 
 pub mod allowances;
 pub mod announcements;
@@ -48,8 +51,6 @@
 const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Maximum size of a response, which may contain a long chain of turns.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
-/// Delay after a failed accept.
-const RETRY_DELAY: time::Duration = time::Duration::from_millis(500);
 
 /// Links to and from other gateways.
 #[derive(Clone)]
@@ -76,21 +77,16 @@
     /// # Errors
     ///
     /// Fails if `address` can't be bound.
-    pub async fn listen(self, address: net::SocketAddr) -> io::Result<()> {
-        let listener = tokio::net::TcpListener::bind(address).await?;
+    pub async fn listen(
+        self,
+        address: net::SocketAddr,
+        connections: connections::Connections,
+    ) -> io::Result<()> {
+        let kind = connection_limits::Listener::Peers;
+        let listener = listener::Listener::bind(address, connections, kind).await?;
         actix_rt::spawn(async move {
             loop {
-                match listener.accept().await {
-                    Ok((stream, _)) => {
-                        actix_rt::spawn(
-                            self.clone().serve_connection(http1::Connection::new(stream)),
-                        );
-                    }
-                    Err(error) => {
-                        log::warn!("event=accept_failed error={:?}", error.to_string());
-                        actix_rt::time::sleep(RETRY_DELAY).await;
-                    }
-                }
+                actix_rt::spawn(self.clone().serve_connection(listener.accept().await));
             }
         });
         Ok(())
--- a/crates/flamingotrail-runtime/src/gateway/process.rs
+++ b/crates/flamingotrail-runtime/src/gateway/process.rs
@@ -22,6 +22,8 @@
 
 use crate::clock;
 use crate::configs::daemon;
+use crate::connections;
+use crate::connections::limits as connection_limits;
 use crate::gateway::attempts;
 use crate::gateway::buffer_budget;
 use crate::gateway::callers;
@@ -69,7 +71,10 @@
     config: daemon::GatewayConfig,
 ) -> Result<(), StartError> {
     let clock = clock::Clock::new();
-    let metrics = rc::Rc::new(metrics::Metrics::new()?);
+    let limit_settings =
+        config.limits.with_platform(deployment.memory_bytes, deployment.max_descriptors);
+    let connections = connections::Connections::new(limit_settings.connection_limits());
+    let metrics = rc::Rc::new(metrics::Metrics::new(connections.clone())?);
     let settings = settings::Settings {
         partitions: deployment.store.partitions_per_topic * deployment::PROGRAM_TOPIC_COUNT,
         max_appends_per_s: deployment.store.writes_per_s,
@@ -89,7 +94,13 @@
     let (ready_tx, ready_rx) = tokio_watch::channel(false);
     let (stage_tx, stage_rx) = tokio_watch::channel(callers::ShutdownStage::Serving);
 
-    monitoring::listen(deployment.readiness_address, ReadinessHandler { ready: ready_rx }).await?;
+    monitoring::listen(
+        deployment.readiness_address,
+        ReadinessHandler { ready: ready_rx },
+        connections.clone(),
+        connection_limits::Listener::Readiness,
+    )
+    .await?;
     let caller_server = callers::CallerServer::new(
         inputs.clone(),
         calls.clone(),
@@ -97,20 +108,28 @@
         limits.clone(),
         stage_rx,
         metrics.clone(),
+        connections.clone(),
     );
     caller_server.listen(deployment.listen_address).await?;
     actix_rt::spawn(watch::configuration(
         store.clone(),
         inputs.clone(),
         limits,
+        connections.clone(),
         deployment.configuration_bound,
     ));
     actix_rt::spawn(watch::endpoints(store.clone(), inputs.clone(), deployment.leaving_bound));
     let metrics_address = net::SocketAddr::new(deployment.ip, config.metrics_port);
-    monitoring::listen(metrics_address, metrics.clone()).await?;
+    monitoring::listen(
+        metrics_address,
+        metrics.clone(),
+        connections.clone(),
+        connection_limits::Listener::Operators,
+    )
+    .await?;
     let link_address = net::SocketAddr::new(deployment.ip, deployment.peer_ports.0);
     let peers = peers::PeerLinks::new(inputs.clone(), pool.clone());
-    peers.clone().listen(link_address).await?;
+    peers.clone().listen(link_address, connections).await?;
     let own_entry = peers_table::Peer {
         address: link_address.to_string(),
         domain: deployment.identity.domain.clone(),
@@ -138,7 +157,7 @@
             pool,
             calls,
             inputs: inputs.clone(),
-            buffers: buffer_budget::BufferBudget::new(deployment.memory_bytes),
+            buffers: buffer_budget::BufferBudget::new(limit_settings.memory_bytes()),
         },
         peers,
         store: store.clone(),
--- a/crates/flamingotrail-runtime/src/gateway/watch.rs
+++ b/crates/flamingotrail-runtime/src/gateway/watch.rs
@@ -13,6 +13,7 @@
 use flamingotrail_gateway::ids;
 use flamingotrail_gateway::input;
 
+use crate::connections;
 use crate::gateway::control;
 
 /// The endpoint list is read this often within the time in which a leaving endpoint has to be noticed:
@@ -93,6 +94,7 @@
     store: rc::Rc<store::StoreClient>,
     inputs: control::InputSender,
     limits: rc::Rc<cell::Cell<configuration::RequestLimits>>,
+    connections: connections::Connections,
     configuration_bound: time::Duration,
 ) {
     let mut reader = TopicReader::new(store::CONFIGURATION_TOPIC);
@@ -102,7 +104,7 @@
             Ok(update) => {
                 let newest = update.records.into_iter().rfind(|(key, _)| key == configuration::KEY);
                 if let Some((_, value)) = newest {
-                    apply_configuration(&inputs, &limits, &value);
+                    apply_configuration(&inputs, &limits, &connections, &value);
                 }
             }
             Err(error) => {
@@ -116,11 +118,13 @@
 fn apply_configuration(
     inputs: &control::InputSender,
     limits: &rc::Rc<cell::Cell<configuration::RequestLimits>>,
+    connections: &connections::Connections,
     value: &Bytes,
 ) {
     match configuration::decode(value) {
         Ok((configuration, new_limits)) => {
             limits.set(new_limits);
+            connections.admit_requests_of(new_limits.max_body_bytes);
             inputs.send(input::Input::Configuration(Box::new(configuration)));
         }
         Err(error) => {
--- a/crates/flamingotrail-runtime/src/gateway/http1.rs
+++ b/crates/flamingotrail-runtime/src/http1.rs
@@ -25,10 +25,14 @@
 use tokio_util::codec::Decoder as _;
 use tokio_util::codec::Encoder as _;
 
+use crate::connections;
+
 /// Buffer space reserved for each read.
 const READ_SIZE: usize = 4 * 1024;
 /// Bytes of further requests that are buffered while a request is being served.
 const MAX_PIPELINED_BYTES: usize = 64 * 1024;
+/// Bytes that are drained at a time from a connection that closes.
+const DRAIN_SIZE: usize = 1024;
 /// Timeout for a caller to accept written bytes.
 const WRITE_TIMEOUT: time::Duration = time::Duration::from_secs(10);
 /// Time for a caller to read the last response before its connection is dropped.
@@ -57,6 +61,9 @@
     /// The request is rejected with this status.
     #[error("the request is rejected with status {0}; correct it and send it again")]
     Status(StatusCode),
+    /// There is no room for the request, which has not run.
+    #[error(transparent)]
+    NoRoom(#[from] connections::NoRoom),
 }
 
 /// An accepted connection.
@@ -66,11 +73,12 @@
     write_buffer: BytesMut,
     codec: h1::Codec,
     status: u16,
+    lease: connections::Lease,
 }
 
 impl Connection {
     /// Wraps a newly accepted connection.
-    pub fn new(stream: tokio::net::TcpStream) -> Self {
+    pub fn new(stream: tokio::net::TcpStream, lease: connections::Lease) -> Self {
         if let Err(error) = stream.set_nodelay(true) {
             log::debug!("event=socket_option_failed option=nodelay error={error:?}");
         }
@@ -80,9 +88,15 @@
             write_buffer: BytesMut::new(),
             codec: h1::Codec::default(),
             status: 0,
+            lease,
         }
     }
 
+    /// What the process holds for the connection.
+    pub fn lease(&self) -> &connections::Lease {
+        &self.lease
+    }
+
     /// Status of the response to the current request; 0 if none was written.
     pub fn status(&self) -> u16 {
         self.status
@@ -107,17 +121,44 @@
         &mut self,
         limits: &configuration::RequestLimits,
     ) -> Result<(), ReadError> {
+        self.lease.set_idle();
+        self.write_buffer = BytesMut::new();
         if !self.read_buffer.is_empty() {
+            self.lease.begin_request();
             return Ok(());
         }
-        self.read_buffer.reserve(READ_SIZE);
-        let read = self.stream.read_buf(&mut self.read_buffer);
-        match tokio::time::timeout(limits.idle_timeout, read).await {
-            Ok(Ok(1..)) => Ok(()),
+        // An idle connection has no buffer.
+        self.read_buffer = BytesMut::new();
+        let token = self.lease.token();
+        let first_bytes = tokio::time::timeout(limits.idle_timeout, self.read_first_bytes());
+        let read = tokio::select! {
+            biased;
+            read = first_bytes => read,
+            () = token.cancelled() => return Err(ReadError::ConnectionEnded),
+        };
+        match read {
+            Ok(Ok(1..)) => {
+                self.lease.begin_request();
+                Ok(())
+            }
             Ok(Ok(0) | Err(_)) | Err(_) => Err(ReadError::ConnectionEnded),
         }
     }
 
+    async fn read_first_bytes(&mut self) -> io::Result<usize> {
+        loop {
+            self.stream.readable().await?;
+            let mut buf = BytesMut::with_capacity(READ_SIZE);
+            match self.stream.try_read_buf(&mut buf) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                read => {
+                    self.read_buffer = buf;
+                    return read;
+                }
+            }
+        }
+    }
+
     /// Reads the next request, whose first byte has arrived.
     ///
     /// # Errors
@@ -127,22 +168,42 @@
         &mut self,
         limits: &configuration::RequestLimits,
     ) -> Result<ReceivedRequest, ReadError> {
-        let received_at = time::Instant::now();
         self.status = 0;
+        let token = self.lease.token();
+        let request = tokio::select! {
+            biased;
+            request = self.read_parts(limits) => request,
+            () = token.cancelled() => Err(connections::NoRoom.into()),
+        };
+        let request = request.and_then(|request| {
+            self.lease.complete_request()?;
+            Ok(request)
+        });
+        request
+    }
+
+    async fn read_parts(
+        &mut self,
+        limits: &configuration::RequestLimits,
+    ) -> Result<ReceivedRequest, ReadError> {
+        let received_at = time::Instant::now();
         let head = self.read_head(limits);
         let request = match tokio::time::timeout(limits.head_timeout, head).await {
             Ok(request) => request?,
             Err(_) => return Err(ReadError::Status(StatusCode::REQUEST_TIMEOUT)),
         };
-        if content_length(&request).is_some_and(|length| length > limits.max_body_bytes as u64) {
-            return Err(ReadError::Status(StatusCode::PAYLOAD_TOO_LARGE));
+        if let Some(length) = content_length(&request) {
+            if length > limits.max_body_bytes as u64 {
+                return Err(ReadError::Status(StatusCode::PAYLOAD_TOO_LARGE));
+            }
         }
         if request.head().expect() {
             self.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
         }
         // A body that drips is read for no longer than its caller waits for the response.
         let max_time = requests::timeout(request.head()).unwrap_or(limits.idle_timeout);
-        let body = match tokio::time::timeout(max_time, self.read_body(limits)).await {
+        let body = self.read_body(limits);
+        let body = match tokio::time::timeout(max_time, body).await {
             Ok(body) => body?,
             Err(_) => return Err(ReadError::Status(StatusCode::REQUEST_TIMEOUT)),
         };
@@ -207,16 +268,22 @@
         Ok(())
     }
 
-    /// Waits until the caller disconnects. Bytes of further requests are buffered.
+    /// Waits until the caller disconnects or the connection is closed to make room. Bytes of further
+    /// requests are buffered.
     pub async fn wait_for_disconnect(&mut self) {
         loop {
             if self.read_buffer.len() > MAX_PIPELINED_BYTES {
                 // Nothing more is read, so a disconnect goes unnoticed here and shows as a failed
                 // write.
-                std::future::pending::<()>().await;
+                return self.lease.closed_for_room().await;
             }
             self.read_buffer.reserve(READ_SIZE);
-            match self.stream.read_buf(&mut self.read_buffer).await {
+            let read = tokio::select! {
+                biased;
+                read = self.stream.read_buf(&mut self.read_buffer) => read,
+                () = self.lease.closed_for_room() => return,
+            };
+            match read {
                 Ok(1..) => {}
                 Ok(0) | Err(_) => return,
             }
@@ -253,12 +320,20 @@
     }
 
     async fn flush(&mut self) -> io::Result<()> {
-        let bytes = self.write_buffer.split();
+        if self.write_buffer.is_empty() {
+            return Ok(());
+        }
+        let bytes = std::mem::take(&mut self.write_buffer);
         self.write_all(&bytes).await
     }
 
     async fn write_all(&mut self, bytes: &[u8]) -> io::Result<()> {
-        match tokio::time::timeout(WRITE_TIMEOUT, self.stream.write_all(bytes)).await {
+        let written = tokio::select! {
+            biased;
+            written = tokio::time::timeout(WRITE_TIMEOUT, self.stream.write_all(bytes)) => written,
+            () = self.lease.closed_for_room() => return Err(io::ErrorKind::ConnectionAborted.into()),
+        };
+        match written {
             Ok(result) => result,
             Err(_) => Err(io::ErrorKind::TimedOut.into()),
         }
@@ -267,22 +342,23 @@
     /// Closes the connection gracefully. Input is drained first, since unread bytes would reset the
     /// connection before the caller has read the last response.
     pub async fn close(mut self) {
+        self.lease.begin_close();
         if self.stream.shutdown().await.is_err() {
             return;
         }
+        let token = self.lease.token();
         let drain = async {
-            loop {
-                self.read_buffer.clear();
-                self.read_buffer.reserve(READ_SIZE);
-                match self.stream.read_buf(&mut self.read_buffer).await {
-                    Ok(1..) => {}
-                    Ok(0) | Err(_) => return,
-                }
-            }
+            let mut buf = [0; DRAIN_SIZE];
+            while matches!(self.stream.read(&mut buf).await, Ok(1..)) {}
         };
-        // A caller that keeps sending loses its connection.
-        if tokio::time::timeout(CLOSE_TIMEOUT, drain).await.is_err() {
-            log::debug!("event=close_timed_out");
+        // A caller that keeps sending loses its connection. If its place is needed, only what has
+        // arrived is drained.
+        tokio::select! {
+            biased;
+            drained = tokio::time::timeout(CLOSE_TIMEOUT, drain) => if drained.is_err() {
+                log::debug!("event=close_timed_out");
+            },
+            () = token.cancelled() => {}
         }
     }
 }
--- a/crates/flamingotrail-runtime/src/metrics.rs
+++ b/crates/flamingotrail-runtime/src/metrics.rs
@@ -153,6 +153,15 @@
     register(registry, prometheus::IntGauge::with_opts(metric_opts(name, help))?)
 }
 
+pub(crate) fn gauge_vec(
+    registry: &prometheus::Registry,
+    name: &str,
+    help: &str,
+    labels: &[&str],
+) -> Result<prometheus::IntGaugeVec, prometheus::Error> {
+    register(registry, prometheus::IntGaugeVec::new(metric_opts(name, help), labels)?)
+}
+
 pub(crate) fn histogram(
     registry: &prometheus::Registry,
     name: &str,
--- a/crates/flamingotrail-runtime/tests/callers.rs
+++ b/crates/flamingotrail-runtime/tests/callers.rs
@@ -1,18 +1,26 @@
 //! Tests of callers' connections around a shutdown.
 
 use flamingotrail_adapter::configuration;
+use flamingotrail_runtime::connections;
+use flamingotrail_runtime::connections::limits;
 use flamingotrail_runtime::gateway::callers;
-use flamingotrail_runtime::gateway::http1;
+use flamingotrail_runtime::http1;
 use tokio::io::AsyncWriteExt as _;
 use tokio::sync::watch;
 
+fn test_connections() -> connections::Connections {
+    let machine = limits::Machine { memory_bytes: 88_000_000, descriptors: 1_024 };
+    connections::Connections::new(limits::Limits::new(&machine, &limits::Overrides::default()))
+}
+
 /// Returns the two ends of a connection: the caller's, and the gateway's.
 async fn connect() -> (tokio::net::TcpStream, http1::Connection) {
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("bound");
     let address = listener.local_addr().expect("an address");
     let caller = tokio::net::TcpStream::connect(address).await.expect("connected");
     let (accepted, _) = listener.accept().await.expect("accepted");
-    (caller, http1::Connection::new(accepted))
+    let lease = test_connections().open(limits::Listener::Callers).await.expect("there is a place");
+    (caller, http1::Connection::new(accepted, lease))
 }
 
 // Guards against a request that has just arrived and is cut off without an answer, because the gateway
