Gateway: requests that are received or run take no more than their memory

Callers saw a gateway end: it ran out of memory. Each connection buffered its request up to the limits of the configuration, whatever all the others held, until its end or a time-out; complete bodies were kept while their calls waited. A body doubled its buffer as it grew, and a head kept the whole buffer alive that it was read into.

What they take is counted, not what they announce. Where it runs short, the unfinished request that has held most for longest is refused with 503 and its connection closed, until what it held is dropped the new one waits. An ordinary request is small and complete within milliseconds, so it is never that one; no time-out has to pass first. Bodies grow in segments of one size, which leave no holes in the heap; a body takes 60 s at most, whatever its caller allows.

--- a/crates/flamingotrail-runtime/src/connections/mod.rs
+++ b/crates/flamingotrail-runtime/src/connections/mod.rs
@@ -11,6 +11,7 @@
 
 use tokio_util::sync as token;
 
+pub mod body;
 pub mod limits;
 pub mod listener;
 pub mod metrics;
--- a/crates/flamingotrail-runtime/src/http1.rs
+++ b/crates/flamingotrail-runtime/src/http1.rs
@@ -26,6 +26,7 @@
 use tokio_util::codec::Encoder as _;
 
 use crate::connections;
+use crate::connections::body as body_buffer;
 
 /// Buffer space reserved for each read.
 const READ_SIZE: usize = 4 * 1024;
@@ -33,6 +34,10 @@
 const MAX_PIPELINED_BYTES: usize = 64 * 1024;
 /// Bytes that are drained at a time from a connection that closes.
 const DRAIN_SIZE: usize = 1024;
+/// Longest time for receiving a body, whatever its caller allows: a body that drips holds its memory.
+const MAX_BODY_TIME: time::Duration = time::Duration::from_secs(60);
+/// Memory of a head beside its own size: the fields that are decoded from it take as much again.
+const HEAD_COPIES: usize = 2;
 /// Timeout for a caller to accept written bytes.
 const WRITE_TIMEOUT: time::Duration = time::Duration::from_secs(10);
 /// Time for a caller to read the last response before its connection is dropped.
@@ -179,6 +184,10 @@
             self.lease.complete_request()?;
             Ok(request)
         });
+        if request.is_err() {
+            // The connection closes, and what was read of the request is not needed any more.
+            self.read_buffer = BytesMut::new();
+        }
         request
     }
 
@@ -188,34 +197,38 @@
     ) -> Result<ReceivedRequest, ReadError> {
         let received_at = time::Instant::now();
         let head = self.read_head(limits);
-        let request = match tokio::time::timeout(limits.head_timeout, head).await {
+        let (request, head_bytes) = match tokio::time::timeout(limits.head_timeout, head).await {
             Ok(request) => request?,
             Err(_) => return Err(ReadError::Status(StatusCode::REQUEST_TIMEOUT)),
         };
         if let Some(length) = content_length(&request) {
-            if length > limits.max_body_bytes as u64 {
+            let length = usize::try_from(length).unwrap_or(usize::MAX);
+            if length > limits.max_body_bytes {
                 return Err(ReadError::Status(StatusCode::PAYLOAD_TOO_LARGE));
             }
+            self.lease.check_announced(length)?;
         }
         if request.head().expect() {
             self.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
         }
         // A body that drips is read for no longer than its caller waits for the response.
         let max_time = requests::timeout(request.head()).unwrap_or(limits.idle_timeout);
-        let body = self.read_body(limits);
-        let body = match tokio::time::timeout(max_time, body).await {
+        let body = self.read_body(limits, head_bytes);
+        let body = match tokio::time::timeout(max_time.min(MAX_BODY_TIME), body).await {
             Ok(body) => body?,
             Err(_) => return Err(ReadError::Status(StatusCode::REQUEST_TIMEOUT)),
         };
         Ok(ReceivedRequest { request, body, received_at })
     }
 
+    /// Reads a head. Returns it with the memory that it takes, in bytes.
     async fn read_head(
         &mut self,
         limits: &configuration::RequestLimits,
-    ) -> Result<Request, ReadError> {
+    ) -> Result<(Request, usize), ReadError> {
         loop {
             let buffered = self.read_buffer.len();
+            let capacity = self.read_buffer.capacity();
             let message =
                 self.codec.decode(&mut self.read_buffer).map_err(|error| to_read_error(&error))?;
             if let Some(h1::Message::Item(mut request)) = message {
@@ -223,32 +236,47 @@
                 if buffered - self.read_buffer.len() > limits.max_head_bytes {
                     return Err(ReadError::Status(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE));
                 }
-                return Ok(request);
+                self.detach_read_buffer();
+                let head_bytes = HEAD_COPIES * capacity;
+                self.lease.hold_request(head_bytes).await?;
+                return Ok((request, head_bytes));
             }
             if self.read_buffer.len() > limits.max_head_bytes {
                 return Err(ReadError::Status(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE));
             }
             self.fill_buffer().await?;
+            self.lease.hold_request(self.read_buffer.capacity()).await?;
         }
     }
 
+    /// Moves what was read beyond a head to a buffer of its own: the head would keep the shared one
+    /// alive, and a further read would make a copy of its size.
+    fn detach_read_buffer(&mut self) {
+        let rest = std::mem::take(&mut self.read_buffer);
+        self.read_buffer.extend_from_slice(&rest);
+    }
+
     async fn read_body(
         &mut self,
         limits: &configuration::RequestLimits,
+        head_bytes: usize,
     ) -> Result<Bytes, ReadError> {
-        let mut body = BytesMut::new();
         if self.codec.message_type() == h1::MessageType::None {
             return Ok(Bytes::new());
         }
+        let mut body = body_buffer::BodyBuffer::new(limits.max_body_bytes);
         loop {
             match self.codec.decode(&mut self.read_buffer).map_err(|error| to_read_error(&error))? {
                 Some(h1::Message::Chunk(Some(chunk))) => {
-                    if body.len() + chunk.len() > limits.max_body_bytes {
-                        return Err(ReadError::Status(StatusCode::PAYLOAD_TOO_LARGE));
+                    let capacity = body
+                        .capacity_with(chunk.len())
+                        .ok_or(ReadError::Status(StatusCode::PAYLOAD_TOO_LARGE))?;
+                    if capacity > body.capacity() {
+                        self.lease.hold_request(head_bytes + capacity).await?;
                     }
-                    body.extend_from_slice(&chunk);
+                    body.extend(&chunk);
                 }
-                Some(h1::Message::Chunk(None)) => return Ok(body.freeze()),
+                Some(h1::Message::Chunk(None)) => return Ok(body.into_bytes()),
                 Some(h1::Message::Item(_)) => {
                     return Err(ReadError::Status(StatusCode::BAD_REQUEST));
                 }
@@ -342,6 +370,7 @@
     /// Closes the connection gracefully. Input is drained first, since unread bytes would reset the
     /// connection before the caller has read the last response.
     pub async fn close(mut self) {
+        self.read_buffer = BytesMut::new();
         self.lease.begin_close();
         if self.stream.shutdown().await.is_err() {
             return;
--- a/crates/flamingotrail-runtime/tests/connections.rs
+++ b/crates/flamingotrail-runtime/tests/connections.rs
@@ -3,6 +3,7 @@
 
 use std::time;
 
+use flamingotrail_runtime::connections::body;
 use flamingotrail_runtime::connections::limits;
 use flamingotrail_runtime::connections::shedding;
 use flamingotrail_runtime::connections::table;
@@ -281,3 +282,22 @@
 
     assert_eq!(f.receive_new(12 * MB), shedding::Decision::Granted { closed: 0 });
 }
+
+// Guards against a buffer that takes far more than it holds, or loses bytes between its segments.
+#[test]
+fn body_takes_little_more_than_it_holds() {
+    const STEP: usize = 7_001;
+    let mut buf = body::BodyBuffer::new(MB);
+    let mut expected = Vec::new();
+
+    while let Some(capacity) = buf.capacity_with(STEP) {
+        let data = vec![(expected.len() % 251) as u8; STEP];
+        buf.extend(&data);
+        expected.extend_from_slice(&data);
+        assert!(buf.capacity() <= capacity, "{} over {capacity}", buf.capacity());
+        assert!(capacity <= expected.len() + (32 << 10), "{capacity} for {}", expected.len());
+    }
+
+    assert!(expected.len() + STEP > MB);
+    assert_eq!(buf.into_bytes(), expected);
+}
