Gateway: requests sent ahead are left with their senders

While a request was served, up to 64 KiB of what its caller sent after it were buffered, in buffers of up to 128 KiB: a crowd on running requests took the memory of everyone, counted nowhere. Nobody needs these bytes before the response has been written; they are read only so that a disconnect is noticed.

One buffer of 4 KiB is read ahead, the rest stays in the socket, which stops its sender. A caller that sends more than that ahead and then disconnects is noticed when its response is written.

--- a/crates/flamingotrail-runtime/src/http1.rs
+++ b/crates/flamingotrail-runtime/src/http1.rs
@@ -30,8 +30,6 @@
 
 /// Buffer space reserved for each read.
 const READ_SIZE: usize = 4 * 1024;
-/// Bytes of further requests that are buffered while a request is being served.
-const MAX_PIPELINED_BYTES: usize = 64 * 1024;
 /// Bytes that are drained at a time from a connection that closes.
 const DRAIN_SIZE: usize = 1024;
 /// Longest time for receiving a body, whatever its caller allows: a body that drips holds its memory.
@@ -296,16 +294,16 @@
         Ok(())
     }
 
-    /// Waits until the caller disconnects or the connection is closed to make room. Bytes of further
-    /// requests are buffered.
+    /// Waits until the caller disconnects or the connection is closed to make room. Bytes of a further
+    /// request are read up to the size of a buffer; the rest stays with its sender.
     pub async fn wait_for_disconnect(&mut self) {
         loop {
-            if self.read_buffer.len() > MAX_PIPELINED_BYTES {
+            if self.read_buffer.len() >= READ_SIZE {
                 // Nothing more is read, so a disconnect goes unnoticed here and shows as a failed
                 // write.
                 return self.lease.closed_for_room().await;
             }
-            self.read_buffer.reserve(READ_SIZE);
+            self.read_buffer.reserve(READ_SIZE - self.read_buffer.len());
             let read = tokio::select! {
                 biased;
                 read = self.stream.read_buf(&mut self.read_buffer) => read,
