Gateway: responses that nobody reads take no more than their memory

A response counted for the memory of responses only until it was received. After that it waited for its caller in a queue without a limit, with a second copy in the write buffer, for up to 10 s: callers that don't read kept megabytes each.

Bodies are encoded in pieces of 64 KiB.

--- a/crates/flamingotrail-runtime/src/gateway/callers.rs
+++ b/crates/flamingotrail-runtime/src/gateway/callers.rs
@@ -149,7 +149,8 @@
         self.next_call.set(call.0 + 1);
         let received = self.clock.timestamp_at(incoming.received_at);
         let arrival = requests::decode(incoming.request.head(), call, received, incoming.body);
-        let mut rx = self.calls.insert(call, rc::Rc::new(incoming.request));
+        let meter = connection.lease().response_meter();
+        let mut rx = self.calls.insert(call, rc::Rc::new(incoming.request), meter);
         let arrived = input::Input::Arrived(Box::new(arrival));
         if self.inputs.try_send(arrived).is_err() {
             self.calls.remove(call);
--- a/crates/flamingotrail-runtime/src/gateway/pending_calls.rs
+++ b/crates/flamingotrail-runtime/src/gateway/pending_calls.rs
@@ -14,6 +14,8 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
+use crate::connections;
+
 /// A part of a response, for a caller's connection to write.
 #[derive(Debug)]
 pub enum ResponsePart {
@@ -41,6 +43,8 @@
     is_released: bool,
     is_paced: bool,
     cancel_tx: Option<oneshot::Sender<()>>,
+    /// Counts what is held for the caller: parts are added here, and released when they are written.
+    meter: connections::ResponseMeter,
 }
 
 /// A streamed response that has begun.
@@ -65,6 +69,7 @@
         &self,
         call: ids::CallId,
         request: rc::Rc<Request>,
+        meter: connections::ResponseMeter,
     ) -> mpsc::UnboundedReceiver<ResponsePart> {
         let (tx, rx) = mpsc::unbounded_channel();
         let pending = PendingCall {
@@ -76,6 +81,7 @@
             is_released: false,
             is_paced: false,
             cancel_tx: None,
+            meter,
         };
         self.rows.borrow_mut().insert(call, pending);
         rx
@@ -106,7 +112,9 @@
         let pending = rows.get_mut(&dispatch.call)?;
         let (tx, rx) = oneshot::channel();
         pending.cancel_tx = Some(tx);
-        pending.held_response = None;
+        if let Some((_, body)) = pending.held_response.take() {
+            pending.meter.release(body.len());
+        }
         pending.is_released |= !dispatch.gated;
         pending.is_paced = dispatch.paced;
         Some((pending.request.clone(), rx))
@@ -127,6 +135,7 @@
     /// Holds an endpoint's complete response back until `finish`.
     pub fn hold_response(&self, call: ids::CallId, head: connection::ResponseHead, body: Bytes) {
         if let Some(pending) = self.rows.borrow_mut().get_mut(&call) {
+            pending.meter.add(body.len());
             pending.held_response = Some((head, body));
         }
     }
@@ -139,6 +148,9 @@
         if pending.stream.is_some() && matches!(part, ResponsePart::StreamHead(_)) {
             return;
         }
+        if let ResponsePart::StreamData(data) = &part {
+            pending.meter.add(data.len());
+        }
         pending.stream.get_or_insert_with(Stream::default).held_parts.push_back(part);
         send_due_parts(pending, self.event_interval.get());
     }
--- a/crates/flamingotrail-runtime/src/http1.rs
+++ b/crates/flamingotrail-runtime/src/http1.rs
@@ -36,6 +36,8 @@
 const MAX_BODY_TIME: time::Duration = time::Duration::from_secs(60);
 /// Memory of a head beside its own size: the fields that are decoded from it take as much again.
 const HEAD_COPIES: usize = 2;
+/// Bytes of a response that are encoded at a time.
+const WRITE_PIECE_BYTES: usize = 64 * 1024;
 /// Timeout for a caller to accept written bytes.
 const WRITE_TIMEOUT: time::Duration = time::Duration::from_secs(10);
 /// Time for a caller to read the last response before its connection is dropped.
@@ -329,10 +331,19 @@
     ) -> io::Result<()> {
         self.status = response.status().as_u16();
         self.codec.encode(h1::Message::Item((response, size)), &mut self.write_buffer)?;
-        if let Some(body) = complete_body {
-            self.codec.encode(h1::Message::Chunk(Some(body.clone())), &mut self.write_buffer)?;
+        let Some(body) = complete_body else { return self.flush().await };
+        let pieces = async {
+            let mut rest = body.clone();
+            while !rest.is_empty() {
+                let piece = rest.split_to(rest.len().min(WRITE_PIECE_BYTES));
+                self.write_chunk(Some(piece)).await?;
+            }
+            self.flush().await
+        };
+        match tokio::time::timeout(WRITE_TIMEOUT, pieces).await {
+            Ok(result) => result,
+            Err(_) => Err(io::ErrorKind::TimedOut.into()),
         }
-        self.flush().await
     }
 
     /// Writes a chunk of a streamed body, or the end of the body if `chunk` is `None`.
@@ -341,8 +352,13 @@
     ///
     /// Fails if the connection fails or the caller does not accept the bytes in time.
     pub async fn write_chunk(&mut self, chunk: Option<Bytes>) -> io::Result<()> {
+        let bytes = chunk.as_ref().map_or(0, Bytes::len);
         self.codec.encode(h1::Message::Chunk(chunk), &mut self.write_buffer)?;
-        self.flush().await
+        self.flush().await?;
+        if bytes > 0 {
+            self.lease.response_meter().release(bytes);
+        }
+        Ok(())
     }
 
     async fn flush(&mut self) -> io::Result<()> {
--- a/crates/flamingotrail-runtime/tests/pending_calls.rs
+++ b/crates/flamingotrail-runtime/tests/pending_calls.rs
@@ -9,6 +9,8 @@
 use flamingotrail_adapter::connection;
 use flamingotrail_gateway::ids;
 use flamingotrail_gateway::output;
+use flamingotrail_runtime::connections;
+use flamingotrail_runtime::connections::limits;
 use flamingotrail_runtime::gateway::pending_calls;
 use tokio::sync::mpsc;
 
@@ -34,13 +36,21 @@
     }
 }
 
+/// The meter of a connection that has ended.
+fn meter() -> connections::ResponseMeter {
+    let machine = limits::Machine { memory_bytes: 88_000_000, descriptors: 1_024 };
+    let overrides = limits::Overrides::default();
+    let connections = connections::Connections::new(limits::Limits::new(&machine, &overrides));
+    connections.try_open(limits::Listener::Callers).expect("there is a place").response_meter()
+}
+
 /// Adds a call with a stream of `events` events and returns the receiver of its response.
 fn insert_stream(
     calls: &pending_calls::PendingCalls,
     dispatch: &output::Dispatch,
     events: usize,
 ) -> mpsc::UnboundedReceiver<pending_calls::ResponsePart> {
-    let rx = calls.insert(CALL, rc::Rc::new(Request::new()));
+    let rx = calls.insert(CALL, rc::Rc::new(Request::new()), meter());
     assert!(calls.begin_attempt(dispatch).is_some());
     let head = connection::ResponseHead {
         status: 200,
