Gateway: outputs of streams count until their call ends

Callers that don't read long streams took more memory than their untaken events: the data of each event was also collected as the turn's output, in a buffer that doubles, on routes without history too, and handed to the control thread, where it stayed until the call ended and counted nowhere.

Outputs are collected only for turns that keep a history, count by what their buffers take, and stay counted until the call ends.

--- a/crates/flamingotrail-gateway/src/output.rs
+++ b/crates/flamingotrail-gateway/src/output.rs
@@ -189,6 +189,8 @@
     pub gated: bool,
     /// Maximum number of events of the response; `None` if the request does not limit them.
     pub max_events: Option<u64>,
+    /// Whether the data of the stream's events is needed for the history of the turn.
+    pub keeps_output: bool,
     /// Id of the last event that the caller has or that is held for it; the response continues
     /// after it.
     pub resume_after: Option<u64>,
--- a/crates/flamingotrail-gateway/src/systems/placement.rs
+++ b/crates/flamingotrail-gateway/src/systems/placement.rs
@@ -314,6 +314,7 @@
     let timeout = call.remaining_time(tick.now);
     let max_events =
         call.max_events(tokens_per_event).map(|max| max.saturating_sub(call.streamed.count));
+    let keeps_history = call.turn.as_ref().is_some_and(|turn| turn.history.is_some());
     let dispatch = output::Dispatch {
         call: id,
         attempt: call.attempts,
@@ -330,7 +331,8 @@
             .is_some_and(|turn| turn.reservation != calls::Reservation::Granted),
         max_events,
         resume_after: call.streamed.last,
-        paced: call.turn.as_ref().is_some_and(|turn| turn.history.is_some()),
+        paced: keeps_history,
+        keeps_output: keeps_history,
         endpoint,
     };
     let detail = format_args!(
--- a/crates/flamingotrail-runtime/src/gateway/attempts.rs
+++ b/crates/flamingotrail-runtime/src/gateway/attempts.rs
@@ -5,7 +5,6 @@
 
 use actix_http::Request;
 use bytes::Bytes;
-use bytes::BytesMut;
 use flamingotrail_adapter::connection;
 use flamingotrail_adapter::requests;
 use flamingotrail_adapter::responses;
@@ -14,6 +13,7 @@
 use flamingotrail_gateway::output;
 use tokio::sync::oneshot;
 
+use crate::connections::body as body_buffer;
 use crate::gateway::buffer_budget;
 use crate::gateway::control;
 use crate::gateway::pending_calls;
@@ -50,16 +50,38 @@
     pub buffers: buffer_budget::BufferBudget,
 }
 
+/// How an attempt has ended.
+enum AttemptEnd {
+    /// Without a stream.
+    Outcome(input::Outcome),
+    /// With a stream, which may have broken off.
+    Stream { complete: bool },
+}
+
 /// What an attempt has received of a streamed response.
-#[derive(Default)]
 struct StreamProgress {
     is_streaming: bool,
     event_count: u64,
     last_event: Option<u64>,
-    output: BytesMut,
+    output: body_buffer::BodyBuffer,
+    /// Memory of the output, and of the events while they are received.
+    buffered: buffer_budget::BufferedBytes,
     load: Option<input::Load>,
 }
 
+impl StreamProgress {
+    fn new(buffered: buffer_budget::BufferedBytes) -> Self {
+        StreamProgress {
+            is_streaming: false,
+            event_count: 0,
+            last_event: None,
+            output: body_buffer::BodyBuffer::new(MAX_STREAM_BYTES),
+            buffered,
+            load: None,
+        }
+    }
+}
+
 impl AttemptRunner {
     /// Runs an attempt until it ends, or until `cancel` is signalled or its sender is dropped.
     pub async fn run(
@@ -68,25 +90,40 @@
         request: rc::Rc<Request>,
         cancel: oneshot::Receiver<()>,
     ) -> input::Outcome {
-        let mut progress = StreamProgress::default();
+        let mut progress = StreamProgress::new(self.buffers.begin());
         let ended = tokio::select! {
             biased;
             outcome = self.attempt(dispatch, &request, &mut progress) => Some(outcome),
             _ = cancel => None,
         };
         match ended {
-            Some(outcome) => outcome,
-            None if progress.is_streaming => stream_outcome(progress, false),
+            Some(AttemptEnd::Outcome(outcome)) => outcome,
+            Some(AttemptEnd::Stream { complete }) => self.end_stream(dispatch, progress, complete),
+            None if progress.is_streaming => self.end_stream(dispatch, progress, false),
             None => input::Outcome::Cancelled,
         }
     }
 
+    /// Returns the outcome of a stream. Its output counts as held until the call ends.
+    fn end_stream(
+        &self,
+        dispatch: &output::Dispatch,
+        progress: StreamProgress,
+        complete: bool,
+    ) -> input::Outcome {
+        let StreamProgress { event_count, last_event, output, mut buffered, load, .. } = progress;
+        let output = output.into_bytes();
+        buffered.shrink_to(output.len());
+        self.calls.hold_output(dispatch.call, buffered);
+        input::Outcome::Streamed { complete, events: event_count, last_event, output, load }
+    }
+
     async fn attempt(
         &self,
         dispatch: &output::Dispatch,
         request: &Request,
         progress: &mut StreamProgress,
-    ) -> input::Outcome {
+    ) -> AttemptEnd {
         let mut connection = match self.pool.take(&dispatch.endpoint, dispatch.repeatable) {
             Some(connection) => connection,
             None => {
@@ -100,19 +137,20 @@
                     }
                     Err(error) => {
                         log::debug!("event=connect_failed error={:?}", error.to_string());
-                        return input::Outcome::NotSent(input::Failure::Connect);
+                        let outcome = input::Outcome::NotSent(input::Failure::Connect);
+                        return AttemptEnd::Outcome(outcome);
                     }
                 }
             }
         };
         let head = requests::encode_head(request.head(), dispatch);
         match self.send_and_receive(dispatch, request, &mut connection, &head, progress).await {
-            Ok(outcome) => {
+            Ok(end) => {
                 self.pool.put(&dispatch.endpoint, connection);
-                outcome
+                end
             }
-            Err(_) if progress.is_streaming => stream_outcome(std::mem::take(progress), false),
-            Err(error) => input::Outcome::Lost(failure_kind(&error)),
+            Err(_) if progress.is_streaming => AttemptEnd::Stream { complete: false },
+            Err(error) => AttemptEnd::Outcome(input::Outcome::Lost(failure_kind(&error))),
         }
     }
 
@@ -123,7 +161,7 @@
         connection: &mut connection::Connection,
         head: &[u8],
         progress: &mut StreamProgress,
-    ) -> Result<input::Outcome, connection::ConnectionError> {
+    ) -> Result<AttemptEnd, connection::ConnectionError> {
         let id = requests::request_id(request.head());
         let mut response = connection.exchange(head, &dispatch.body).await?;
         let mut stale_responses = 0;
@@ -161,7 +199,8 @@
         let status = response.status;
         if metadata.not_executed {
             connection.discard_body(MAX_DISCARDED_BYTES, DISCARD_TIMEOUT).await;
-            return Ok(input::Outcome::Refused { status, load: metadata.load });
+            let outcome = input::Outcome::Refused { status, load: metadata.load };
+            return Ok(AttemptEnd::Outcome(outcome));
         }
         let is_success = (200..300).contains(&status);
         if is_success && !metadata.signed {
@@ -171,16 +210,18 @@
         }
         if metadata.is_stream {
             progress.load = metadata.load;
-            return self.receive_stream(dispatch, connection, response, progress).await;
+            self.receive_stream(dispatch, connection, response, progress).await?;
+            return Ok(AttemptEnd::Stream { complete: true });
         }
         let body = self.read_body(connection).await?;
         if NOT_RUN_STATUSES.contains(&status) {
             // Without the endpoint's own statement that the request did not run, this process must
             // not pass on a status that promises it.
-            return Ok(input::Outcome::Lost(input::Failure::Malformed));
+            return Ok(AttemptEnd::Outcome(input::Outcome::Lost(input::Failure::Malformed)));
         }
         self.calls.hold_response(dispatch.call, response, body);
-        Ok(input::Outcome::Answered { status, signed: metadata.signed, load: metadata.load })
+        let (signed, load) = (metadata.signed, metadata.load);
+        Ok(AttemptEnd::Outcome(input::Outcome::Answered { status, signed, load }))
     }
 
     /// Reads a complete body within the limits of its own size and of the process's memory.
@@ -189,17 +230,11 @@
         connection: &mut connection::Connection,
     ) -> Result<Bytes, connection::ConnectionError> {
         let mut buffered = self.buffers.begin();
-        let mut body = BytesMut::new();
+        let mut body = body_buffer::BodyBuffer::new(MAX_RESPONSE_BYTES);
         while let Some(data) = connection.read_body().await? {
-            if body.len() + data.len() > MAX_RESPONSE_BYTES {
-                return Err(connection::ConnectionError::Malformed(
-                    "the body exceeds the size limit",
-                ));
-            }
-            buffered.add(data.len()).map_err(|_| TOO_MANY_BYTES)?;
-            body.extend_from_slice(&data);
+            extend(&mut body, &data, &mut buffered)?;
         }
-        Ok(body.freeze())
+        Ok(body.into_bytes())
     }
 
     async fn receive_stream(
@@ -208,19 +243,18 @@
         connection: &mut connection::Connection,
         head: connection::ResponseHead,
         progress: &mut StreamProgress,
-    ) -> Result<input::Outcome, connection::ConnectionError> {
+    ) -> Result<(), connection::ConnectionError> {
         progress.is_streaming = true;
         let ends_with_connection = head.ends_with_connection;
         let mut parser = sse::EventParser::new();
         let mut head = Some(head);
-        let mut buffered = self.buffers.begin();
         let mut stream_bytes = 0;
         while let Some(bytes) = connection.read_body().await? {
             stream_bytes += bytes.len();
             if stream_bytes > MAX_STREAM_BYTES {
                 return Err(connection::ConnectionError::Malformed("the stream is too long"));
             }
-            buffered.add(bytes.len()).map_err(|_| TOO_MANY_BYTES)?;
+            progress.buffered.add(bytes.len()).map_err(|_| TOO_MANY_BYTES)?;
             let events = parser
                 .push(&bytes)
                 .map_err(|_| connection::ConnectionError::Malformed("event is too long"))?;
@@ -252,7 +286,9 @@
                 }
                 progress.event_count += 1;
                 progress.last_event = event.id;
-                progress.output.extend_from_slice(&event.data);
+                if dispatch.keeps_output {
+                    extend(&mut progress.output, &event.data, &mut progress.buffered)?;
+                }
                 self.calls.push_stream_part(
                     dispatch.call,
                     pending_calls::ResponsePart::StreamData(event.raw),
@@ -272,18 +308,21 @@
             self.calls
                 .push_stream_part(dispatch.call, pending_calls::ResponsePart::StreamHead(head));
         }
-        Ok(stream_outcome(std::mem::take(progress), true))
+        Ok(())
     }
 }
 
-fn stream_outcome(progress: StreamProgress, complete: bool) -> input::Outcome {
-    input::Outcome::Streamed {
-        complete,
-        events: progress.event_count,
-        last_event: progress.last_event,
-        output: progress.output.freeze(),
-        load: progress.load,
-    }
+/// Adds `data` to a buffer within the memory for unfinished responses.
+fn extend(
+    buf: &mut body_buffer::BodyBuffer,
+    data: &[u8],
+    buffered: &mut buffer_budget::BufferedBytes,
+) -> Result<(), connection::ConnectionError> {
+    let too_long = connection::ConnectionError::Malformed("the body exceeds the size limit");
+    let capacity = buf.capacity_with(data.len()).ok_or(too_long)?;
+    buffered.add(capacity - buf.capacity()).map_err(|_| TOO_MANY_BYTES)?;
+    buf.extend(data);
+    Ok(())
 }
 
 fn failure_kind(error: &connection::ConnectionError) -> input::Failure {
--- a/crates/flamingotrail-runtime/src/gateway/buffer_budget.rs
+++ b/crates/flamingotrail-runtime/src/gateway/buffer_budget.rs
@@ -1,4 +1,5 @@
-//! Limit of the memory that unfinished responses of endpoints take together.
+//! Limit of the memory that responses of endpoints take together: unfinished ones, and the outputs of
+//! turns until these have ended.
 
 use std::cell;
 use std::rc;
@@ -34,6 +35,7 @@
 }
 
 /// Bytes that are buffered for one response.
+#[must_use]
 pub struct BufferedBytes {
     budget: BufferBudget,
     bytes: usize,
@@ -56,6 +58,15 @@
     }
 }
 
+impl BufferedBytes {
+    /// Releases all but `bytes`.
+    pub fn shrink_to(&mut self, bytes: usize) {
+        let released = self.bytes.saturating_sub(bytes);
+        self.bytes -= released;
+        self.budget.used_bytes.set(self.budget.used_bytes.get().saturating_sub(released));
+    }
+}
+
 impl Drop for BufferedBytes {
     fn drop(&mut self) {
         self.budget.used_bytes.set(self.budget.used_bytes.get().saturating_sub(self.bytes));
--- a/crates/flamingotrail-runtime/src/gateway/pending_calls.rs
+++ b/crates/flamingotrail-runtime/src/gateway/pending_calls.rs
@@ -15,6 +15,7 @@
 use tokio::sync::oneshot;
 
 use crate::connections;
+use crate::gateway::buffer_budget;
 
 /// A part of a response, for a caller's connection to write.
 #[derive(Debug)]
@@ -45,6 +46,8 @@
     cancel_tx: Option<oneshot::Sender<()>>,
     /// Counts what is held for the caller: parts are added here, and released when they are written.
     meter: connections::ResponseMeter,
+    /// Memory of the outputs that the control thread holds for the call's turn.
+    outputs: Vec<buffer_budget::BufferedBytes>,
 }
 
 /// A streamed response that has begun.
@@ -82,6 +85,7 @@
             is_paced: false,
             cancel_tx: None,
             meter,
+            outputs: Vec::new(),
         };
         self.rows.borrow_mut().insert(call, pending);
         rx
@@ -140,6 +144,13 @@
         }
     }
 
+    /// Counts the output of an attempt as held until the call ends.
+    pub fn hold_output(&self, call: ids::CallId, output: buffer_budget::BufferedBytes) {
+        if let Some(pending) = self.rows.borrow_mut().get_mut(&call) {
+            pending.outputs.push(output);
+        }
+    }
+
     /// Adds a part of a stream. It is sent at once if the stream is released and not paced. Of a
     /// stream that several attempts continue, the caller gets the head of the first.
     pub fn push_stream_part(&self, call: ids::CallId, part: ResponsePart) {
--- a/crates/flamingotrail-runtime/tests/pending_calls.rs
+++ b/crates/flamingotrail-runtime/tests/pending_calls.rs
@@ -32,6 +32,7 @@
         gated,
         resume_after: None,
         max_events: None,
+        keeps_output: false,
         paced,
     }
 }
