Gateway: histories take no more than their memory

Turns that had ended kept their inputs and outputs in memory for the retention of their routes, 60 s and more, however large they were: callers inside all limits, with a megabyte a turn, ended the process.

The turns that were not used for longest go first; they are read from the log again when they are continued, as those of other gateways are. Turns whose calls run stay, and chains that are being assembled go last, or each part that is read would push another one out.

Decision tests: memory stays below the limit, a removed turn is continued, and a chain of seven turns is assembled with one read for each beside many others.

--- a/crates/flamingotrail-gateway/src/settings.rs
+++ b/crates/flamingotrail-gateway/src/settings.rs
@@ -45,4 +45,7 @@
     pub grace_period: time::Duration,
     /// Tolerance of the allowances of workspaces.
     pub allowance_tolerance: AllowanceTolerance,
+    /// Maximum size of the turns' inputs and outputs that are kept in memory, in bytes. Others are read
+    /// from the log when they are needed.
+    pub max_history_bytes: usize,
 }
--- a/crates/flamingotrail-gateway/src/systems/expiry.rs
+++ b/crates/flamingotrail-gateway/src/systems/expiry.rs
@@ -1,9 +1,12 @@
-//! Removes turns and programs whose retention has passed.
+//! Removes turns and programs whose retention has passed, and turns that memory has no room for.
 
+use std::collections;
 use std::time;
 
 use crate::ids;
+use crate::output;
 use crate::systems::journal;
+use crate::tables::calls;
 use crate::tables::programs;
 use crate::tables::timers;
 use crate::world;
@@ -11,8 +14,12 @@
 /// Interval between two removals of expired rows.
 const EXPIRY_INTERVAL: time::Duration = time::Duration::from_secs(5);
 
-/// Removes expired rows when the expiry timer has fired.
+/// Part of the memory for histories up to which turns are kept that no call needs.
+const UNNEEDED_DIVISOR: usize = 2;
+
+/// Removes turns beyond the memory for histories, and expired rows when the expiry timer has fired.
 pub fn run(world: &mut world::World, tick: &world::Tick) {
+    remove_histories(world);
     if !world.tables.timers.is_set(&timers::Timer::Expiry) {
         world.tables.timers.set(timers::Timer::Expiry, tick.now.after(EXPIRY_INTERVAL));
     }
@@ -37,3 +44,23 @@
         tables.partitions.row(partition).cancel_replay(&program);
     }
 }
+
+/// Removes the turns that were not used for longest. Chains that are being assembled go only where
+/// memory has no room for them at all: a part that was removed would have to be read again and again.
+fn remove_histories(world: &mut world::World) {
+    let max_bytes = world.settings.max_history_bytes;
+    let (turns, calls) = (&mut world.tables.turns, &world.tables.calls);
+    if turns.bytes <= max_bytes / UNNEEDED_DIVISOR {
+        return;
+    }
+    let resolving = calls.rows.values().filter(|call| call.phase == calls::Phase::Resolving);
+    let chains = resolving.filter_map(|call| call.arrival.previous.as_ref());
+    let needed: collections::BTreeSet<ids::TurnId> =
+        chains.flat_map(|last| turns.stored_chain(last)).map(|(id, _)| id.clone()).collect();
+    let is_running = |turn: &ids::TurnId| calls.by_turn.contains_key(turn);
+    let unneeded = turns
+        .shrink(max_bytes / UNNEEDED_DIVISOR, |turn| is_running(turn) || needed.contains(turn));
+    if unneeded + turns.shrink(max_bytes, is_running) > 0 {
+        world.emit(output::Output::Count("histories_removed"));
+    }
+}
--- a/crates/flamingotrail-gateway/src/tables/turns.rs
+++ b/crates/flamingotrail-gateway/src/tables/turns.rs
@@ -26,9 +26,16 @@
     pub expires: time::Timestamp,
     /// Time from which the turn's record has to be written again if the turn is continued.
     pub rewrite_at: time::Timestamp,
+    /// When the turn was last stored or continued, as a number that grows.
+    last_used: u64,
 }
 
 impl Turn {
+    /// Memory of the turn in bytes.
+    fn size(&self) -> usize {
+        ROW_BYTES + self.input.len() + self.output.len()
+    }
+
     /// Returns the record of the turn, as new.
     pub fn to_record(&self, id: &ids::TurnId) -> journal::End {
         journal::End {
@@ -60,13 +67,19 @@
     }
 }
 
+/// Memory of a turn beside its input and its output, in bytes.
+const ROW_BYTES: usize = 360;
+
 /// Table of completed turns.
 #[derive(Debug, Default)]
 pub struct Turns {
     /// Turns by id.
     pub rows: collections::BTreeMap<ids::TurnId, Turn>,
-    /// Total size of all inputs and outputs in bytes.
+    /// Memory of all turns in bytes.
     pub bytes: usize,
+    /// Turns by their last use, the oldest first.
+    by_use: collections::BTreeMap<u64, ids::TurnId>,
+    next_use: u64,
     /// Long turns that are incomplete, by id.
     incomplete: collections::BTreeMap<ids::TurnId, LongTurn>,
 }
@@ -98,7 +111,7 @@
             row.rewrite_at = row.rewrite_at.max(rewrite_at);
             return;
         }
-        self.bytes += end.input.len() + end.output.len();
+        let last_used = self.record_use(&end.turn);
         let row = Turn {
             previous: end.previous.clone(),
             endpoint: end.endpoint.clone(),
@@ -106,10 +119,45 @@
             output: end.output.clone(),
             expires,
             rewrite_at,
+            last_used,
         };
+        self.bytes += row.size();
         self.rows.insert(end.turn.clone(), row);
     }
 
+    fn record_use(&mut self, turn: &ids::TurnId) -> u64 {
+        let number = self.next_use;
+        self.next_use += 1;
+        self.by_use.insert(number, turn.clone());
+        number
+    }
+
+    /// Removes the turns that were not used for longest until all together take no more than
+    /// `max_bytes`, except those that are still `needed`. They can be read from the log again.
+    /// Returns how many were removed.
+    pub fn shrink(&mut self, max_bytes: usize, needed: impl Fn(&ids::TurnId) -> bool) -> usize {
+        if self.bytes <= max_bytes {
+            return 0;
+        }
+        let mut excess = self.bytes - max_bytes;
+        let mut removed = Vec::new();
+        for (number, turn) in self.by_use.iter().filter(|(_, turn)| !needed(turn)) {
+            let Some(row) = self.rows.get(turn) else { continue };
+            removed.push((*number, turn.clone()));
+            excess = excess.saturating_sub(row.size());
+            if excess == 0 {
+                break;
+            }
+        }
+        for (number, turn) in &removed {
+            self.by_use.remove(number);
+            if let Some(row) = self.rows.remove(turn) {
+                self.bytes -= row.size();
+            }
+        }
+        removed.len()
+    }
+
     /// Adds a part of a long turn, which is kept until `expires`; returns the record of the whole turn
     /// if this was the last one that was missing.
     pub fn add_part(
@@ -145,7 +193,12 @@
     fn extend_expiry(&mut self, turn: Option<&ids::TurnId>, expires: time::Timestamp) {
         let mut next = turn.cloned();
         for _ in 0..MAX_CHAIN_LENGTH {
-            let Some(row) = next.as_ref().and_then(|id| self.rows.get_mut(id)) else { return };
+            let Some(id) = next else { return };
+            let Some(last_used) = self.rows.get(&id).map(|row| row.last_used) else { return };
+            self.by_use.remove(&last_used);
+            let last_used = self.record_use(&id);
+            let Some(row) = self.rows.get_mut(&id) else { return };
+            row.last_used = last_used;
             row.expires = row.expires.max(expires);
             next = row.previous.clone();
         }
@@ -205,13 +258,9 @@
     /// Removes the turns that have expired by `now`.
     pub fn expire(&mut self, now: time::Timestamp) {
         self.incomplete.retain(|_, long| long.expires > now);
-        let bytes = &mut self.bytes;
-        self.rows.retain(|_, row| {
-            let keep = row.expires > now;
-            if !keep {
-                *bytes -= row.input.len() + row.output.len();
-            }
-            keep
-        });
+        for (_, row) in self.rows.extract_if(.., |_, row| row.expires <= now) {
+            self.bytes -= row.size();
+            self.by_use.remove(&row.last_used);
+        }
     }
 }
--- a/crates/flamingotrail-gateway/tests/decisions/fixture.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/fixture.rs
@@ -102,6 +102,7 @@
             overage: 0.1,
             slack: 20.0,
         },
+        max_history_bytes: usize::MAX,
     }
 }
 
--- a/crates/flamingotrail-gateway/tests/decisions/forgotten_turns.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/forgotten_turns.rs
@@ -281,3 +281,69 @@
 
     assert_eq!(gateway.refusal_reason(1), Some(output::Reason::TooLarge));
 }
+
+/// Bytes of a large input.
+const LARGE: usize = 100_000;
+
+fn large_turn(number: u64, previous: Option<&str>) -> input::Arrival {
+    let mut request = fixture::turn_request(number, &format!("t{number}"), "p", previous, BUDGET);
+    request.body = vec![b'x'; LARGE].into();
+    request
+}
+
+// Load: many turns with large inputs. Their histories took all memory for as long as they are kept.
+#[test]
+fn histories_of_large_turns_take_no_more_than_their_memory() {
+    let mut log = fixture::MemoryLog::default();
+    let mut gateway = fixture::Gateway::new("one");
+    gateway.world.settings.max_history_bytes = 10 * LARGE;
+
+    for number in 1..=20 {
+        gateway.run_turn(large_turn(number, None), 1, &mut log);
+    }
+
+    assert!(gateway.world.tables.turns.bytes <= 10 * LARGE);
+}
+
+// Guards against a turn that is called unknown because memory had no room for it.
+#[test]
+fn turn_that_memory_had_no_room_for_can_be_continued() {
+    let mut log = fixture::MemoryLog::default();
+    let mut gateway = fixture::Gateway::new("one");
+    gateway.world.settings.max_history_bytes = 10 * LARGE;
+    gateway.run_turn(large_turn(1, None), 1, &mut log);
+    gateway.run_turn(large_turn(2, Some("t1")), 1, &mut log);
+    for number in 3..=20 {
+        gateway.run_turn(large_turn(number, None), 1, &mut log);
+    }
+
+    gateway.receive(large_turn(21, Some("t2")));
+    gateway.complete_log_calls(&mut log);
+
+    assert_eq!(gateway.refusal_reason(21), None);
+    assert_eq!(gateway.sent_body(21).len(), 3 * LARGE + 2 * "word\n".len());
+}
+
+// Guards against a chain that is larger than what is kept of others, and of which each part that is
+// read pushes another one out.
+#[test]
+fn chain_is_assembled_beside_many_other_turns() {
+    let mut log = fixture::MemoryLog::default();
+    let mut gateway = fixture::Gateway::new("one");
+    gateway.world.settings.max_history_bytes = 10 * LARGE;
+    gateway.run_turn(large_turn(1, None), 1, &mut log);
+    for number in 2..=7 {
+        gateway.run_turn(large_turn(number, Some(&format!("t{}", number - 1))), 1, &mut log);
+    }
+    for number in 8..=20 {
+        gateway.run_turn(large_turn(number, None), 1, &mut log);
+    }
+    let reads_before = log.reads;
+
+    gateway.receive(large_turn(21, Some("t7")));
+    gateway.complete_log_calls(&mut log);
+
+    assert_eq!(gateway.refusal_reason(21), None);
+    let reads = log.reads - reads_before;
+    assert!(reads <= 8, "one for each of seven turns and for the budget, not {reads}");
+}
--- a/crates/flamingotrail-runtime/src/gateway/process.rs
+++ b/crates/flamingotrail-runtime/src/gateway/process.rs
@@ -83,6 +83,7 @@
         log_retention: deployment.store.retention,
         grace_period: deployment.shutdown_grace,
         allowance_tolerance: deployment.allowance_tolerance,
+        max_history_bytes: limit_settings.max_history_bytes(),
     };
     let mut world = world::World::new(deployment.identity.clone(), settings);
     world.boot = boot_nonce();
