Entry: requests and connections take no more than their memory and descriptors

The HTTP library's dispatcher has no limit over all connections, and its limit for each worker stops accepting until others end.

Entries and the admin server now serve connections as gateways do (http1, connections): limits by the machine, the costliest unfinished request goes first, time-outs for bodies, untaken text counted. A body counts four times, for the copies that parsing and the message to the owner make. What has no room is refused with 429 (overloaded, not run).

--- a/crates/flamingotrail-runtime/src/admin.rs
+++ b/crates/flamingotrail-runtime/src/admin.rs
@@ -2,34 +2,50 @@
 
 use std::convert;
 use std::net;
+use std::rc;
+use std::time;
 
 use actix_http::body;
 use actix_http::header;
-use actix_http::HttpService;
 use actix_http::Method;
-use actix_http::Request;
 use actix_http::Response;
 use actix_http::StatusCode;
 use actix_server::Server;
+use flamingotrail_adapter::configuration;
 use flamingotrail_core::input;
 use flamingotrail_wire::state;
+use futures_util::future;
 use tokio::sync::oneshot;
 
+use crate::connections;
+use crate::connections::limits as connection_limits;
 use crate::control;
+use crate::http1;
+use crate::http_server;
 use crate::metrics;
 use crate::response;
 
+/// Maximum size of the headers of a request, and of its body, which no request needs, in bytes.
+const MAX_PART_BYTES: usize = 8 << 10;
+/// Timeout for receiving a request, and for an idle connection.
+const TIMEOUT: time::Duration = time::Duration::from_secs(5);
+
 /// State shared by the request handlers.
 #[derive(Clone)]
 pub struct AdminServer {
     commands: control::CommandSender,
     metrics: metrics::Metrics,
+    connections: connections::Connections,
 }
 
 impl AdminServer {
     /// Creates a server that is not listening yet.
-    pub fn new(commands: control::CommandSender, metrics: metrics::Metrics) -> Self {
-        AdminServer { commands, metrics }
+    pub fn new(
+        commands: control::CommandSender,
+        metrics: metrics::Metrics,
+        connections: connections::Connections,
+    ) -> Self {
+        AdminServer { commands, metrics, connections }
     }
 
     /// Binds `address` and returns the server, a future that serves requests.
@@ -42,19 +58,32 @@
             .workers(1)
             .disable_signals()
             .bind("operators", address, move || {
-                let server = self.clone();
-                HttpService::build()
-                    .finish(move |request: Request| {
-                        let server = server.clone();
-                        async move { Ok::<_, convert::Infallible>(server.handle(request).await) }
-                    })
-                    .tcp()
+                let server = rc::Rc::new(http_server::HttpServer {
+                    connections: self.connections.clone(),
+                    kind: connection_limits::Listener::Operators,
+                    limits: configuration::RequestLimits {
+                        max_head_bytes: MAX_PART_BYTES,
+                        max_body_bytes: MAX_PART_BYTES,
+                        head_timeout: TIMEOUT,
+                        idle_timeout: TIMEOUT,
+                    },
+                    body_copies: 1,
+                    handler: rc::Rc::new(self.clone()),
+                });
+                actix_service::fn_service(move |stream: tokio::net::TcpStream| {
+                    let server = server.clone();
+                    async move {
+                        server.serve(stream).await;
+                        Ok::<_, convert::Infallible>(())
+                    }
+                })
             })?
             .run();
         Ok(server)
     }
 
-    async fn handle(&self, request: Request) -> response::BoxedResponse {
+    async fn respond(&self, received: http1::ReceivedRequest) -> response::BoxedResponse {
+        let request = received.request;
         match (request.method(), request.path()) {
             (&Method::GET, "/healthz") => text_response(StatusCode::OK, "ok\n".to_owned()),
             (&Method::GET, "/metrics") => text_response(StatusCode::OK, self.metrics.render()),
@@ -106,6 +135,24 @@
     }
 }
 
+impl http_server::Handler for AdminServer {
+    fn handle(
+        &self,
+        request: http1::ReceivedRequest,
+        _meter: connections::ResponseMeter,
+    ) -> future::LocalBoxFuture<'_, response::BoxedResponse> {
+        Box::pin(self.respond(request))
+    }
+
+    fn refuse(&self, error: &http1::ReadError) -> Option<response::BoxedResponse> {
+        match error {
+            http1::ReadError::Status(status) => Some(text_response(*status, String::new())),
+            http1::ReadError::NoRoom(_) => Some(unavailable()),
+            http1::ReadError::ConnectionEnded | http1::ReadError::Io(_) => None,
+        }
+    }
+}
+
 fn unavailable() -> response::BoxedResponse {
     text_response(StatusCode::SERVICE_UNAVAILABLE, format!("{}\n", control::InboxFull))
 }
--- a/crates/flamingotrail-runtime/src/callers.rs
+++ b/crates/flamingotrail-runtime/src/callers.rs
@@ -3,6 +3,7 @@
 use std::convert;
 use std::net;
 use std::pin;
+use std::rc;
 use std::sync;
 use std::sync::atomic;
 use std::task;
@@ -11,29 +12,42 @@
 use actix_http::body;
 use actix_http::header;
 use actix_http::HttpMessage as _;
-use actix_http::HttpService;
 use actix_http::Method;
-use actix_http::Request;
 use actix_http::Response;
 use actix_http::StatusCode;
 use actix_server::Server;
+use flamingotrail_adapter::configuration;
 use flamingotrail_core::errors;
 use flamingotrail_core::ids;
 use flamingotrail_core::input;
 use flamingotrail_core::messages;
 use flamingotrail_core::work;
+use futures_util::future;
 use futures_util::Stream;
 use futures_util::StreamExt as _;
 use tokio::sync::mpsc;
 
+use crate::connections;
+use crate::connections::limits as connection_limits;
 use crate::control;
+use crate::http1;
+use crate::http_server;
 use crate::metrics;
 use crate::parse;
 use crate::relay;
 use crate::response;
 
-/// Timeout for receiving the headers of a request.
-const REQUEST_HEAD_TIMEOUT: time::Duration = time::Duration::from_secs(10);
+/// Maximum size of the headers of a request, in bytes. Continuations are sent in headers.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+/// Timeout for receiving the headers of a request, and for each read of its body.
+const READ_TIMEOUT: time::Duration = time::Duration::from_secs(10);
+/// How long a connection may be idle, and a body may take.
+const IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(60);
+/// Copies of a body: as it was received, its messages, and the message to the owner, which is kept until
+/// it is acknowledged, and encoded.
+pub const BODY_COPIES: usize = 4;
+/// When a caller is to return whose request has no room in this instance.
+const RETRY_AFTER: time::Duration = time::Duration::from_millis(200);
 
 /// State shared by the request handlers.
 #[derive(Clone)]
@@ -44,6 +58,7 @@
     incarnation: ids::Incarnation,
     next_number: sync::Arc<atomic::AtomicU64>,
     max_body_bytes: usize,
+    connections: connections::Connections,
 }
 
 /// Closes a request when its response is dropped, and reports the disconnect if the request was
@@ -70,9 +85,18 @@
         metrics: metrics::Metrics,
         incarnation: ids::Incarnation,
         max_body_bytes: usize,
+        connections: connections::Connections,
     ) -> Self {
         let next_number = sync::Arc::new(atomic::AtomicU64::new(1));
-        CallerServer { commands, relay, metrics, incarnation, next_number, max_body_bytes }
+        CallerServer {
+            commands,
+            relay,
+            metrics,
+            incarnation,
+            next_number,
+            max_body_bytes,
+            connections,
+        }
     }
 
     /// Binds `address` and returns the server, a future that serves requests on `threads` threads.
@@ -81,33 +105,51 @@
     ///
     /// Returns an error if the address can't be bound.
     pub fn listen(self, address: net::SocketAddr, threads: usize) -> std::io::Result<Server> {
+        // The table of connections makes room at its limit; the server would stop to accept.
+        let max_accepted = self.connections.limits().callers + self.connections.limits().monitoring;
         let server = Server::build()
             .workers(threads)
+            .max_concurrent_connections(max_accepted)
             .disable_signals()
             .bind("callers", address, move || {
-                let server = self.clone();
-                HttpService::build()
-                    .client_request_timeout(REQUEST_HEAD_TIMEOUT)
-                    .h1_allow_half_closed(false)
-                    .finish(move |request: Request| {
-                        let server = server.clone();
-                        async move { Ok::<_, convert::Infallible>(server.handle(request).await) }
-                    })
-                    .tcp()
+                let server = rc::Rc::new(self.http_server());
+                actix_service::fn_service(move |stream: tokio::net::TcpStream| {
+                    let server = server.clone();
+                    async move {
+                        server.serve(stream).await;
+                        Ok::<_, convert::Infallible>(())
+                    }
+                })
             })?
             .run();
         Ok(server)
     }
 
-    async fn handle(&self, mut request: Request) -> response::BoxedResponse {
+    fn http_server(&self) -> http_server::HttpServer {
+        http_server::HttpServer {
+            connections: self.connections.clone(),
+            kind: connection_limits::Listener::Callers,
+            limits: configuration::RequestLimits {
+                max_head_bytes: MAX_HEAD_BYTES,
+                max_body_bytes: self.max_body_bytes,
+                head_timeout: READ_TIMEOUT,
+                idle_timeout: IDLE_TIMEOUT,
+            },
+            body_copies: BODY_COPIES,
+            handler: rc::Rc::new(self.clone()),
+        }
+    }
+
+    async fn respond(
+        &self,
+        received: http1::ReceivedRequest,
+        meter: connections::ResponseMeter,
+    ) -> response::BoxedResponse {
+        let http1::ReceivedRequest { request, body, .. } = received;
         let path = request.path().to_owned();
         if path == "/healthz" {
             return Response::build(StatusCode::OK).body("ok\n").map_into_boxed_body();
         }
-        let body = match self.read_body(&mut request).await {
-            Ok(body) => body,
-            Err(refusal) => return self.refusal_response(refusal),
-        };
         let number = self.next_number.fetch_add(1, atomic::Ordering::Relaxed);
         let id = ids::RequestId { entry: self.incarnation, number };
         let headers = request.headers();
@@ -123,8 +165,9 @@
         } else {
             Err(unknown_path(&path))
         };
+        drop((request, body));
         match parsed {
-            Ok(parsed) => self.run_call(parsed).await,
+            Ok(parsed) => self.run_call(parsed, meter).await,
             Err(refusal) => self.refusal_response(refusal),
         }
     }
@@ -134,39 +177,25 @@
         response::refusal(&response::RequestIds::default(), refusal)
     }
 
-    async fn read_body(&self, request: &mut Request) -> Result<bytes::BytesMut, errors::Refusal> {
-        let limit = self.max_body_bytes;
-        let mut body = bytes::BytesMut::new();
-        let mut payload = request.take_payload();
-        while let Some(chunk) = payload.next().await {
-            let chunk = chunk.map_err(|error| errors::Refusal::BadField {
-                field: "body".to_owned(),
-                detail: error.to_string(),
-            })?;
-            if body.len() + chunk.len() > limit {
-                return Err(errors::Refusal::TooLarge { limit: limit as u64 });
-            }
-            body.extend_from_slice(&chunk);
-        }
-        Ok(body)
-    }
-
-    async fn run_call(&self, parsed: parse::ParsedRequest) -> response::BoxedResponse {
+    async fn run_call(
+        &self,
+        parsed: parse::ParsedRequest,
+        meter: connections::ResponseMeter,
+    ) -> response::BoxedResponse {
         let parse::ParsedRequest { request, stream } = parsed;
         let id = request.request;
         let (is_chat, model) = match &request.work {
             work::Work::Model { model, .. } => (true, model.to_string()),
             _ => (false, String::new()),
         };
-        let event_rx = self.relay.open(id);
+        let event_rx = self.relay.open(id, meter);
         let guard = DisconnectGuard { server: self.clone(), request: id };
         let command = control::Command::Input(input::Input::Request(Box::new(request)));
         if self.commands.try_send(command).is_err() {
             // The request did not reach the control thread, so it was certainly not run. Closing it
             // here keeps the guard from reporting a disconnect.
             self.relay.close(id);
-            let retry_after = time::Duration::from_millis(200);
-            return self.refusal_response(errors::Refusal::Overloaded { retry_after });
+            return self.refusal_response(errors::Refusal::Overloaded { retry_after: RETRY_AFTER });
         }
         let pending = PendingResponse {
             server: self.clone(),
@@ -185,6 +214,30 @@
     }
 }
 
+impl http_server::Handler for CallerServer {
+    fn handle(
+        &self,
+        request: http1::ReceivedRequest,
+        meter: connections::ResponseMeter,
+    ) -> future::LocalBoxFuture<'_, response::BoxedResponse> {
+        Box::pin(self.respond(request, meter))
+    }
+
+    fn refuse(&self, error: &http1::ReadError) -> Option<response::BoxedResponse> {
+        let refusal = match error {
+            http1::ReadError::NoRoom(_) => errors::Refusal::Overloaded { retry_after: RETRY_AFTER },
+            http1::ReadError::Status(StatusCode::PAYLOAD_TOO_LARGE) => {
+                errors::Refusal::TooLarge { limit: self.max_body_bytes as u64 }
+            }
+            http1::ReadError::Status(status) => {
+                return Some(Response::build(*status).body("").map_into_boxed_body());
+            }
+            http1::ReadError::ConnectionEnded | http1::ReadError::Io(_) => return None,
+        };
+        Some(self.refusal_response(refusal))
+    }
+}
+
 fn unknown_path(path: &str) -> errors::Refusal {
     errors::Refusal::BadField {
         field: "path".to_owned(),
--- a/crates/flamingotrail-runtime/src/configs/limits.rs
+++ b/crates/flamingotrail-runtime/src/configs/limits.rs
@@ -1,6 +1,7 @@
 //! Settings of what a process may hold for its clients. Those that are not set follow from the
 //! machine.
 
+use crate::callers;
 use crate::connections::limits;
 
 /// Part of the process's memory for the histories of turns.
@@ -117,7 +118,8 @@
     /// Returns an error if the memory for requests was set and has no room for one with a body of
     /// `max_body_bytes`.
     pub fn check_body(&self, max_body_bytes: usize) -> Option<String> {
-        let needed = limits::Limits::request_bytes_for(max_body_bytes);
+        let copies = max_body_bytes.saturating_mul(callers::BODY_COPIES);
+        let needed = limits::Limits::request_bytes_for(copies);
         let set = self.overrides.max_request_bytes.filter(|set| *set < needed)?;
         Some(format!(
             "--max-request-memory: `{set}` has no room for a body of --max-body-bytes \
--- a/crates/flamingotrail-runtime/src/daemon.rs
+++ b/crates/flamingotrail-runtime/src/daemon.rs
@@ -16,6 +16,7 @@
 use crate::callers;
 use crate::clock;
 use crate::configs::daemon;
+use crate::connections;
 use crate::control;
 use crate::executor;
 use crate::links;
@@ -47,7 +48,9 @@
 /// Returns an error if certificates or keys can't be loaded, an address can't be bound, or the
 /// metrics can't be registered.
 pub async fn run(config: daemon::DaemonConfig) -> Result<(), StartError> {
-    let metrics = metrics::Metrics::new()?;
+    let connections = connections::Connections::new(config.limits.connection_limits());
+    connections.admit_requests_of(config.max_body_bytes.saturating_mul(callers::BODY_COPIES));
+    let metrics = metrics::Metrics::new(connections.clone())?;
     let clock = clock::Clock::new();
     let identity = config.identity.clone();
     let parser = Box::new(TomlConfigParser::new());
@@ -67,7 +70,8 @@
         metrics.clone(),
     )?;
     actix_rt::spawn(
-        admin::AdminServer::new(commands.clone(), metrics.clone()).listen(config.admin)?,
+        admin::AdminServer::new(commands.clone(), metrics.clone(), connections.clone())
+            .listen(config.admin)?,
     );
     if let Some(address) = config.listen {
         let callers = callers::CallerServer::new(
@@ -76,6 +80,7 @@
             metrics.clone(),
             identity.peer.incarnation,
             config.max_body_bytes,
+            connections,
         );
         actix_rt::spawn(callers.listen(address, config.threads)?);
     }
--- a/crates/flamingotrail-runtime/src/http1.rs
+++ b/crates/flamingotrail-runtime/src/http1.rs
@@ -79,6 +79,8 @@
     codec: h1::Codec,
     status: u16,
     lease: connections::Lease,
+    /// Copies of a body that the process holds while its request runs.
+    body_copies: usize,
 }
 
 impl Connection {
@@ -94,9 +96,16 @@
             codec: h1::Codec::default(),
             status: 0,
             lease,
+            body_copies: 1,
         }
     }
 
+    /// Sets how many copies of a body the process holds while its request runs.
+    pub fn with_body_copies(mut self, copies: usize) -> Self {
+        self.body_copies = copies;
+        self
+    }
+
     /// What the process holds for the connection.
     pub fn lease(&self) -> &connections::Lease {
         &self.lease
@@ -206,7 +215,7 @@
             if length > limits.max_body_bytes {
                 return Err(ReadError::Status(StatusCode::PAYLOAD_TOO_LARGE));
             }
-            self.lease.check_announced(length)?;
+            self.lease.check_announced(length.saturating_mul(self.body_copies))?;
         }
         if request.head().expect() {
             self.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
@@ -272,7 +281,8 @@
                         .capacity_with(chunk.len())
                         .ok_or(ReadError::Status(StatusCode::PAYLOAD_TOO_LARGE))?;
                     if capacity > body.capacity() {
-                        self.lease.hold_request(head_bytes + capacity).await?;
+                        let bytes = head_bytes + capacity * self.body_copies;
+                        self.lease.hold_request(bytes).await?;
                     }
                     body.extend(&chunk);
                 }
--- a/crates/flamingotrail-runtime/src/lib.rs
+++ b/crates/flamingotrail-runtime/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod executor;
 pub mod gateway;
 pub mod http1;
+pub mod http_server;
 pub mod links;
 pub mod logging;
 pub mod metrics;
--- a/crates/flamingotrail-runtime/src/metrics.rs
+++ b/crates/flamingotrail-runtime/src/metrics.rs
@@ -2,6 +2,9 @@
 
 use prometheus::core;
 
+use crate::connections;
+use crate::connections::metrics as connection_metrics;
+
 /// Histogram buckets of latencies, in seconds.
 const LATENCY_BUCKETS: &[f64] =
     &[0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.57, 1.0, 2.0, 5.0, 10.0, 30.0, 60.0, 300.0];
@@ -12,6 +15,7 @@
 #[derive(Clone)]
 pub struct Metrics {
     registry: prometheus::Registry,
+    connections: connection_metrics::ConnectionMetrics,
     /// Number of calls by outcome and reason, as reported to callers.
     pub calls: prometheus::IntCounterVec,
     /// Time from the request to the complete response.
@@ -48,9 +52,10 @@
     /// # Errors
     ///
     /// Returns an error if a metric name is invalid or registered twice.
-    pub fn new() -> Result<Self, prometheus::Error> {
+    pub fn new(connections: connections::Connections) -> Result<Self, prometheus::Error> {
         let registry = prometheus::Registry::new();
         Ok(Metrics {
+            connections: connection_metrics::ConnectionMetrics::new(&registry, connections)?,
             calls: counter_vec(
                 &registry,
                 "calls_total",
@@ -111,6 +116,7 @@
 
     /// Returns all metrics in the Prometheus text format.
     pub fn render(&self) -> String {
+        self.connections.refresh();
         let families = self.registry.gather();
         prometheus::TextEncoder::new().encode_to_string(&families).unwrap_or_default()
     }
--- a/crates/flamingotrail-runtime/src/relay.rs
+++ b/crates/flamingotrail-runtime/src/relay.rs
@@ -8,6 +8,8 @@
 use flamingotrail_core::relay;
 use tokio::sync::mpsc;
 
+use crate::connections;
+
 /// An event for the connection of a caller.
 #[derive(Clone, Debug)]
 pub enum CallerEvent {
@@ -24,13 +26,20 @@
     Reply(Box<messages::Reply>),
 }
 
-type EventSenders = collections::BTreeMap<ids::RequestId, mpsc::UnboundedSender<CallerEvent>>;
+/// Where the events of an open request go.
+struct Receiver {
+    tx: mpsc::UnboundedSender<CallerEvent>,
+    /// Counts the text that the caller has not taken.
+    meter: connections::ResponseMeter,
+}
+
+type Receivers = collections::BTreeMap<ids::RequestId, Receiver>;
 
 /// Open requests of the callers that are connected to this instance.
 #[derive(Default)]
 struct Callers {
     texts: relay::CallerTextBuffers,
-    senders: EventSenders,
+    receivers: Receivers,
 }
 
 /// Text of the attempts and callers that this instance relays, shared between threads.
@@ -59,18 +68,22 @@
     }
 
     /// Opens a request of a caller. Returns the receiver of its events.
-    pub fn open(&self, request: ids::RequestId) -> mpsc::UnboundedReceiver<CallerEvent> {
+    pub fn open(
+        &self,
+        request: ids::RequestId,
+        meter: connections::ResponseMeter,
+    ) -> mpsc::UnboundedReceiver<CallerEvent> {
         let (tx, rx) = mpsc::unbounded_channel();
         let mut callers = lock(&self.callers);
         callers.texts.open(request);
-        callers.senders.insert(request, tx);
+        callers.receivers.insert(request, Receiver { tx, meter });
         rx
     }
 
     /// Closes a request of a caller. Returns whether it was open.
     pub fn close(&self, request: ids::RequestId) -> bool {
         let mut callers = lock(&self.callers);
-        callers.senders.remove(&request);
+        callers.receivers.remove(&request);
         callers.texts.close(request)
     }
 
@@ -80,9 +93,10 @@
         let Some(new_text) = callers.texts.append(request, offset, text) else {
             return;
         };
-        if let Some(tx) = callers.senders.get(&request) {
+        if let Some(receiver) = callers.receivers.get(&request) {
+            receiver.meter.add(new_text.len());
             // If the caller has disconnected, its `DisconnectGuard` closes the request.
-            let _ = tx.send(CallerEvent::Text(new_text));
+            let _ = receiver.tx.send(CallerEvent::Text(new_text));
         }
     }
 
@@ -94,9 +108,9 @@
     /// Sends an event to the connection of a caller. A reply also closes the request.
     pub fn notify_caller(&self, request: ids::RequestId, event: CallerEvent) {
         let is_reply = matches!(event, CallerEvent::Reply(_));
-        if let Some(tx) = lock(&self.callers).senders.get(&request) {
+        if let Some(receiver) = lock(&self.callers).receivers.get(&request) {
             // If the caller has disconnected, its `DisconnectGuard` closes the request.
-            let _ = tx.send(event);
+            let _ = receiver.tx.send(event);
         }
         if is_reply {
             self.close(request);
--- a/crates/flamingotrail-standins/src/fleet/crowd.rs
+++ b/crates/flamingotrail-standins/src/fleet/crowd.rs
@@ -23,6 +23,8 @@
     framing: Framing,
     /// Bytes of the body that are sent.
     sent_bytes: usize,
+    /// Body that is sent whole instead.
+    whole_body: Option<String>,
     /// Whether the clients take turns, each with a piece of its body.
     is_interleaved: bool,
     /// Bytes that are sent after the request.
@@ -55,6 +57,12 @@
         Behaviour::new(head, Framing::Chunks(chunk), sent)
     }
 
+    /// Sends `body` whole.
+    pub fn with_body(head: &str, body: &str) -> Self {
+        let behaviour = Behaviour::new(head, Framing::Length(body.len()), body.len());
+        Behaviour { whole_body: Some(body.to_owned()), ..behaviour }
+    }
+
     /// Lets the clients take turns, each with a piece of its body.
     pub fn interleaved(mut self) -> Self {
         self.is_interleaved = true;
@@ -72,6 +80,7 @@
             head: head.to_owned(),
             framing,
             sent_bytes,
+            whole_body: None,
             is_interleaved: false,
             ahead_bytes: 0,
         }
@@ -89,7 +98,10 @@
                 pieces.extend(padding.chunks(PIECE_BYTES).map(<[u8]>::to_vec));
             }
             Framing::Length(announced) => {
-                let body = vec![b'x'; self.sent_bytes];
+                let body = match &self.whole_body {
+                    Some(body) => body.clone().into_bytes(),
+                    None => vec![b'x'; self.sent_bytes],
+                };
                 pieces.push(format!("{head}\r\nContent-Length: {announced}\r\n\r\n").into_bytes());
                 pieces.extend(body.chunks(PIECE_BYTES).map(<[u8]>::to_vec));
             }
--- a/crates/flamingotrail-standins/tests/crowds_at_entries.rs
+++ b/crates/flamingotrail-standins/tests/crowds_at_entries.rs
@@ -20,6 +20,8 @@
 const MAX_DESCRIPTORS: usize = 400;
 /// Largest body of a request, in bytes.
 const MAX_BODY_BYTES: usize = 1 << 20;
+/// Largest head of a request, in bytes.
+const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Clients that send bodies.
 const CLIENTS: usize = 96;
 /// Clients that send little.
@@ -150,6 +152,38 @@
     });
 }
 
+// Guards against many large chats of legal size that are complete.
+#[test]
+fn complete_chats_of_legal_size_stay_within_memory_of_entries() {
+    run_beside_crowd("complete", |callers, _| {
+        let text = "x".repeat(MAX_BODY_BYTES - 1024);
+        let body = format!(
+            "{{\"model\":\"stable-assistant\",\"messages\":[{{\"role\":\"user\",\"content\":\"{text}\"}}]}}"
+        );
+        crowd::Crowd::start(callers, CLIENTS, &crowd::Behaviour::with_body(CHAT, &body))
+    });
+}
+
+// Guards against many heads that do not end.
+#[test]
+fn unfinished_heads_stay_within_memory_of_entries() {
+    run_beside_crowd("heads", |callers, _| {
+        let behaviour = crowd::Behaviour::unfinished_head(CHAT, MAX_HEAD_BYTES - 1024);
+        crowd::Crowd::start(callers, MANY_CLIENTS, &behaviour)
+    });
+}
+
+// Guards against requests that are sent ahead on connections whose first request is still running.
+#[test]
+fn requests_that_are_sent_ahead_stay_within_memory_of_entries() {
+    run_beside_crowd("ahead", |callers, _| {
+        let body =
+            "{\"model\":\"stable-assistant\",\"messages\":[{\"role\":\"user\",\"content\":\"go #200\"}]}";
+        let behaviour = crowd::Behaviour::with_body(CHAT, body).with_bytes_ahead(256 << 10);
+        crowd::Crowd::start(callers, MANY_CLIENTS, &behaviour)
+    });
+}
+
 // Guards against connections that use up the descriptors: no caller could connect any more.
 #[test]
 fn silent_connections_leave_descriptors_for_others_of_entries() {
