--- a/crates/flamingotrail-runtime/src/connections/limits.rs
+++ b/crates/flamingotrail-runtime/src/connections/limits.rs
@@ -1,5 +1,7 @@
 //! Limits of what a process holds for its clients, and their defaults.
 
+use flamingotrail_adapter::settings;
+
 /// Memory that a connection takes beside what its row counts, in bytes: its task, its socket, and an
 /// ordinary request.
 pub const CONNECTION_BYTES: usize = 10 << 10;
@@ -7,12 +9,11 @@
 pub const FREE_REQUEST_BYTES: usize = 8 << 10;
 /// Requests over this size share a part of the memory, so that they leave room for the others.
 pub const SMALL_REQUEST_BYTES: usize = 64 << 10;
-/// Part of the memory for requests that large running ones may take, in percent.
-const LARGE_REQUESTS_PERCENT: usize = 75;
 /// Parts of the process's memory for each kind of bytes.
 const CONNECTIONS_DIVISOR: usize = 6;
-const REQUESTS_DIVISOR: usize = 6;
 const RESPONSES_DIVISOR: usize = 8;
+/// Part of the memory for requests at most, however large bodies may be.
+const MAX_REQUESTS_DIVISOR: usize = 2;
 /// Descriptors that are left for files.
 const FILE_DESCRIPTORS: usize = 200;
 /// Parts of the descriptors for each kind of connections; the rest is for those that the process
@@ -66,6 +67,8 @@
     pub monitoring: usize,
     /// Maximum number of bytes of all requests together.
     pub request_bytes: usize,
+    /// How far a configuration with large bodies may raise the former.
+    pub max_request_bytes: usize,
     /// Maximum number of bytes of all responses together that their clients have not taken.
     pub response_bytes: usize,
 }
@@ -87,7 +90,8 @@
             monitoring: others.min(MAX_MONITORING_CONNECTIONS),
             request_bytes: overrides
                 .max_request_bytes
-                .unwrap_or(machine.memory_bytes / REQUESTS_DIVISOR),
+                .unwrap_or(machine.memory_bytes / settings::REQUEST_MEMORY_DIVISOR),
+            max_request_bytes: machine.memory_bytes / MAX_REQUESTS_DIVISOR,
             response_bytes: overrides
                 .max_response_bytes
                 .unwrap_or(machine.memory_bytes / RESPONSES_DIVISOR),
@@ -105,11 +109,11 @@
 
     /// Maximum number of bytes of running requests over [`SMALL_REQUEST_BYTES`].
     pub fn large_request_bytes(&self) -> usize {
-        self.request_bytes.saturating_mul(LARGE_REQUESTS_PERCENT) / 100
+        self.request_bytes.saturating_mul(settings::LARGE_REQUESTS_PERCENT) / 100
     }
 
     /// Returns the memory for requests that a single one of `bytes` needs.
     pub fn request_bytes_for(bytes: usize) -> usize {
-        bytes.saturating_mul(100) / LARGE_REQUESTS_PERCENT + SMALL_REQUEST_BYTES
+        bytes.saturating_mul(100) / settings::LARGE_REQUESTS_PERCENT + SMALL_REQUEST_BYTES
     }
 }
--- a/crates/flamingotrail-runtime/src/connections/table.rs
+++ b/crates/flamingotrail-runtime/src/connections/table.rs
@@ -258,9 +258,9 @@
         }
     }
 
-    /// Raises the memory for requests so that a single one of `bytes` fits.
+    /// Raises the memory for requests so that a single one of `bytes` fits, if the machine allows it.
     pub fn admit_requests_of(&mut self, bytes: usize) {
-        let needed = limits::Limits::request_bytes_for(bytes);
+        let needed = limits::Limits::request_bytes_for(bytes).min(self.limits.max_request_bytes);
         self.limits.request_bytes = self.limits.request_bytes.max(needed);
     }
 }
--- a/crates/flamingotrail-runtime/tests/connections.rs
+++ b/crates/flamingotrail-runtime/tests/connections.rs
@@ -17,6 +17,7 @@
         peers: 2,
         monitoring: 2,
         request_bytes: 8 * MB,
+        max_request_bytes: 32 * MB,
         response_bytes: 4 * MB,
     }
 }
@@ -283,6 +284,16 @@
     assert_eq!(f.receive_new(12 * MB), shedding::Decision::Granted { closed: 0 });
 }
 
+// Guards against a configuration that lets requests take more memory than the machine has.
+#[test]
+fn configured_body_size_leaves_half_of_the_memory() {
+    let mut f = fixture();
+
+    f.table.admit_requests_of(1 << 40);
+
+    assert_eq!(f.table.limits.request_bytes, test_limits().max_request_bytes);
+}
+
 // Guards against a buffer that takes far more than it holds, or loses bytes between its segments.
 #[test]
 fn body_takes_little_more_than_it_holds() {
