Owner: texts of programs take no more than their memory

Texts of finished turns are counted in the table of conversations. Beyond the limit (--max-history-memory, half of the memory by default) calls are refused as not run, with 429; calls that begin a program from three quarters on, so that programs under way can end. Repeated calls still get their recorded responses, since they are checked first.

Evidence: decision tests over one owner: a new program is refused while one under way goes on, and ended programs free what they held. So what an owner takes at its limit is not measured.

--- a/crates/flamingotrail-core/src/history.rs
+++ b/crates/flamingotrail-core/src/history.rs
@@ -82,6 +82,12 @@
 }
 
 impl TurnRecord {
+    /// Size of the turn's texts, in bytes.
+    pub fn text_bytes(&self) -> usize {
+        let input: usize = self.input.iter().map(|message| message.content.len()).sum();
+        input + self.output.len()
+    }
+
     /// Returns the chained digest after this turn, given the digest before it.
     pub fn chained_digest(&self, previous: &digest::Digest) -> digest::Digest {
         let kind = match &self.kind {
--- a/crates/flamingotrail-core/src/settings.rs
+++ b/crates/flamingotrail-core/src/settings.rs
@@ -64,6 +64,9 @@
     pub hold_lease: time::Duration,
     /// Idle time after which a program is considered ended.
     pub program_idle_timeout: time::Duration,
+    /// Maximum size of the texts of the programs that this instance owns, in bytes. Calls beyond it are
+    /// refused, and those that begin a program earlier.
+    pub max_history_bytes: usize,
     /// How long a graceful shutdown waits for running calls.
     pub drain_timeout: time::Duration,
     /// How long an owner that shuts down keeps a busy partition before it hands the partition over.
@@ -96,6 +99,7 @@
             ownership_recheck: time::Duration::from_secs(2),
             hold_lease: time::Duration::from_secs(120),
             program_idle_timeout: time::Duration::from_secs(3600),
+            max_history_bytes: usize::MAX,
             drain_timeout: time::Duration::from_secs(60),
             hand_over_after: time::Duration::from_secs(2),
             max_queue: 512,
--- a/crates/flamingotrail-core/src/systems/intake.rs
+++ b/crates/flamingotrail-core/src/systems/intake.rs
@@ -1,6 +1,8 @@
 //! Intake of calls at the partition owner: finds the program, conversation and turn of a call,
 //! replies to duplicates of running or finished calls, and refuses calls that can't run.
 
+use std::time;
+
 use crate::digest;
 use crate::errors;
 use crate::history;
@@ -23,6 +25,11 @@
 /// Maximum number of calls that one conversation may have in progress.
 const MAX_CALLS_PER_CONVERSATION: usize = 64;
 
+/// Part of the memory for histories that calls may use that begin a program, in percent.
+const NEW_PROGRAMS_PERCENT: usize = 75;
+/// When the caller of a call is to return that memory has no room for: programs end every second.
+const HISTORY_RETRY_AFTER: time::Duration = time::Duration::from_secs(1);
+
 /// Ends idle programs, and processes submitted calls and cancelled requests.
 pub fn run(world: &mut world::World, tick: &world::Tick) {
     programs::end_idle_programs(world, tick);
@@ -256,6 +263,7 @@
         let program = submit.program.clone();
         return Err(errors::Refusal::TurnLimit { program, limit });
     }
+    check_memory(world, turns == 0)?;
     let row = world.tables.conversations.rows.get(&submit.conversation);
     if row.is_some_and(|row| row.active_turns.len() >= MAX_CALLS_PER_CONVERSATION) {
         return Err(errors::Refusal::BadField {
@@ -274,6 +282,18 @@
     Ok(())
 }
 
+/// Checks that memory has room for the texts of another call. Programs under way get the last part.
+fn check_memory(world: &world::World, begins_program: bool) -> Result<(), errors::Refusal> {
+    let max_bytes = match begins_program {
+        true => world.settings.max_history_bytes / 100 * NEW_PROGRAMS_PERCENT,
+        false => world.settings.max_history_bytes,
+    };
+    if world.tables.conversations.text_bytes < max_bytes {
+        return Ok(());
+    }
+    Err(errors::Refusal::Overloaded { retry_after: HISTORY_RETRY_AFTER })
+}
+
 #[allow(clippy::too_many_arguments)]
 fn start_call(
     world: &mut world::World,
--- a/crates/flamingotrail-core/src/systems/programs.rs
+++ b/crates/flamingotrail-core/src/systems/programs.rs
@@ -119,12 +119,11 @@
     conversation: &ids::ConversationId,
     record: history::TurnRecord,
 ) {
-    let Some(row) = world.tables.conversations.rows.get_mut(conversation) else {
+    let Some(row) = world.tables.conversations.rows.get(conversation) else {
         return;
     };
-    let program = row.program.clone();
-    let records = journal::split_turn(conversation, &program, &record);
-    row.push_turn(conversation, record);
+    let records = journal::split_turn(conversation, &row.program, &record);
+    world.tables.conversations.push_turn(conversation, record);
     for record in records {
         journal_writer::append(world, &conversation.home, record);
     }
--- a/crates/flamingotrail-core/src/systems/restore.rs
+++ b/crates/flamingotrail-core/src/systems/restore.rs
@@ -98,9 +98,10 @@
             message.content = text;
         }
     }
-    let row = world.tables.conversations.get_or_insert(conversation, program);
-    row.restore_turn(conversation, record);
-    row.journaled_turn = row.last_turn;
+    world.tables.conversations.get_or_insert(conversation, program);
+    if let Some(row) = world.tables.conversations.restore_turn(conversation, record) {
+        row.journaled_turn = row.last_turn;
+    }
 }
 
 fn restore_effect(
--- a/crates/flamingotrail-core/src/tables/conversations.rs
+++ b/crates/flamingotrail-core/src/tables/conversations.rs
@@ -15,6 +15,8 @@
     /// Index: conversations of each program.
     pub by_program:
         collections::BTreeMap<ids::ProgramId, collections::BTreeSet<ids::ConversationId>>,
+    /// Size of the texts of all finished turns, in bytes.
+    pub text_bytes: usize,
 }
 
 /// A conversation.
@@ -22,6 +24,8 @@
 pub struct Conversation {
     /// The program that it belongs to.
     pub program: ids::ProgramId,
+    /// Size of the texts of the finished turns, in bytes.
+    text_bytes: usize,
     /// Finished turns.
     pub turns: collections::BTreeMap<ids::Turn, FinishedTurn>,
     /// Turns read from the log before the turn that they follow.
@@ -67,6 +71,7 @@
     pub fn new(program: &ids::ProgramId) -> Self {
         Conversation {
             program: program.clone(),
+            text_bytes: 0,
             turns: collections::BTreeMap::new(),
             out_of_order: collections::BTreeMap::new(),
             last_turn: 0,
@@ -89,6 +94,7 @@
     pub fn push_turn(&mut self, id: &ids::ConversationId, record: history::TurnRecord) {
         let digest = record.chained_digest(&self.digest(id));
         self.last_turn = record.turn;
+        self.text_bytes += record.text_bytes();
         self.turns.insert(record.turn, FinishedTurn { record, digest });
     }
 
@@ -138,9 +144,36 @@
         self.rows.get_mut(conversation).expect("the row was just inserted")
     }
 
+    /// Appends the turn that follows the last one of `conversation`. Returns its row.
+    pub fn push_turn(
+        &mut self,
+        conversation: &ids::ConversationId,
+        record: history::TurnRecord,
+    ) -> Option<&mut Conversation> {
+        let row = self.rows.get_mut(conversation)?;
+        self.text_bytes -= row.text_bytes;
+        row.push_turn(conversation, record);
+        self.text_bytes += row.text_bytes;
+        Some(row)
+    }
+
+    /// Adds a turn of `conversation` that was read from the log, in any order. Returns its row.
+    pub fn restore_turn(
+        &mut self,
+        conversation: &ids::ConversationId,
+        record: history::TurnRecord,
+    ) -> Option<&mut Conversation> {
+        let row = self.rows.get_mut(conversation)?;
+        self.text_bytes -= row.text_bytes;
+        row.restore_turn(conversation, record);
+        self.text_bytes += row.text_bytes;
+        Some(row)
+    }
+
     /// Removes the row of `conversation` and updates the index by program.
     pub fn remove(&mut self, conversation: &ids::ConversationId) -> Option<Conversation> {
         let row = self.rows.remove(conversation)?;
+        self.text_bytes -= row.text_bytes;
         if let Some(set) = self.by_program.get_mut(&row.program) {
             set.remove(conversation);
             if set.is_empty() {
--- a/crates/flamingotrail-runtime/src/configs/daemon.rs
+++ b/crates/flamingotrail-runtime/src/configs/daemon.rs
@@ -343,7 +343,11 @@
         let is_endpoint = role == settings::Role::Endpoint;
         let endpoint = is_endpoint.then(|| endpoint(parser, args));
         let identity = identity(parser, args, role);
-        let settings = scheduler_settings(parser, args);
+        let limits = parser.limits(&args.limits);
+        let settings = settings::Settings {
+            max_history_bytes: limits.max_program_bytes(),
+            ..scheduler_settings(parser, args)
+        };
         let config = DaemonConfig {
             identity,
             settings,
@@ -363,7 +367,7 @@
                 authority: parser.file("tls-authority", &args.tls_authority),
             },
             max_body_bytes: parser.count("max-body-bytes", &args.max_body_bytes),
-            limits: parser.limits(&args.limits),
+            limits,
             inbox_capacity: parser.count("inbox", &args.inbox),
             threads: parser.count("threads", &args.threads),
             seed: seed(parser, args),
--- a/crates/flamingotrail-runtime/src/configs/limits.rs
+++ b/crates/flamingotrail-runtime/src/configs/limits.rs
@@ -4,8 +4,10 @@
 use crate::callers;
 use crate::connections::limits;
 
-/// Part of the process's memory for the histories of turns.
+/// Part of a gateway's memory for the histories of turns; the log has them, too.
 const HISTORY_DIVISOR: usize = 6;
+/// Part of the memory of an instance for the texts of the programs that it owns.
+const PROGRAMS_DIVISOR: usize = 2;
 /// Bytes in a megabyte.
 const BYTES_PER_MB: usize = 1_000_000;
 /// Descriptors of a process whose machine names no limit.
@@ -36,8 +38,8 @@
     /// an eighth of the memory.
     #[arg(long, env = "FLAMINGOTRAIL_MAX_RESPONSE_MEMORY", default_value = "")]
     pub max_response_memory: String,
-    /// Maximum size of the histories of turns in memory, in bytes; role `gateway` only. By default a
-    /// sixth of the memory.
+    /// Maximum size of the histories in memory, in bytes. By default a sixth of the memory (role
+    /// `gateway`), or half of it for the programs that an instance owns (role `endpoint`).
     #[arg(long, env = "FLAMINGOTRAIL_MAX_HISTORY_MEMORY", default_value = "")]
     pub max_history_memory: String,
 }
@@ -106,6 +108,11 @@
         self.max_history_bytes.unwrap_or(self.memory_bytes() / HISTORY_DIVISOR)
     }
 
+    /// Maximum size of the texts of the programs that an instance owns, in bytes.
+    pub fn max_program_bytes(&self) -> usize {
+        self.max_history_bytes.unwrap_or(self.memory_bytes() / PROGRAMS_DIVISOR)
+    }
+
     /// Limits of what the process holds for its clients.
     pub fn connection_limits(&self) -> limits::Limits {
         let machine = limits::Machine {
--- a/crates/flamingotrail-runtime/src/connections/metrics.rs
+++ b/crates/flamingotrail-runtime/src/connections/metrics.rs
@@ -53,7 +53,7 @@
     pub fn refresh(&self) {
         let (usage, limits) = (self.connections.usage(), self.connections.limits());
         let kinds = [
-            ("connections", usage.connections, limits.callers),
+            ("connections", usage.callers, limits.callers),
             ("request_bytes", usage.request_bytes, limits.request_bytes),
             ("response_bytes", usage.response_bytes, limits.response_bytes),
         ];
--- a/crates/flamingotrail-runtime/src/connections/mod.rs
+++ b/crates/flamingotrail-runtime/src/connections/mod.rs
@@ -127,11 +127,6 @@
         self.token.cancelled().await;
     }
 
-    /// Whether the connection has to be closed to make room.
-    pub fn is_closed_for_room(&self) -> bool {
-        self.token.is_cancelled()
-    }
-
     /// The connection waits for a request, and the process holds nothing for it.
     pub fn set_idle(&self) {
         self.connections.lock().set_idle(self.id, time::Instant::now());
@@ -201,7 +196,8 @@
         ResponseMeter { connections: self.connections.clone(), id: self.id }
     }
 
-    /// The connection closes and has dropped what it held; it is the first to end if another one needs its place.
+    /// The connection closes and has dropped what it held; it is the first to end if another one needs
+    /// its place.
     pub fn begin_close(&self) {
         self.connections.lock().begin_close(self.id, time::Instant::now());
         self.connections.shared.released.notify_waiters();
--- a/crates/flamingotrail-runtime/src/connections/shedding.rs
+++ b/crates/flamingotrail-runtime/src/connections/shedding.rs
@@ -46,7 +46,9 @@
         return Decision::Refused;
     }
     let max = table.limits.request_bytes;
-    if table.is_dropping() && table.request_bytes_at_most() + bytes > max {
+    // An ordinary request is part of its connection's cost, and waits for nobody.
+    let is_counted = bytes > limits::FREE_REQUEST_BYTES;
+    if is_counted && table.is_dropping() && table.request_bytes_at_most() + bytes > max {
         return Decision::Wait;
     }
     table.set_request_bytes(id, bytes);
--- a/crates/flamingotrail-runtime/src/connections/table.rs
+++ b/crates/flamingotrail-runtime/src/connections/table.rs
@@ -60,8 +60,8 @@
 /// What the connections of a process hold.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Usage {
-    /// Number of connections.
-    pub connections: usize,
+    /// Number of callers' connections.
+    pub callers: usize,
     /// Bytes of requests.
     pub request_bytes: usize,
     /// Bytes of responses that clients have not taken.
@@ -252,7 +252,7 @@
     /// What the connections hold.
     pub fn usage(&self) -> Usage {
         Usage {
-            connections: self.rows.len(),
+            callers: self.counts.get(&limits::Listener::Callers).copied().unwrap_or(0),
             request_bytes: self.request_bytes,
             response_bytes: self.response_bytes,
         }
--- a/crates/flamingotrail-runtime/tests/connections.rs
+++ b/crates/flamingotrail-runtime/tests/connections.rs
@@ -145,7 +145,7 @@
     f.table.set_idle(idle, f.now);
     f.table.remove(gone);
 
-    assert_eq!(f.table.usage(), table::Usage { connections: 1, ..Default::default() });
+    assert_eq!(f.table.usage(), table::Usage { callers: 1, ..Default::default() });
     assert!(f.table.leaves_room_beside_running(6 * MB));
 }
 
@@ -166,6 +166,19 @@
     assert_eq!(after, shedding::Decision::Granted { closed: 0 });
 }
 
+// Load: ordinary requests while a crowd is being closed. They don't queue behind it.
+#[test]
+fn ordinary_request_waits_for_no_room() {
+    let mut f = fixture();
+    f.receive(6 * MB);
+    f.wait(100);
+    assert_eq!(f.receive_new(3 * MB), shedding::Decision::Granted { closed: 1 });
+
+    let decision = f.receive_new(limits::FREE_REQUEST_BYTES);
+
+    assert_eq!(decision, shedding::Decision::Granted { closed: 0 });
+}
+
 // Guards against a request that was told to close, completes at the same moment, and runs: its
 // caller is told that it has not.
 #[test]
--- a/crates/flamingotrail-standins/tests/order.rs
+++ b/crates/flamingotrail-standins/tests/order.rs
@@ -18,6 +18,37 @@
     harness
 }
 
+// Load: large chats whose histories owners keep for as long as a program may pause, without a limit.
+// Programs under way go on where new ones are refused.
+#[test]
+fn calls_that_memory_has_no_room_for_are_refused_as_not_run() {
+    let mut harness = world_after_first_turn();
+    let stored = harness.world.tables.conversations.text_bytes;
+    harness.world.settings.max_history_bytes = stored + stored / 4;
+    let second = harness.call_input(1, 2, 30);
+    let new_program = harness.call_input(2, 1, 30);
+
+    harness.run(vec![new_program]);
+    let refused = harness.last_reply.clone().map(|reply| reply.outcome);
+    harness.run(vec![second]);
+    advance(&mut harness, 500);
+
+    let is_overloaded =
+        matches!(refused, Some(work::Outcome::NotRun(errors::Refusal::Overloaded { .. })));
+    assert!(stored > 0 && is_overloaded, "{refused:?}");
+    assert_eq!((harness.replies, harness.executions), ((2, 1), 2));
+}
+
+// Guards against texts of ended programs that count for ever.
+#[test]
+fn ended_programs_free_their_memory() {
+    let mut harness = world_after_first_turn();
+
+    advance(&mut harness, 2 * 3_600_000);
+
+    assert_eq!(harness.world.tables.conversations.text_bytes, 0);
+}
+
 #[test]
 fn an_early_call_waits_for_the_one_before_it() {
     let mut harness = world_after_first_turn();
