Connections: an eighth of the memory for requests is for ordinary ones

Complete requests of up to 64 KiB could take all memory for requests while they ran; ordinary requests with a body were then refused until those ended. Requests over 16 KiB may now take seven eighths.

Evidence: running_requests_leave_room_for_ordinary_ones fails without the change, since a request of 40 KiB takes the last part. The new test with 300 complete bodies of 60 KiB passes with and without it: an ordinary request found room there.

--- a/crates/flamingotrail-runtime/src/connections/limits.rs
+++ b/crates/flamingotrail-runtime/src/connections/limits.rs
@@ -9,6 +9,10 @@
 pub const FREE_REQUEST_BYTES: usize = 8 << 10;
 /// Requests over this size share a part of the memory, so that they leave room for the others.
 pub const SMALL_REQUEST_BYTES: usize = 64 << 10;
+/// Requests up to this size are ordinary: the last part of the memory is for them.
+const ORDINARY_REQUEST_BYTES: usize = 16 << 10;
+/// Part of the memory for requests that is kept for ordinary ones.
+const ORDINARY_REQUESTS_DIVISOR: usize = 8;
 /// Parts of the process's memory for each kind of bytes.
 const CONNECTIONS_DIVISOR: usize = 6;
 const RESPONSES_DIVISOR: usize = 8;
@@ -107,6 +111,14 @@
         }
     }
 
+    /// Maximum number of bytes of all requests together for one that has `bytes` to be received.
+    pub fn request_bytes_beside(&self, bytes: usize) -> usize {
+        match bytes <= ORDINARY_REQUEST_BYTES {
+            true => self.request_bytes,
+            false => self.request_bytes - self.request_bytes / ORDINARY_REQUESTS_DIVISOR,
+        }
+    }
+
     /// Maximum number of bytes of running requests over [`SMALL_REQUEST_BYTES`].
     pub fn large_request_bytes(&self) -> usize {
         self.request_bytes.saturating_mul(settings::LARGE_REQUESTS_PERCENT) / 100
--- a/crates/flamingotrail-runtime/src/connections/shedding.rs
+++ b/crates/flamingotrail-runtime/src/connections/shedding.rs
@@ -45,7 +45,7 @@
         table.set_request_bytes(id, 0);
         return Decision::Refused;
     }
-    let max = table.limits.request_bytes;
+    let max = table.limits.request_bytes_beside(bytes);
     // An ordinary request is part of its connection's cost, and waits for nobody.
     let is_counted = bytes > limits::FREE_REQUEST_BYTES;
     if is_counted && table.is_dropping() && table.request_bytes_at_most() + bytes > max {
--- a/crates/flamingotrail-runtime/tests/connections.rs
+++ b/crates/flamingotrail-runtime/tests/connections.rs
@@ -136,6 +136,24 @@
     assert!(running.iter().all(|id| !f.is_told_to_close(*id)));
 }
 
+// Load: complete requests that are not large, and run. They took all memory for requests until they
+// ended, and ordinary requests were refused.
+#[test]
+fn running_requests_leave_room_for_ordinary_ones() {
+    const KB: usize = 1 << 10;
+    let mut f = fixture();
+    f.table.limits.request_bytes = 200 * KB;
+    for _ in 0..3 {
+        f.run(64 * KB);
+    }
+
+    let moderate = f.receive_new(40 * KB);
+    let ordinary = f.receive_new(12 * KB);
+
+    assert_eq!(moderate, shedding::Decision::Refused);
+    assert_eq!(ordinary, shedding::Decision::Granted { closed: 0 });
+}
+
 // Guards against memory of running requests that is counted for ever.
 #[test]
 fn ended_requests_free_their_memory() {
--- a/crates/flamingotrail-standins/tests/crowds_at_gateways.rs
+++ b/crates/flamingotrail-standins/tests/crowds_at_gateways.rs
@@ -26,6 +26,8 @@
 const MAX_BODY_BYTES: usize = 1 << 20;
 /// Largest body of a request on the users' machines, in bytes.
 const USERS_MAX_BODY_BYTES: usize = 4 << 20;
+/// Body of a request that is neither large nor ordinary, in bytes.
+const MODERATE_BYTES: usize = 60 << 10;
 /// Clients that send bodies.
 const CLIENTS: usize = 96;
 /// Clients that send little.
@@ -185,6 +187,19 @@
     fleet.assert_sound(&crowd, MAX_MEMORY_KB);
 }
 
+// Guards against many complete bodies that are not large each: they took all room until their calls
+// ended, and ordinary requests were refused.
+#[test]
+fn complete_bodies_of_moderate_size_leave_room_for_ordinary_requests() {
+    let mut fleet = start_fleet("moderate");
+    fleet.small.plain.set_delay(time::Duration::from_secs(4));
+    let behaviour = crowd::Behaviour::with_length(BOOKING, MODERATE_BYTES, MODERATE_BYTES);
+
+    let crowd = fleet.start_crowd(MANY_CLIENTS / 2, &behaviour);
+
+    fleet.assert_sound(&crowd, MAX_MEMORY_KB);
+}
+
 // Guards against bodies of the users' largest size on their smallest machine.
 #[test]
 fn bodies_of_the_users_largest_size_stay_within_their_smallest_machine() {
