--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -469,7 +469,8 @@
         end = time.monotonic() + timeout
         while time.monotonic() < end:
             if self.process.poll() is not None:
-                raise RuntimeError(f"{self.name} has ended with {self.process.returncode}")
+                lines = " | ".join(self.log().splitlines()[-3:])
+                raise RuntimeError(f"{self.name} has ended with {self.process.returncode}: {lines}")
             if await self.is_ready():
                 return
             await asyncio.sleep(0.05)
