Second review: ports of the stand-ins below those of outgoing connections

Cause: three of 126 starts of a deployment, and one run of case 8, ended because a gateway's port had been given to an outgoing connection in the meantime.

--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -38,14 +38,18 @@
 
 
 def free_ports(ip, count):
-    sockets = []
-    for _ in range(count):
-        sock = socket.socket()
-        sock.bind((ip, 0))
-        sockets.append(sock)
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
+    """Returns free ports of `ip`, below those that the system gives to outgoing connections."""
+    ports = []
+    while len(ports) < count:
+        port = random.randint(12000, 31000)
+        try:
+            with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
+                tcp.bind((ip, port))
+                udp.bind((ip, port))
+        except OSError:
+            continue
+        if port not in ports:
+            ports.append(port)
     return ports
 
 
