--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -428,7 +428,8 @@
     def __init__(self, deployment, number, memory_mb=130):
         self.deployment, self.number, self.memory_mb = deployment, number, memory_mb
         self.name = f"front-north-a-{number}"
-        self.ip = f"127.0.{random.randint(1, 250)}.{10 + number}"
+        # Two gateways can't start at one address, even with other ports; scripts may run side by side.
+        self.ip = f"127.{random.randint(1, 250)}.{random.randint(1, 250)}.{10 + number}"
         self.process = None
         self.ports = None
 
