Discredit idle connections to the store after a call without a response

Callers saw 502 for requests that may run once: after open connections to the store had gone silent, a gateway sent requests to a leaving endpoint for up to 5.99 s after the ack of its leaving (allowed: 3 s).

Cause: idle connections were kept without a limit of number or age, and a call that timed out dropped only its own. Each read of the list took the next silent one, 650 ms each, and so did the watchers of the configuration and of the gateways, and the probes of the log.

Why it works: an idle connection is used for 3 s at most, a call without a response discredits all that have not responded since it was sent, and the read after a failed one uses a new connection. One silence costs a watcher one read, whatever the number of idle connections.

--- a/crates/flamingotrail-runtime/src/gateway/peers/registration.rs
+++ b/crates/flamingotrail-runtime/src/gateway/peers/registration.rs
@@ -17,8 +17,9 @@
 
 /// Timeout for the removal of an entry, which a process that ends waits for.
 const UNREGISTER_TIMEOUT: time::Duration = time::Duration::from_millis(200);
-/// Long-poll wait of a read of the gateways' entries.
-const CHANGE_WAIT: time::Duration = time::Duration::from_secs(10);
+/// Long-poll wait of a read of the gateways' entries. With the response timeout and the retry delay, a
+/// read on a silent connection has failed and the next one has begun within 4 s.
+const CHANGE_WAIT: time::Duration = time::Duration::from_millis(2_500);
 /// Delay after a failed read or write of entries.
 const RETRY_DELAY: time::Duration = time::Duration::from_millis(500);
 
--- a/crates/flamingotrail-runtime/src/gateway/process.rs
+++ b/crates/flamingotrail-runtime/src/gateway/process.rs
@@ -156,7 +156,7 @@
         name,
         own_entry,
     ));
-    actix_rt::spawn(remove_expired(pool.clone()));
+    actix_rt::spawn(remove_expired(pool.clone(), store.clone()));
     actix_rt::spawn(drain_on_signal(terminate, inputs.clone(), stage_tx.clone()));
     actix_rt::spawn(reload_on_signal(hangup));
     log::info!(
@@ -207,10 +207,11 @@
     }
 }
 
-async fn remove_expired(pool: pool::Pool) {
+async fn remove_expired(pool: pool::Pool, store: rc::Rc<store::StoreClient>) {
     loop {
         actix_rt::time::sleep(EXPIRY_CHECK_INTERVAL).await;
         pool.remove_expired();
+        store.remove_expired();
     }
 }
 
--- a/crates/flamingotrail-runtime/src/gateway/watch.rs
+++ b/crates/flamingotrail-runtime/src/gateway/watch.rs
@@ -133,10 +133,13 @@
     }
 }
 
-/// Reads a keyed topic: first the newest record of each key, then new records as they arrive.
+/// Reads a keyed topic: first the newest record of each key, then new records as they arrive. After a
+/// failed read, the next one uses a new connection, so that one read at most is lost to connections that
+/// have gone silent.
 pub struct TopicReader {
     topic: &'static str,
     next_offset: Option<u64>,
+    reuse: store::Reuse,
 }
 
 /// Result of one read of a keyed topic.
@@ -150,7 +153,7 @@
 impl TopicReader {
     /// Creates a reader that starts with the newest record of each key.
     pub fn new(topic: &'static str) -> Self {
-        TopicReader { topic, next_offset: None }
+        TopicReader { topic, next_offset: None, reuse: store::Reuse::Idle }
     }
 
     /// Reads new records, waiting up to `wait` for one.
@@ -162,9 +165,19 @@
         &mut self,
         store: &store::StoreClient,
         wait: time::Duration,
+    ) -> Result<TopicUpdate, store::StoreError> {
+        let result = self.try_read(store, wait).await;
+        self.reuse = if result.is_ok() { store::Reuse::Idle } else { store::Reuse::Never };
+        result
+    }
+
+    async fn try_read(
+        &mut self,
+        store: &store::StoreClient,
+        wait: time::Duration,
     ) -> Result<TopicUpdate, store::StoreError> {
         let Some(next) = self.next_offset else { return self.read_newest(store).await };
-        match store.read_raw(self.topic, 0, next, wait).await {
+        match store.read_raw(self.topic, 0, next, wait, self.reuse).await {
             Ok(page) => {
                 self.next_offset = Some(next + page.records.len() as u64);
                 Ok(TopicUpdate { is_snapshot: false, records: self.decode(&page.records) })
@@ -178,7 +191,7 @@
         &mut self,
         store: &store::StoreClient,
     ) -> Result<TopicUpdate, store::StoreError> {
-        let page = store.read_newest(self.topic).await?;
+        let page = store.read_newest(self.topic, self.reuse).await?;
         self.next_offset = Some(page.end);
         let records = page.records.into_iter().map(|item| (item.key, item.value)).collect();
         Ok(TopicUpdate { is_snapshot: true, records })
--- a/crates/flamingotrail-standins/src/fleet/platform.rs
+++ b/crates/flamingotrail-standins/src/fleet/platform.rs
@@ -10,6 +10,11 @@
     restarted_runner_entry(service, address, 0)
 }
 
+/// Returns the registry entry of a runner that is about to leave.
+pub fn draining_runner_entry(service: &str, address: net::SocketAddr) -> String {
+    runner_entry(service, address).replace("\"ready\"", "\"draining\"")
+}
+
 /// Returns the registry entry of a runner that is ready after `restarts` starts under the same id.
 pub fn restarted_runner_entry(service: &str, address: net::SocketAddr, restarts: u64) -> String {
     const FIRST_START_MS: u64 = 1_700_000_000_000;
--- a/crates/flamingotrail-standins/src/fleet/runner.rs
+++ b/crates/flamingotrail-standins/src/fleet/runner.rs
@@ -95,6 +95,7 @@
 #[derive(Clone, Default)]
 pub struct Runner {
     state: sync::Arc<sync::Mutex<State>>,
+    silence: server::Silence,
 }
 
 impl Runner {
@@ -110,7 +111,7 @@
     /// Returns an error if no port is free.
     pub fn serve_model(&self, events: usize) -> io::Result<net::SocketAddr> {
         let runner = self.clone();
-        server::serve(move |request| {
+        let handler = move |request: &server::Request| {
             runner.lock().requests.push(request.clone());
             if let Some(response) = runner.respond_instead(request) {
                 return response;
@@ -144,7 +145,8 @@
                 return server::Response::Bytes(chunks.collect::<String>().into_bytes());
             }
             server::Response::DelayedChunks(chunks.map(String::into_bytes).collect(), delay)
-        })
+        };
+        server::serve_with_silence(handler, &self.silence)
     }
 
     /// Serves as a plain runner.
@@ -154,7 +156,12 @@
     /// Returns an error if no port is free.
     pub fn serve_plain(&self) -> io::Result<net::SocketAddr> {
         let runner = self.clone();
-        server::serve(move |request| runner.respond_plain(request))
+        server::serve_with_silence(move |request| runner.respond_plain(request), &self.silence)
+    }
+
+    /// Lets all connections that are open now go silent, without closing them; new ones work.
+    pub fn silence_connections(&self) {
+        self.silence.begin();
     }
 
     /// Responds to a health check.
--- a/crates/flamingotrail-standins/src/fleet/server.rs
+++ b/crates/flamingotrail-standins/src/fleet/server.rs
@@ -7,6 +7,7 @@
 use std::io::Write as _;
 use std::net;
 use std::sync;
+use std::sync::atomic;
 use std::thread;
 use std::time;
 
@@ -67,6 +68,24 @@
     Close,
 }
 
+/// Lets the open connections of a server go silent: they stay open, and nothing more comes of them. New
+/// connections work. Clones act on the same server.
+#[derive(Clone, Default)]
+pub struct Silence {
+    begun: sync::Arc<atomic::AtomicU64>,
+}
+
+impl Silence {
+    /// Silences the connections that are open now.
+    pub fn begin(&self) {
+        self.begun.fetch_add(1, atomic::Ordering::SeqCst);
+    }
+
+    fn count(&self) -> u64 {
+        self.begun.load(atomic::Ordering::SeqCst)
+    }
+}
+
 /// Builds a response with a `Content-Length` body.
 pub fn response(status: u16, headers: &[(&str, &str)], body: &[u8]) -> Response {
     let mut bytes = format!("HTTP/1.1 {status} Status\r\n").into_bytes();
@@ -86,13 +105,27 @@
 pub fn serve(
     handler: impl Fn(&Request) -> Response + Send + Sync + 'static,
 ) -> io::Result<net::SocketAddr> {
+    serve_with_silence(handler, &Silence::default())
+}
+
+/// Serves `handler` on a free loopback port until the process exits; `silence` can silence its
+/// connections.
+///
+/// # Errors
+///
+/// Returns an error if no port is free.
+pub fn serve_with_silence(
+    handler: impl Fn(&Request) -> Response + Send + Sync + 'static,
+    silence: &Silence,
+) -> io::Result<net::SocketAddr> {
+    let silence = silence.clone();
     let listener = net::TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0))?;
     let address = listener.local_addr()?;
     let handler = sync::Arc::new(handler);
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
-            let handler = handler.clone();
-            thread::spawn(move || serve_connection(stream, &*handler));
+            let (handler, silence) = (handler.clone(), silence.clone());
+            thread::spawn(move || serve_connection(stream, &*handler, &silence));
         }
     });
     Ok(address)
@@ -100,12 +133,23 @@
 
 /// Serves one connection until it ends or fails. Errors are not reported, since the peer may close
 /// it at any time.
-fn serve_connection(stream: net::TcpStream, handler: &dyn Fn(&Request) -> Response) {
+fn serve_connection(
+    stream: net::TcpStream,
+    handler: &dyn Fn(&Request) -> Response,
+    silence: &Silence,
+) {
+    let opened_at = silence.count();
     let Ok(mut out) = stream.try_clone() else { return };
     let mut reader = io::BufReader::new(stream);
     let mut late = Vec::new();
     while let Ok(Some(request)) = read_request(&mut reader) {
+        if silence.count() != opened_at {
+            continue;
+        }
         let response = handler(&request);
+        if silence.count() != opened_at {
+            continue;
+        }
         if out.write_all(&std::mem::take(&mut late)).is_err() {
             return;
         }
--- a/crates/flamingotrail-standins/src/fleet/small.rs
+++ b/crates/flamingotrail-standins/src/fleet/small.rs
@@ -28,6 +28,8 @@
     pub model: runner::Runner,
     /// The plain runner.
     pub plain: runner::Runner,
+    /// Address of the plain runner.
+    pub plain_address: net::SocketAddr,
     /// Folder of the gateways' settings and logs.
     pub folder: path::PathBuf,
 }
@@ -48,7 +50,7 @@
     store.set("keyed.servers", "p-1", &platform::runner_entry("plain", plain_address));
     store.set("keyed.servers", "foreign", "{\"service\":7}");
     let folder = std::env::temp_dir().join(format!("flamingotrail-{name}-{}", std::process::id()));
-    Ok(Fleet { store, store_address, model, plain, folder })
+    Ok(Fleet { store, store_address, model, plain, plain_address, folder })
 }
 
 /// Path of the gateway program.
--- a/crates/flamingotrail-standins/src/fleet/store.rs
+++ b/crates/flamingotrail-standins/src/fleet/store.rs
@@ -29,6 +29,8 @@
     retention: Option<time::Duration>,
     is_unavailable: bool,
     drop_responses: bool,
+    /// Delay before each response.
+    delay: time::Duration,
     append_count: usize,
 }
 
@@ -45,6 +47,7 @@
 #[derive(Clone, Default)]
 pub struct Store {
     state: sync::Arc<sync::Mutex<State>>,
+    silence: server::Silence,
 }
 
 impl Store {
@@ -60,7 +63,17 @@
     /// Returns an error if no port is free.
     pub fn serve(&self) -> io::Result<net::SocketAddr> {
         let store = self.clone();
-        server::serve(move |request| store.handle(request))
+        server::serve_with_silence(move |request| store.handle(request), &self.silence)
+    }
+
+    /// Lets all connections that are open now go silent, without closing them; new ones work.
+    pub fn silence_connections(&self) {
+        self.silence.begin();
+    }
+
+    /// Delays all responses.
+    pub fn set_delay(&self, delay: time::Duration) {
+        self.lock().delay = delay;
     }
 
     /// Makes the store drop records of topics without keys after `retention`.
@@ -107,6 +120,8 @@
     }
 
     fn handle(&self, request: &server::Request) -> server::Response {
+        let delay = self.lock().delay;
+        thread::sleep(delay);
         if self.lock().is_unavailable {
             return server::response(503, &[], b"{}");
         }
