Discredit idle connections to endpoints that leave a request unanswered

Callers saw 504 for calls that may be repeated: after the connections to all endpoints had gone silent, each attempt met another silent one, for as long as the endpoints' Keep-Alive allows idle connections (42 s at 60 s).

An attempt that got no response dropped its own connection only, and a second attempt took an idle connection too.

Why it works: a request in use of an idle connection that gets no response for 400 ms discredits all connections to its endpoint that have not responded since, and attempts after the first use a connection only if it has been idle for less than 3 s, as requests that may run once do. What has responded since is kept, so a slow endpoint that responds at all loses no connection that is in use.

Result: calls_are_served_after_connections_to_all_endpoints_went_silent passes.

--- a/crates/flamingotrail-runtime/src/gateway/attempts.rs
+++ b/crates/flamingotrail-runtime/src/gateway/attempts.rs
@@ -31,6 +31,8 @@
 const DISCARD_TIMEOUT: time::Duration = time::Duration::from_millis(50);
 /// Maximum number of responses to earlier requests that are skipped on one connection.
 const MAX_STALE_RESPONSES: usize = 4;
+/// Time without a response after which a connection in use again may have gone silent.
+const SILENCE_TIME: time::Duration = time::Duration::from_millis(400);
 /// Error of a response for which there is no memory.
 const TOO_MANY_BYTES: connection::ConnectionError =
     connection::ConnectionError::Malformed("the unfinished responses exceed the size limit");
@@ -58,8 +60,10 @@
     Stream { complete: bool },
 }
 
-/// What an attempt has received of a streamed response.
-struct StreamProgress {
+/// What an attempt has received.
+struct Progress {
+    /// When the request was sent on a connection in use again; `None` once a response has begun.
+    unanswered_since: Option<time::Instant>,
     is_streaming: bool,
     event_count: u64,
     last_event: Option<u64>,
@@ -69,9 +73,10 @@
     load: Option<input::Load>,
 }
 
-impl StreamProgress {
+impl Progress {
     fn new(buffered: byte_budget::HeldBytes) -> Self {
-        StreamProgress {
+        Progress {
+            unanswered_since: None,
             is_streaming: false,
             event_count: 0,
             last_event: None,
@@ -90,12 +95,17 @@
         request: rc::Rc<Request>,
         cancel: oneshot::Receiver<()>,
     ) -> input::Outcome {
-        let mut progress = StreamProgress::new(self.buffers.begin());
+        let mut progress = Progress::new(self.buffers.begin());
         let ended = tokio::select! {
             biased;
             outcome = self.attempt(dispatch, &request, &mut progress) => Some(outcome),
             _ = cancel => None,
         };
+        if let Some(sent_at) = progress.unanswered_since {
+            if sent_at.elapsed() >= SILENCE_TIME {
+                self.pool.discredit(&dispatch.endpoint, sent_at);
+            }
+        }
         match ended {
             Some(AttemptEnd::Outcome(outcome)) => outcome,
             Some(AttemptEnd::Stream { complete }) => self.end_stream(dispatch, progress, complete),
@@ -108,10 +118,10 @@
     fn end_stream(
         &self,
         dispatch: &output::Dispatch,
-        progress: StreamProgress,
+        progress: Progress,
         complete: bool,
     ) -> input::Outcome {
-        let StreamProgress { event_count, last_event, output, mut buffered, load, .. } = progress;
+        let Progress { event_count, last_event, output, mut buffered, load, .. } = progress;
         let output = output.into_bytes();
         buffered.shrink_to(output.len());
         self.calls.hold_bytes(dispatch.call, buffered);
@@ -122,10 +132,16 @@
         &self,
         dispatch: &output::Dispatch,
         request: &Request,
-        progress: &mut StreamProgress,
+        progress: &mut Progress,
     ) -> AttemptEnd {
-        let mut connection = match self.pool.take(&dispatch.endpoint, dispatch.repeatable) {
-            Some(connection) => connection,
+        // The connections of all endpoints may have gone silent at once, so another attempt uses only
+        // one that has responded lately.
+        let allows_long_idle = dispatch.repeatable && dispatch.attempt <= 1;
+        let mut connection = match self.pool.take(&dispatch.endpoint, allows_long_idle) {
+            Some(connection) => {
+                progress.unanswered_since = Some(time::Instant::now());
+                connection
+            }
             None => {
                 let timeout = CONNECT_TIMEOUT.min(dispatch.timeout);
                 let start = time::Instant::now();
@@ -160,10 +176,11 @@
         request: &Request,
         connection: &mut connection::Connection,
         head: &[u8],
-        progress: &mut StreamProgress,
+        progress: &mut Progress,
     ) -> Result<AttemptEnd, connection::ConnectionError> {
         let id = requests::request_id(request.head());
         let mut response = connection.exchange(head, &dispatch.body).await?;
+        progress.unanswered_since = None;
         let mut stale_responses = 0;
         while !responses::matches_request_id(&response, id) {
             stale_responses += 1;
@@ -246,7 +263,7 @@
         dispatch: &output::Dispatch,
         connection: &mut connection::Connection,
         head: connection::ResponseHead,
-        progress: &mut StreamProgress,
+        progress: &mut Progress,
     ) -> Result<(), connection::ConnectionError> {
         progress.is_streaming = true;
         let ends_with_connection = head.ends_with_connection;
--- a/crates/flamingotrail-runtime/src/gateway/pool.rs
+++ b/crates/flamingotrail-runtime/src/gateway/pool.rs
@@ -7,6 +7,7 @@
 use std::time;
 
 use flamingotrail_adapter::connection;
+use flamingotrail_adapter::idle;
 use flamingotrail_gateway::ids;
 
 /// Maximum number of idle connections per endpoint.
@@ -24,7 +25,7 @@
 #[derive(Clone, Default)]
 pub struct Pool {
     connections:
-        rc::Rc<cell::RefCell<collections::BTreeMap<ids::EndpointId, Vec<connection::Connection>>>>,
+        rc::Rc<cell::RefCell<collections::BTreeMap<ids::EndpointId, idle::IdleConnections>>>,
 }
 
 impl Pool {
@@ -36,34 +37,30 @@
         repeatable: bool,
     ) -> Option<connection::Connection> {
         let mut connections = self.connections.borrow_mut();
-        let idle = connections.get_mut(endpoint)?;
         let now = time::Instant::now();
-        while let Some(connection) = idle.pop() {
-            if is_fresh(&connection, now, repeatable) && connection.is_reusable() {
-                return Some(connection);
-            }
-        }
-        None
+        connections.get_mut(endpoint)?.take(|connection| is_fresh(connection, now, repeatable))
     }
 
     /// Returns a connection to the pool. A full pool drops the oldest connection of the endpoint.
     pub fn put(&self, endpoint: &ids::EndpointId, connection: connection::Connection) {
-        if !connection.is_reusable() {
-            return;
-        }
         let mut connections = self.connections.borrow_mut();
         let idle = connections.entry(endpoint.clone()).or_default();
-        if idle.len() == MAX_IDLE_PER_ENDPOINT {
-            idle.remove(0);
+        idle.put(connection, MAX_IDLE_PER_ENDPOINT);
+    }
+
+    /// Drops the connections to `endpoint` that have not responded since `sent_at`, when a request was
+    /// sent that got no response.
+    pub fn discredit(&self, endpoint: &ids::EndpointId, sent_at: time::Instant) {
+        if let Some(idle) = self.connections.borrow_mut().get_mut(endpoint) {
+            idle.discredit(sent_at);
         }
-        idle.push(connection);
     }
 
     /// Drops connections that have been idle for too long.
     pub fn remove_expired(&self) {
         let now = time::Instant::now();
         self.connections.borrow_mut().retain(|_, idle| {
-            idle.retain(|connection| is_fresh(connection, now, true) && connection.is_reusable());
+            idle.retain(|connection| is_fresh(connection, now, true));
             !idle.is_empty()
         });
     }
--- a/crates/flamingotrail-runtime/src/gateway/watch.rs
+++ b/crates/flamingotrail-runtime/src/gateway/watch.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use flamingotrail_adapter::configuration;
+use flamingotrail_adapter::idle;
 use flamingotrail_adapter::records;
 use flamingotrail_adapter::registry;
 use flamingotrail_adapter::store;
@@ -139,7 +140,7 @@
 pub struct TopicReader {
     topic: &'static str,
     next_offset: Option<u64>,
-    reuse: store::Reuse,
+    reuse: idle::Reuse,
 }
 
 /// Result of one read of a keyed topic.
@@ -153,7 +154,7 @@
 impl TopicReader {
     /// Creates a reader that starts with the newest record of each key.
     pub fn new(topic: &'static str) -> Self {
-        TopicReader { topic, next_offset: None, reuse: store::Reuse::Idle }
+        TopicReader { topic, next_offset: None, reuse: idle::Reuse::Idle }
     }
 
     /// Reads new records, waiting up to `wait` for one.
@@ -167,7 +168,7 @@
         wait: time::Duration,
     ) -> Result<TopicUpdate, store::StoreError> {
         let result = self.try_read(store, wait).await;
-        self.reuse = if result.is_ok() { store::Reuse::Idle } else { store::Reuse::Never };
+        self.reuse = if result.is_ok() { idle::Reuse::Idle } else { idle::Reuse::Never };
         result
     }
 
--- a/crates/flamingotrail-standins/tests/silence.rs
+++ b/crates/flamingotrail-standins/tests/silence.rs
@@ -162,3 +162,35 @@
     assert!(turn.status == 200 && turn.is_complete(), "{}", turn.text);
     assert!(!fleet.small.log("one").contains("event=list_lost"), "{}", fleet.small.log("one"));
 }
+
+// Guards against a call that may be repeated and meets silent connections at each of its endpoints, long
+// after they went silent.
+#[test]
+fn calls_are_served_after_connections_to_all_endpoints_went_silent() {
+    let small = small::start("silent-endpoints").expect("no free port");
+    let other = runner::Runner::new();
+    let address = other.serve_plain().expect("no free port");
+    small.store.set("keyed.servers", "p-2", platform::runner_entry("plain", address));
+    let fleet = Fleet { gateway: small.start_gateway("one"), small };
+    for runner in [&fleet.small.plain, &other] {
+        runner.set_keep_alive("timeout=60");
+        runner.set_delay(time::Duration::from_millis(100));
+    }
+    thread::scope(|scope| {
+        for number in 0..12 {
+            let (fleet, id) = (&fleet, format!("w{number}"));
+            scope.spawn(move || fleet.call("GET", "/look/1", &id, "3000"));
+        }
+    });
+    for runner in [&fleet.small.plain, &other] {
+        assert!(runner.requests().len() > 1, "both have connections");
+        runner.silence_connections();
+    }
+    thread::sleep(STABLE_WINDOW);
+
+    let statuses: Vec<u16> = (0..4)
+        .map(|number| fleet.call("GET", "/look/1", &format!("a{number}"), "1500").status)
+        .collect();
+
+    assert_eq!(statuses, [200; 4]);
+}
