Send announcements once more if a link does not respond

What happened: an announcement that an endpoint leaves, or a crash of one by a request, told to another gateway on a link that had gone silent was lost, and that gateway went on as before.

Cause: idle links were treated like idle connections to endpoints, and messages that nobody repeats were sent once.

Other messages were repeated already by what needs them.

Cost: one more connection and message for each gateway that does not respond, for each announcement.

Result: announcements_reach_other_gateways_after_links_went_silent passes.

--- a/crates/flamingotrail-runtime/src/gateway/peers.rs
+++ b/crates/flamingotrail-runtime/src/gateway/peers.rs
@@ -17,6 +17,7 @@
 use bytes::Bytes;
 use flamingotrail_adapter::configuration;
 use flamingotrail_adapter::connection;
+use flamingotrail_adapter::idle;
 use flamingotrail_gateway::ids;
 use flamingotrail_gateway::input;
 use flamingotrail_gateway::journal;
@@ -71,6 +72,9 @@
     }
 }
 
+/// Another gateway has not responded; it may have received the message.
+struct NoResponse;
+
 /// A response to another gateway.
 enum Response {
     /// A short one.
@@ -284,18 +288,10 @@
     pub fn probe(&self, peer: ids::InstanceName, address: String) {
         let peers = self.clone();
         actix_rt::spawn(async move {
-            let response = peers.send_request(&peer, &address, "GET", PROBE_PATH, Bytes::new());
-            let has_responded = match tokio::time::timeout(RESPONSE_TIMEOUT, response).await {
-                Ok(Ok(_)) => true,
-                Ok(Err(error)) => {
-                    log::debug!("event=probe_failed peer={peer} error={:?}", error.to_string());
-                    false
-                }
-                Err(_) => {
-                    log::debug!("event=probe_timed_out peer={peer}");
-                    false
-                }
-            };
+            let reuse = idle::Reuse::Idle;
+            let response =
+                peers.try_request(&peer, &address, "GET", PROBE_PATH, Bytes::new(), reuse);
+            let has_responded = response.await.is_ok();
             peers.inputs.send(input::Input::PeerProbed { peer, has_responded });
         });
     }
@@ -318,6 +314,28 @@
         });
     }
 
+    /// Sends a message that may arrive twice, once more on a new connection if the first try gets no
+    /// response: an idle connection may have gone silent.
+    async fn request_persistently(
+        &self,
+        peer: &ids::InstanceName,
+        address: &str,
+        method: &str,
+        path: &str,
+        body: Bytes,
+    ) -> Option<HeldResponse> {
+        let first =
+            self.try_request(peer, address, method, path, body.clone(), idle::Reuse::Idle).await;
+        match first {
+            Ok(response) => response,
+            Err(NoResponse) => {
+                let second =
+                    self.try_request(peer, address, method, path, body, idle::Reuse::Never);
+                second.await.ok().flatten()
+            }
+        }
+    }
+
     async fn request(
         &self,
         peer: &ids::InstanceName,
@@ -326,16 +344,24 @@
         path: &str,
         body: Bytes,
     ) -> Option<HeldResponse> {
-        let response = self.send_request(peer, address, method, path, body);
-        match tokio::time::timeout(RESPONSE_TIMEOUT, response).await {
-            Ok(Ok(response)) => response,
-            Ok(Err(error)) => {
+        let response = self.try_request(peer, address, method, path, body, idle::Reuse::Idle);
+        response.await.ok().flatten()
+    }
+
+    async fn try_request(
+        &self,
+        peer: &ids::InstanceName,
+        address: &str,
+        method: &str,
+        path: &str,
+        body: Bytes,
+        reuse: idle::Reuse,
+    ) -> Result<Option<HeldResponse>, NoResponse> {
+        match self.send_request(peer, address, method, path, body, reuse).await {
+            Ok(response) => Ok(response),
+            Err(error) => {
                 log::debug!("event=peer_request_failed peer={peer} error={:?}", error.to_string());
-                None
-            }
-            Err(_) => {
-                log::debug!("event=peer_request_timed_out peer={peer}");
-                None
+                Err(NoResponse)
             }
         }
     }
@@ -347,9 +373,35 @@
         method: &str,
         path: &str,
         body: Bytes,
+        reuse: idle::Reuse,
     ) -> Result<Option<HeldResponse>, connection::ConnectionError> {
         let key = ids::EndpointId::new(peer.as_str());
-        let mut connection = match self.pool.take(&key, false) {
+        let sent_at = time::Instant::now();
+        let exchange = self.exchange(&key, address, method, path, body, reuse);
+        let result = match tokio::time::timeout(RESPONSE_TIMEOUT, exchange).await {
+            Ok(result) => result,
+            Err(_) => Err(io::Error::from(io::ErrorKind::TimedOut).into()),
+        };
+        if result.is_err() {
+            self.pool.discredit(&key, sent_at);
+        }
+        result
+    }
+
+    async fn exchange(
+        &self,
+        key: &ids::EndpointId,
+        address: &str,
+        method: &str,
+        path: &str,
+        body: Bytes,
+        reuse: idle::Reuse,
+    ) -> Result<Option<HeldResponse>, connection::ConnectionError> {
+        let idle = match reuse {
+            idle::Reuse::Idle => self.pool.take(key, false),
+            idle::Reuse::Never => None,
+        };
+        let mut connection = match idle {
             Some(connection) => connection,
             None => pool::connect(address, CONNECT_TIMEOUT).await?,
         };
@@ -366,7 +418,7 @@
             has_room && length <= MAX_RESPONSE_BYTES
         };
         let bytes = connection.read_body_while(has_room).await?;
-        self.pool.put(&key, connection);
+        self.pool.put(key, connection);
         Ok((response.status == 200).then_some(HeldResponse { bytes, _held: held }))
     }
 }
--- a/crates/flamingotrail-runtime/src/gateway/peers/allowances.rs
+++ b/crates/flamingotrail-runtime/src/gateway/peers/allowances.rs
@@ -6,6 +6,7 @@
 use actix_http::Method;
 use bytes::Bytes;
 use flamingotrail_adapter::connection;
+use flamingotrail_adapter::idle;
 use flamingotrail_gateway::ids;
 use flamingotrail_gateway::input;
 use flamingotrail_gateway::leases;
@@ -97,12 +98,13 @@
         let path = format!("{PATH}?{OWNER}={owner}&{QUESTION}={name}");
         let peers = self.clone();
         actix_rt::spawn(async move {
-            let response = peers.send_request(&peer, &address, "GET", &path, Bytes::new());
-            let report = match tokio::time::timeout(peers::RESPONSE_TIMEOUT, response).await {
-                Ok(Ok(Some(response))) => response
+            let reuse = idle::Reuse::Idle;
+            let response = peers.send_request(&peer, &address, "GET", &path, Bytes::new(), reuse);
+            let report = match response.await {
+                Ok(Some(response)) => response
                     .decode(wire::decode_holdings)
                     .map_or(leases::Report::Unknown, leases::Report::Holdings),
-                Ok(Err(error)) if is_refused(&error) => leases::Report::Ended,
+                Err(error) if is_refused(&error) => leases::Report::Ended,
                 _ => leases::Report::Unknown,
             };
             peers.inputs.send(input::Input::HoldingsReported { peer, report });
--- a/crates/flamingotrail-runtime/src/gateway/peers/announcements.rs
+++ b/crates/flamingotrail-runtime/src/gateway/peers/announcements.rs
@@ -45,7 +45,9 @@
     pub fn ask_crashes(&self, peer: ids::InstanceName, address: String) {
         let peers = self.clone();
         actix_rt::spawn(async move {
-            let response = peers.request(&peer, &address, "GET", CRASHES_PATH, Bytes::new()).await;
+            let response = peers
+                .request_persistently(&peer, &address, "GET", CRASHES_PATH, Bytes::new())
+                .await;
             if let Some(crashes) =
                 response.and_then(|response| response.decode(wire::decode_crashes))
             {
@@ -65,7 +67,7 @@
         let peers = self.clone();
         actix_rt::spawn(async move {
             // A gateway that is not reached learns of the request by itself.
-            peers.request(&peer, &address, "POST", CRASHES_PATH, body.into()).await;
+            peers.request_persistently(&peer, &address, "POST", CRASHES_PATH, body.into()).await;
         });
     }
 
@@ -78,7 +80,9 @@
     pub fn ask_notices(&self, peer: ids::InstanceName, address: String) {
         let peers = self.clone();
         actix_rt::spawn(async move {
-            let response = peers.request(&peer, &address, "GET", NOTICES_PATH, Bytes::new()).await;
+            let response = peers
+                .request_persistently(&peer, &address, "GET", NOTICES_PATH, Bytes::new())
+                .await;
             if let Some(notices) =
                 response.and_then(|response| response.decode(wire::decode_notices))
             {
@@ -104,7 +108,7 @@
         let peers = self.clone();
         actix_rt::spawn(async move {
             // Without a response, the other gateway learns from its own requests.
-            peers.request(&peer, &address, "POST", NOTICES_PATH, body.into()).await;
+            peers.request_persistently(&peer, &address, "POST", NOTICES_PATH, body.into()).await;
         });
     }
 }
--- a/crates/flamingotrail-standins/tests/silence.rs
+++ b/crates/flamingotrail-standins/tests/silence.rs
@@ -1,14 +1,19 @@
 //! Connections that go silent without being closed, at gateway processes on loopback: what a gateway acts
 //! on stays as young as `docs/PLATFORM.md` says.
 
+use std::sync;
 use std::thread;
 use std::time;
 
+use flamingotrail_gateway::ids;
+use flamingotrail_gateway::tables::peers;
 use flamingotrail_standins::fleet::caller;
 use flamingotrail_standins::fleet::gateways;
 use flamingotrail_standins::fleet::platform;
 use flamingotrail_standins::fleet::runner;
+use flamingotrail_standins::fleet::server;
 use flamingotrail_standins::fleet::small;
+use flamingotrail_wire::gateway as wire;
 
 /// Number of turns at once, each of which needs a connection to the store.
 const TURNS: usize = 24;
@@ -194,3 +199,34 @@
 
     assert_eq!(statuses, [200; 4]);
 }
+
+// Guards against an announcement that is lost on a silent connection to another gateway, which then goes
+// on to use an endpoint that leaves.
+#[test]
+fn announcements_reach_other_gateways_after_links_went_silent() {
+    let small = small::start("silent-links").expect("no free port");
+    let (silence, messages) = (server::Silence::default(), sync::Arc::new(sync::Mutex::new(0)));
+    let count = messages.clone();
+    let respond = move |request: &server::Request| {
+        let is_announcement = request.method == "POST" && request.path() == "/v1/notices";
+        *count.lock().expect("not poisoned") += usize::from(is_announcement);
+        server::response(200, &[], b"")
+    };
+    let address = server::serve_with_silence(respond, &silence).expect("no free port");
+    let entry = peers::Peer {
+        address: address.to_string(),
+        domain: ids::DomainName::new("north-a"),
+        region: ids::RegionName::new("north"),
+    };
+    small.store.set("keyed.gateways", "two", wire::encode_peer(&entry).expect("encoded"));
+    let fleet = Fleet { gateway: small.start_gateway("one"), small };
+    // Probes, which come every two seconds, keep a link open.
+    thread::sleep(time::Duration::from_millis(2_500));
+
+    silence.begin();
+    fleet.small.plain.set_leaving(true);
+    fleet.call("GET", "/look/1", "a", "3000");
+    thread::sleep(time::Duration::from_millis(1_500));
+
+    assert_eq!(*messages.lock().expect("not poisoned"), 1);
+}
