Drop idle connections to the log after a request without a response

What happened: entries and owners whose connections to the log had gone silent lost 2 s for each idle one, and their turns waited for the log.

The HTTP client keeps idle connections for 15 s, and a request that timed out dropped only its own.

Evidence: of three reads after eight connections went silent, all three fail; with the fix, the first.

Why it works: a request without a valid response replaces the client, which drops all idle connections and leaves requests under way alone.

--- a/crates/flamingotrail-platform/src/log_service.rs
+++ b/crates/flamingotrail-platform/src/log_service.rs
@@ -4,6 +4,7 @@
 //! if the entry was rejected. `GET /streams/{stream}/entries?from=&wait_ms=` returns a page of
 //! entries, waiting up to `wait_ms` milliseconds for the first one.
 
+use std::cell;
 use std::time;
 
 use flamingotrail_core::ids;
@@ -41,19 +42,31 @@
     ) -> http::LocalFuture<'a, Option<input::StreamPage>>;
 }
 
-/// Log client over HTTP.
+/// Log client over HTTP. A request without a response drops all idle connections: nothing else shows
+/// that connections have gone silent, and the next requests would meet them one after the other.
 pub struct HttpLogService {
-    client: awc::Client,
+    client: cell::RefCell<awc::Client>,
     base_url: String,
 }
 
 impl HttpLogService {
     /// Creates a client for the log at base URL `base_url`, such as `http://10.0.0.1:7000`.
     pub fn new(base_url: &str) -> Self {
-        let client = http::client(CONNECT_TIMEOUT, REQUEST_TIMEOUT);
+        let client = cell::RefCell::new(new_client());
         HttpLogService { client, base_url: base_url.trim_end_matches('/').to_owned() }
     }
 
+    fn client(&self) -> awc::Client {
+        self.client.borrow().clone()
+    }
+
+    /// Drops the idle connections if a request got no response.
+    fn check_response<T>(&self, result: &Result<T, http::HttpError>) {
+        if matches!(result, Err(http::HttpError::InvalidResponse { .. })) {
+            self.client.replace(new_client());
+        }
+    }
+
     async fn try_append(
         &self,
         stream: &ids::StreamName,
@@ -61,7 +74,7 @@
     ) -> Result<u64, http::HttpError> {
         let url = format!("{}/streams/{stream}/entries", self.base_url);
         let body = platform::AppendRequest { data: codec::encode_entry(entry) };
-        let result = self.client.post(&url).send_json(&body).await;
+        let result = self.client().post(&url).send_json(&body).await;
         let mut response =
             result.map_err(|error| http::HttpError::from_send_error(&url, &error))?;
         let status = response.status();
@@ -87,7 +100,7 @@
             from.0,
             wait.as_millis()
         );
-        let result = self.client.get(&url).timeout(REQUEST_TIMEOUT + wait).send().await;
+        let result = self.client().get(&url).timeout(REQUEST_TIMEOUT + wait).send().await;
         let mut response =
             result.map_err(|error| http::HttpError::from_send_error(&url, &error))?;
         let status = response.status();
@@ -102,6 +115,10 @@
     }
 }
 
+fn new_client() -> awc::Client {
+    http::client(CONNECT_TIMEOUT, REQUEST_TIMEOUT)
+}
+
 fn decode_page(response: platform::ReadResponse) -> input::StreamPage {
     let entries = response.entries.into_iter().map(|entry| input::StreamEntry {
         offset: ids::Offset(entry.offset),
@@ -127,7 +144,9 @@
         entry: &'a journal::Entry,
     ) -> http::LocalFuture<'a, input::AppendResult> {
         Box::pin(async move {
-            match self.try_append(stream, entry).await {
+            let result = self.try_append(stream, entry).await;
+            self.check_response(&result);
+            match result {
                 Ok(offset) => input::AppendResult::Committed(ids::Offset(offset)),
                 Err(http::HttpError::Status { status: TOO_MANY_REQUESTS, .. }) => {
                     input::AppendResult::RateLimited
@@ -148,6 +167,7 @@
     ) -> http::LocalFuture<'a, Option<input::StreamPage>> {
         Box::pin(async move {
             let result = self.try_read(stream, from, wait).await;
+            self.check_response(&result);
             result
                 .inspect_err(|error| {
                     log::debug!("event=read_failed stream={stream} error={:?}", error.to_string());
