Count each end of an endpoint as a crash of the request it ran

Callers saw 502 again and again: a request that crashes endpoints which start again under their ids was never kept away.

Cause: a crash was known by the endpoint's id, all crashes at the same moment were one, a loss that the list had not confirmed lived in the memory of one process, and crashes in that of the processes that were up.

The new tests play ids that stay, change and mix, 1 to 7 endpoints, times away from 0.25 to 4.5 s, all kinds of routes, up to 8 copies at once and restarts of one gateway or all.

Why it works: an end of an endpoint with the request under way is a crash, known by endpoint and time. Three one after the other keep the request away, as before. Three at once may have another cause, so such a request is tried first, at three gateways at most and one at a time each; a success is told to all gateways. Losses and crashes are saved in the store, and a gateway that starts checks the losses against the list.

--- a/crates/flamingotrail-gateway/src/input.rs
+++ b/crates/flamingotrail-gateway/src/input.rs
@@ -85,6 +85,14 @@
     },
     /// Another gateway has learned of endpoints that were crashed by a request, or was asked for them.
     PeerCrashes(Vec<PeerCrash>),
+    /// Another gateway has responded to `Output::AskCrashes` with all that it knows.
+    KnownCrashes(Vec<PeerCrash>),
+    /// What gateways have saved of crashes was read.
+    SavedCrashes(Vec<CrashRecord>),
+    /// `Output::SaveCrashes` has ended; contains whether the record is stored.
+    CrashesSaved(bool),
+    /// Another gateway tells of requests that endpoints have survived.
+    PeerSurvivals(Vec<ids::Fingerprint>),
     /// Another gateway asks for the crashes that this one knows.
     CrashesRequested {
         /// Correlates the request with its response.
@@ -398,6 +406,30 @@
     pub took: time::Duration,
 }
 
+/// A request that was lost with its connection to an endpoint, which may have ended with it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Loss {
+    /// The request.
+    pub fingerprint: ids::Fingerprint,
+    /// The endpoint.
+    pub endpoint: ids::EndpointId,
+    /// When the endpoint was started, in milliseconds since the Unix epoch, if it says so.
+    pub started_at_ms: Option<u64>,
+    /// Time since the request was lost.
+    pub age: time::Duration,
+    /// Time between the sending of the request and its loss.
+    pub took: time::Duration,
+}
+
+/// What a gateway saves of requests that crash endpoints, for gateways that start later.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct CrashRecord {
+    /// Crashes of endpoints.
+    pub crashes: Vec<PeerCrash>,
+    /// Losses that may turn out to be crashes.
+    pub losses: Vec<Loss>,
+}
+
 /// Load that an endpoint reports.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Load {
--- a/crates/flamingotrail-gateway/src/output.rs
+++ b/crates/flamingotrail-gateway/src/output.rs
@@ -87,8 +87,20 @@
         /// The crashes.
         crashes: Vec<input::PeerCrash>,
     },
+    /// Tells another gateway of requests that endpoints have survived, without confirmation.
+    TellSurvivals {
+        /// Gateway to tell.
+        peer: ids::InstanceName,
+        /// Address of that gateway.
+        address: String,
+        /// The requests.
+        survivals: Vec<ids::Fingerprint>,
+    },
+    /// Saves what this gateway knows of requests that crash endpoints, in place of what it has saved
+    /// before; results in one `Input::CrashesSaved`.
+    SaveCrashes(input::CrashRecord),
     /// Asks another gateway for the crashes that it knows; results in at most one
-    /// `Input::PeerCrashes`.
+    /// `Input::KnownCrashes`.
     AskCrashes {
         /// Gateway to ask.
         peer: ids::InstanceName,
--- a/crates/flamingotrail-gateway/src/systems/crashes.rs
+++ b/crates/flamingotrail-gateway/src/systems/crashes.rs
@@ -3,19 +3,35 @@
 //! A request counts if it was lost with its connection and its endpoint ended. The list says so: it
 //! drops the endpoint or shows a later start of it. An answer that was lost on the way, or a gateway
 //! that is cut off, is no crash.
+//!
+//! Gateways tell each other of crashes as they are confirmed, and of requests that were survived after
+//! all. What a gateway knows, losses that are not confirmed yet included, is saved in the store, so that it
+//! outlives restarts of this gateway and of all.
+
+use std::time;
 
 use crate::ids;
 use crate::input;
 use crate::output;
 use crate::tables::calls;
+use crate::tables::crashes;
+use crate::tables::timers;
 use crate::world;
 
+/// Number of gateways that may try a request that is kept away, each once at a time: if all do so at the
+/// same moment, as many endpoints as the request had to crash are lost.
+const TRIAL_GATEWAYS: usize = 3;
+/// Minimum time between two messages to a gateway, and between two records in the store.
+const PUBLISH_INTERVAL: time::Duration = time::Duration::from_millis(1_000);
+/// Status from which on a response says that the endpoint has failed, perhaps without running the request.
+const SERVER_ERROR: u16 = 500;
+
 /// Applies the messages of other gateways, and the ends of endpoints.
 pub fn run(world: &mut world::World, tick: &world::Tick) {
-    for told in std::mem::take(&mut world.tables.inbox.peer_crashes) {
-        for crash in world.tables.crashes.record_crashes(&told, tick.now) {
-            emit_crash(world, &crash, "peer");
-        }
+    apply_messages(world, tick);
+    if world.tables.crashes.has_loaded_suspicions && world.tables.endpoints.is_loaded {
+        world.tables.crashes.has_loaded_suspicions = false;
+        mark_ended_endpoints(world);
     }
     for endpoint in std::mem::take(&mut world.tables.dirty.ended_endpoints) {
         let crashes = world.tables.crashes.record_end(&endpoint, tick.now);
@@ -35,6 +51,45 @@
         world.tables.crashes.has_asked = true;
         ask_peers(world);
     }
+    let is_due = std::mem::take(&mut world.tables.dirty.unpublished_crashes);
+    let crashes = &world.tables.crashes;
+    if is_due || crashes.is_unsaved || !crashes.untold_survivals.is_empty() {
+        publish(world, tick);
+    }
+}
+
+fn apply_messages(world: &mut world::World, tick: &world::Tick) {
+    for told in std::mem::take(&mut world.tables.inbox.peer_crashes) {
+        for crash in world.tables.crashes.record_crashes(&told, tick.now) {
+            emit_crash(world, &crash, "peer");
+        }
+    }
+    for known in std::mem::take(&mut world.tables.inbox.known_crashes) {
+        world.tables.crashes.adopt(&known, tick.now);
+    }
+    for saved in std::mem::take(&mut world.tables.inbox.saved_crashes) {
+        let (records, losses) = (saved.len(), saved.iter().map(|record| record.losses.len()));
+        let losses: usize = losses.sum();
+        world.emit_event("crashes_loaded", format_args!("records={records} losses={losses}"));
+        world.tables.crashes.load(&saved, tick.now);
+    }
+    for is_stored in std::mem::take(&mut world.tables.inbox.crash_saves) {
+        world.tables.crashes.is_unsaved |= !is_stored;
+    }
+    for fingerprint in std::mem::take(&mut world.tables.inbox.survivals) {
+        if world.tables.crashes.record_success(fingerprint) {
+            emit_survival(world, fingerprint, "peer");
+        }
+    }
+}
+
+/// Marks the endpoints that have ended while this gateway was not there to see it.
+fn mark_ended_endpoints(world: &mut world::World) {
+    let rows = &world.tables.endpoints.rows;
+    let ended = world.tables.crashes.ended_suspects(|endpoint, started_at_ms| {
+        rows.get(endpoint).is_none_or(|row| row.listed.started_at_ms != started_at_ms)
+    });
+    world.tables.dirty.ended_endpoints.extend(ended);
 }
 
 /// Records what an attempt says of whether its endpoint has survived the request.
@@ -57,30 +112,97 @@
         | input::Outcome::Streamed { complete: false, .. }
             if !is_leaving && call.phase != calls::Phase::Closed =>
         {
-            let fingerprint = call.fingerprint();
-            tables.crashes.record_loss(fingerprint, &running.endpoint, running.sent_at, tick.now);
+            let (fingerprint, started_at_ms) = (call.fingerprint(), running.started_at_ms);
+            let run = crashes::Run { sent_at: running.sent_at, lost_at: tick.now };
+            tables.crashes.record_loss(fingerprint, &running.endpoint, started_at_ms, run);
+            tables.dirty.unpublished_crashes = true;
+            if row.is_some_and(|row| row.listed.started_at_ms != started_at_ms) {
+                // The list has shown the end already.
+                tables.dirty.ended_endpoints.insert(running.endpoint.clone());
+            }
         }
-        input::Outcome::Answered { .. } | input::Outcome::Streamed { complete: true, .. }
+        input::Outcome::Answered { status: ..SERVER_ERROR, .. }
+        | input::Outcome::Streamed { complete: true, .. }
             if !tables.crashes.is_empty() =>
         {
-            tables.crashes.record_success(call.fingerprint());
+            let fingerprint = call.fingerprint();
+            if tables.crashes.record_success(fingerprint) {
+                tables.crashes.untold_survivals.insert(fingerprint);
+                tables.dirty.unpublished_crashes = true;
+                emit_survival(world, fingerprint, "own");
+            }
+        }
+        _ if tables.crashes.is_restricting() => {
+            tables.crashes.end_trial(call.fingerprint(), tick.now);
         }
         _ => {}
     }
 }
 
-/// Returns the refusal of a call that is quarantined.
+/// Returns the refusal of a call whose request is kept away or on trial.
 pub fn refusal(
-    world: &mut world::World,
+    world: &world::World,
     tick: &world::Tick,
     call: &calls::Call,
 ) -> Option<output::Refusal> {
-    if !world.tables.crashes.has_suspects() {
+    if !world.tables.crashes.is_restricting() {
         return None;
     }
-    let until = world.tables.crashes.admit(call.fingerprint(), tick.now).err()?;
-    let retry_after = Some(until.since(tick.now));
-    Some(output::Refusal { reason: output::Reason::Quarantined, retry_after })
+    let fingerprint = call.fingerprint();
+    let place = world.tables.peers.place(&world.identity.instance, &fingerprint.to_string());
+    let allows_trials = place < TRIAL_GATEWAYS;
+    let retry_after = world.tables.crashes.check(fingerprint, allows_trials, tick.now).err()?;
+    let reason =
+        if call.may_have_run() { output::Reason::Lost } else { output::Reason::Quarantined };
+    let retry_after = (reason == output::Reason::Quarantined).then_some(retry_after);
+    Some(output::Refusal { reason, retry_after })
+}
+
+/// Records that a call is sent, which may be a trial of its request.
+pub fn record_sent(world: &mut world::World, tick: &world::Tick, id: ids::CallId) {
+    let tables = &mut world.tables;
+    if !tables.crashes.is_restricting() {
+        return;
+    }
+    let Some(call) = tables.calls.rows.get(&id) else { return };
+    let (fingerprint, request) = (call.fingerprint(), call.arrival.id.clone());
+    if tables.crashes.begin_trial(fingerprint, tick.now) {
+        let detail = format_args!("request={request} fingerprint={fingerprint}");
+        world.emit_event("request_on_trial", detail);
+    }
+}
+
+/// Tells the other gateways of survived requests, and saves what this one knows.
+fn publish(world: &mut world::World, tick: &world::Tick) {
+    let crashes = &mut world.tables.crashes;
+    if let Some(next_at) = crashes.published_at.map(|at| at.after(PUBLISH_INTERVAL)) {
+        if next_at > tick.now {
+            world.tables.timers.set(timers::Timer::PublishCrashes, next_at);
+            return;
+        }
+    }
+    crashes.published_at = Some(tick.now);
+    let survivals: Vec<ids::Fingerprint> =
+        std::mem::take(&mut crashes.untold_survivals).into_iter().collect();
+    if std::mem::take(&mut crashes.is_unsaved) {
+        let record = crashes.record(tick.now);
+        world.emit(output::Output::SaveCrashes(record));
+    }
+    if survivals.is_empty() {
+        return;
+    }
+    let peers = world.tables.peers.rows.iter();
+    let messages = peers.map(|(name, peer)| output::Output::TellSurvivals {
+        peer: name.clone(),
+        address: peer.address.clone(),
+        survivals: survivals.clone(),
+    });
+    world.outputs.extend(messages);
+}
+
+fn emit_survival(world: &mut world::World, fingerprint: ids::Fingerprint, source: &str) {
+    let detail = format_args!("fingerprint={fingerprint} source={source}");
+    world.emit_event("request_survived", detail);
 }
 
 fn emit_crash(world: &mut world::World, crash: &input::PeerCrash, source: &str) {
--- a/crates/flamingotrail-gateway/src/systems/ingest.rs
+++ b/crates/flamingotrail-gateway/src/systems/ingest.rs
@@ -42,6 +42,10 @@
             input::Input::PeerNotices(notices) => inbox.peer_notices.extend(notices),
             input::Input::NoticesRequested { ticket } => inbox.notice_requests.push(ticket),
             input::Input::PeerCrashes(crashes) => inbox.peer_crashes.push(crashes),
+            input::Input::KnownCrashes(crashes) => inbox.known_crashes.push(crashes),
+            input::Input::SavedCrashes(records) => inbox.saved_crashes.push(records),
+            input::Input::CrashesSaved(is_stored) => inbox.crash_saves.push(is_stored),
+            input::Input::PeerSurvivals(survivals) => inbox.survivals.extend(survivals),
             input::Input::CrashesRequested { ticket } => inbox.crash_requests.push(ticket),
             input::Input::PeerProbed { peer, has_responded } => {
                 inbox.probe_results.push((peer, has_responded));
--- a/crates/flamingotrail-gateway/src/systems/membership.rs
+++ b/crates/flamingotrail-gateway/src/systems/membership.rs
@@ -85,7 +85,11 @@
 /// Adds an endpoint, or updates what the list says of it.
 fn update_endpoint(world: &mut world::World, id: ids::EndpointId, listed: input::Endpoint) {
     if let Some(started_at_ms) = listed.started_at_ms {
-        if world.tables.notices.record_start(&id, started_at_ms) {
+        let row = world.tables.endpoints.rows.get(&id);
+        // The row outlives what the announcements know of an endpoint that is missing for a while.
+        let known = row.and_then(|row| row.listed.started_at_ms);
+        let has_other_start = known.is_some_and(|known| known != started_at_ms);
+        if world.tables.notices.record_start(&id, started_at_ms) || has_other_start {
             world.tables.endpoints.rows.remove(&id);
             world.tables.dirty.ended_endpoints.insert(id.clone());
             world.emit_event("endpoint_restarted", format_args!("endpoint={id}"));
@@ -101,6 +105,10 @@
         endpoints.rows.insert(id, endpoints::Endpoint::new(listed));
         return;
     };
+    if listed.draining && !row.listed.draining {
+        // It has outlived the requests that were lost there, and may end with others.
+        world.tables.crashes.clear_losses(&id);
+    }
     if row.listed.draining != listed.draining {
         let detail = format_args!("endpoint={id} draining={}", listed.draining);
         world.outputs.push(event("endpoint_changed", detail));
--- a/crates/flamingotrail-gateway/src/systems/placement.rs
+++ b/crates/flamingotrail-gateway/src/systems/placement.rs
@@ -13,6 +13,7 @@
 use crate::systems::admission_order;
 use crate::systems::allowances;
 use crate::systems::completion;
+use crate::systems::crashes;
 use crate::systems::identity;
 use crate::tables::calls;
 use crate::tables::endpoints;
@@ -71,7 +72,8 @@
     if call.phase != calls::Phase::Placing {
         return;
     }
-    if let Some(refusal) = identity::refusal(world, call) {
+    let refusal = identity::refusal(world, call);
+    if let Some(refusal) = refusal.or_else(|| crashes::refusal(world, tick, call)) {
         completion::refuse(world, tick, id, refusal);
         return;
     }
@@ -269,6 +271,7 @@
         .map(|_| policy::memory::expected_use(&request, &candidate, expected_load));
     Some(calls::RunningAttempt {
         endpoint: endpoint.clone(),
+        started_at_ms: row.listed.started_at_ms,
         sent_at: tick.now,
         began_at: None,
         reported_load: None,
@@ -356,6 +359,7 @@
     }
     world.outputs.push(output::Output::Send(Box::new(dispatch)));
     allowances::spend(world, tick, id);
+    crashes::record_sent(world, tick, id);
 }
 
 /// Returns the delay before a retry of a call that could not be placed.
--- a/crates/flamingotrail-gateway/src/systems/timers.rs
+++ b/crates/flamingotrail-gateway/src/systems/timers.rs
@@ -35,6 +35,7 @@
             timers::Timer::LapsedEndpoints => dirty.lapsed_endpoints = true,
             timers::Timer::LeavingChecks => dirty.leaving_checks = true,
             timers::Timer::TellNotices => dirty.untold_notices = true,
+            timers::Timer::PublishCrashes => dirty.unpublished_crashes = true,
             timers::Timer::UnknownCallers => dirty.unknown_callers = true,
             timers::Timer::PeerProbes => dirty.peer_probes = true,
             timers::Timer::AllowanceCheck => dirty.allowance_check = true,
--- a/crates/flamingotrail-gateway/src/tables/calls.rs
+++ b/crates/flamingotrail-gateway/src/tables/calls.rs
@@ -113,6 +113,8 @@
 pub struct RunningAttempt {
     /// Endpoint that the attempt was sent to.
     pub endpoint: ids::EndpointId,
+    /// When the endpoint was started, as it was listed when the attempt was sent.
+    pub started_at_ms: Option<u64>,
     /// When the attempt was sent.
     pub sent_at: core_time::Timestamp,
     /// When its response began.
--- a/crates/flamingotrail-gateway/src/tables/dirty.rs
+++ b/crates/flamingotrail-gateway/src/tables/dirty.rs
@@ -40,6 +40,8 @@
     pub leaving_checks: bool,
     /// Whether other gateways are to be told of announcements.
     pub untold_notices: bool,
+    /// Whether other gateways are to be told of survived requests, and crashes are to be saved.
+    pub unpublished_crashes: bool,
     /// Whether the workspaces have changed, so that the keys of waiting calls are to be checked.
     pub workspaces: bool,
     /// Whether refusals of unknown callers are to be reported.
@@ -75,6 +77,7 @@
             && !self.unasked_notices
             && !self.leaving_checks
             && !self.untold_notices
+            && !self.unpublished_crashes
             && !self.workspaces
             && !self.unknown_callers
             && !self.peer_probes
--- a/crates/flamingotrail-gateway/src/tables/inbox.rs
+++ b/crates/flamingotrail-gateway/src/tables/inbox.rs
@@ -27,6 +27,14 @@
     pub peer_notices: Vec<input::PeerNotice>,
     /// Crashes of endpoints that other gateways have told, by message.
     pub peer_crashes: Vec<Vec<input::PeerCrash>>,
+    /// Crashes that other gateways know, by response.
+    pub known_crashes: Vec<Vec<input::PeerCrash>>,
+    /// What gateways have saved of crashes.
+    pub saved_crashes: Vec<Vec<input::CrashRecord>>,
+    /// Whether this gateway's own record of crashes is stored, by attempt.
+    pub crash_saves: Vec<bool>,
+    /// Requests that endpoints have survived, as other gateways tell.
+    pub survivals: Vec<ids::Fingerprint>,
     /// Other gateways' requests for crashes, by ticket.
     pub crash_requests: Vec<u64>,
     /// Calls whose caller has disconnected.
@@ -74,6 +82,10 @@
             && self.endpoint_checks.is_empty()
             && self.peer_notices.is_empty()
             && self.peer_crashes.is_empty()
+            && self.known_crashes.is_empty()
+            && self.saved_crashes.is_empty()
+            && self.crash_saves.is_empty()
+            && self.survivals.is_empty()
             && self.crash_requests.is_empty()
             && self.disconnected.is_empty()
             && self.outcomes.is_empty()
--- a/crates/flamingotrail-gateway/src/tables/timers.rs
+++ b/crates/flamingotrail-gateway/src/tables/timers.rs
@@ -30,6 +30,8 @@
     LeavingChecks,
     /// Other gateways are told of announcements of endpoints.
     TellNotices,
+    /// Other gateways are told of survived requests, and crashes are saved.
+    PublishCrashes,
     /// Refusals of unknown callers are reported.
     UnknownCallers,
     /// Other gateways are probed.
--- a/crates/flamingotrail-gateway/tests/decisions/fixture.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/fixture.rs
@@ -58,6 +58,9 @@
     pub relayed_records: Vec<(String, journal::Record)>,
     pub told_crashes: Vec<(ids::InstanceName, Vec<input::PeerCrash>)>,
     pub crash_responses: Vec<Vec<input::PeerCrash>>,
+    pub told_survivals: Vec<(ids::InstanceName, Vec<ids::Fingerprint>)>,
+    /// What was saved last, and when.
+    pub saved_crashes: Option<(core_time::Timestamp, input::CrashRecord)>,
     pub asked_crashes: Vec<ids::InstanceName>,
     pub lookup_responses: Vec<input::LookupResponse>,
     pub looked_up: Vec<(ids::CallId, ids::TurnId)>,
@@ -327,6 +330,8 @@
             relayed_records: Vec::new(),
             told_crashes: Vec::new(),
             crash_responses: Vec::new(),
+            told_survivals: Vec::new(),
+            saved_crashes: None,
             asked_crashes: Vec::new(),
             lookup_responses: Vec::new(),
             looked_up: Vec::new(),
@@ -365,6 +370,12 @@
                 output::Output::TellCrashes { peer, crashes, .. } => {
                     self.told_crashes.push((peer, crashes));
                 }
+                output::Output::TellSurvivals { peer, survivals, .. } => {
+                    self.told_survivals.push((peer, survivals));
+                }
+                output::Output::SaveCrashes(record) => {
+                    self.saved_crashes = Some((self.now, record));
+                }
                 output::Output::AskCrashes { peer, .. } => self.asked_crashes.push(peer),
                 output::Output::RespondToCrashes(_, crashes) => self.crash_responses.push(crashes),
                 output::Output::RespondToRelay(_, response) => self.relay_responses.push(response),
--- a/crates/flamingotrail-gateway/tests/decisions/main.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/main.rs
@@ -6,6 +6,7 @@
 mod allowances;
 mod budgets;
 mod calls;
+mod crash_counting;
 mod crashes;
 mod engine_load;
 mod engine_model;
--- a/crates/flamingotrail-runtime/src/gateway/executor.rs
+++ b/crates/flamingotrail-runtime/src/gateway/executor.rs
@@ -20,6 +20,7 @@
 use crate::gateway::peers;
 use crate::gateway::peers::registration;
 use crate::gateway::pending_calls;
+use crate::gateway::saved_crashes;
 
 /// Interval between two checks for due events of paced streams: small compared to the time between
 /// two events.
@@ -36,6 +37,8 @@
     pub attempts: attempts::AttemptRunner,
     /// Links to other gateways.
     pub peers: peers::PeerLinks,
+    /// Name of this gateway.
+    pub instance: ids::InstanceName,
     /// Client of the platform's store.
     pub store: rc::Rc<store::StoreClient>,
     /// Metrics of the gateway.
@@ -105,6 +108,13 @@
             output::Output::TellCrashes { peer, address, crashes } => {
                 self.peers.tell_crashes(peer, address, &crashes);
             }
+            output::Output::TellSurvivals { peer, address, survivals } => {
+                self.peers.tell_survivals(peer, address, &survivals);
+            }
+            output::Output::SaveCrashes(record) => {
+                let (store, inputs) = (self.store.clone(), self.inputs.clone());
+                saved_crashes::save(store, inputs, self.instance.clone(), &record);
+            }
             output::Output::AskCrashes { peer, address } => self.peers.ask_crashes(peer, address),
             output::Output::RespondToCrashes(ticket, crashes) => {
                 self.peers.respond_to_crashes(ticket, &crashes);
--- a/crates/flamingotrail-runtime/src/gateway/mod.rs
+++ b/crates/flamingotrail-runtime/src/gateway/mod.rs
@@ -17,4 +17,5 @@
 pub mod pending_calls;
 pub mod pool;
 pub mod process;
+pub mod saved_crashes;
 pub mod watch;
--- a/crates/flamingotrail-runtime/src/gateway/peers.rs
+++ b/crates/flamingotrail-runtime/src/gateway/peers.rs
@@ -169,6 +169,9 @@
         if path == announcements::CRASHES_PATH && incoming.request.method() == Method::POST {
             return (self.receive_crashes(&incoming.body), None);
         }
+        if path == announcements::SURVIVALS_PATH && incoming.request.method() == Method::POST {
+            return (self.receive_survivals(&incoming.body), None);
+        }
         let input = if path == allowances::PATH {
             match allowances::decode_question(ticket, &incoming.request, &incoming.body) {
                 Some(input) => input,
@@ -423,7 +426,8 @@
     }
 }
 
-fn ok_or_log<T, E: std::fmt::Display>(decoded: Result<T, E>) -> Option<T> {
+/// Returns the decoded or encoded value; logs an error.
+pub(super) fn ok_or_log<T, E: std::fmt::Display>(decoded: Result<T, E>) -> Option<T> {
     match decoded {
         Ok(value) => Some(value),
         Err(error) => {
--- a/crates/flamingotrail-runtime/src/gateway/peers/announcements.rs
+++ b/crates/flamingotrail-runtime/src/gateway/peers/announcements.rs
@@ -13,6 +13,8 @@
 pub const NOTICES_PATH: &str = "/v1/notices";
 /// Path for crashes of endpoints by requests.
 pub const CRASHES_PATH: &str = "/v1/crashes";
+/// Path for requests that endpoints have survived.
+pub const SURVIVALS_PATH: &str = "/v1/survivals";
 
 impl peers::PeerLinks {
     pub(super) fn receive_notices(&self, body: &[u8]) -> StatusCode {
@@ -36,6 +38,14 @@
         StatusCode::OK
     }
 
+    pub(super) fn receive_survivals(&self, body: &[u8]) -> StatusCode {
+        let Some(survivals) = ok_or_log(wire::decode_survivals(body)) else {
+            return StatusCode::BAD_REQUEST;
+        };
+        self.inputs.send(input::Input::PeerSurvivals(survivals));
+        StatusCode::OK
+    }
+
     /// Responds to another gateway's request for crashes of endpoints by requests.
     pub fn respond_to_crashes(&self, ticket: u64, crashes: &[input::PeerCrash]) {
         self.respond(ticket, wire::encode_crashes(crashes));
@@ -51,11 +61,27 @@
             if let Some(crashes) =
                 response.and_then(|response| response.decode(wire::decode_crashes))
             {
-                peers.inputs.send(input::Input::PeerCrashes(crashes));
+                peers.inputs.send(input::Input::KnownCrashes(crashes));
             }
         });
     }
 
+    /// Tells another gateway of requests that endpoints have survived.
+    pub fn tell_survivals(
+        &self,
+        peer: ids::InstanceName,
+        address: String,
+        survivals: &[ids::Fingerprint],
+    ) {
+        let Some(body) = ok_or_log(wire::encode_survivals(survivals)) else { return };
+        let peers = self.clone();
+        actix_rt::spawn(async move {
+            let path = SURVIVALS_PATH;
+            // A gateway that is not reached tries such a request before it keeps it away.
+            peers.request_persistently(&peer, &address, "POST", path, body.into()).await;
+        });
+    }
+
     /// Tells another gateway of crashes of endpoints by requests.
     pub fn tell_crashes(
         &self,
--- a/crates/flamingotrail-runtime/src/gateway/process.rs
+++ b/crates/flamingotrail-runtime/src/gateway/process.rs
@@ -36,6 +36,7 @@
 use crate::gateway::peers::registration;
 use crate::gateway::pending_calls;
 use crate::gateway::pool;
+use crate::gateway::saved_crashes;
 use crate::gateway::watch;
 use crate::signals;
 
@@ -132,6 +133,7 @@
         deployment.configuration_bound,
     ));
     actix_rt::spawn(watch::endpoints(store.clone(), inputs.clone(), deployment.leaving_bound));
+    actix_rt::spawn(saved_crashes::load(store.clone(), inputs.clone()));
     let metrics_address = net::SocketAddr::new(deployment.ip, config.metrics_port);
     monitoring::listen(
         metrics_address,
@@ -169,6 +171,7 @@
     let executor = executor::Executor {
         attempts: attempts::AttemptRunner { pool, calls, inputs: inputs.clone(), buffers },
         peers,
+        instance: deployment.identity.instance.clone(),
         store: store.clone(),
         metrics,
         event_lines: event_lines::EventLines::default(),
--- a/crates/flamingotrail-standins/src/fleet/store.rs
+++ b/crates/flamingotrail-standins/src/fleet/store.rs
@@ -92,7 +92,7 @@
     }
 
     /// Writes the value of a key in a keyed topic, as operators and runners do.
-    pub fn set(&self, topic: &str, key: &str, value: impl AsRef<[u8]>) {
+    pub fn set(&self, topic: &str, key: &str, value: &(impl AsRef<[u8]> + ?Sized)) {
         let mut record = vec![u8::try_from(key.len()).unwrap_or(u8::MAX)];
         record.extend_from_slice(key.as_bytes());
         record.extend_from_slice(value.as_ref());
--- a/crates/flamingotrail-wire/src/gateway.rs
+++ b/crates/flamingotrail-wire/src/gateway.rs
@@ -450,3 +450,117 @@
     let crashes: Vec<WireCrash> = rmp_serde::from_slice(bytes)?;
     Ok(crashes.into_iter().map(input::PeerCrash::from).collect())
 }
+
+/// A loss that a gateway has saved.
+#[derive(Debug, Deserialize, Serialize)]
+struct WireLoss {
+    fingerprint: u128,
+    endpoint: String,
+    started_at_ms: Option<u64>,
+    at_ms: u64,
+    took_ms: u64,
+}
+
+/// A crash that a gateway has saved.
+#[derive(Debug, Deserialize, Serialize)]
+struct WireSavedCrash {
+    fingerprint: u128,
+    endpoint: String,
+    at_ms: u64,
+    took_ms: u64,
+}
+
+/// What a gateway has saved of requests that crash endpoints, with times of day.
+#[derive(Debug, Deserialize, Serialize)]
+struct WireCrashRecord {
+    crashes: Vec<WireSavedCrash>,
+    losses: Vec<WireLoss>,
+}
+
+impl WireCrashRecord {
+    /// Returns the wire type of `record`, which is encoded at `now`.
+    fn new(record: &input::CrashRecord, now: UnixTime) -> Self {
+        let crashes = record.crashes.iter().map(|crash| WireSavedCrash {
+            fingerprint: crash.fingerprint.0,
+            endpoint: crash.endpoint.to_string(),
+            at_ms: now.before(crash.age).0,
+            took_ms: milliseconds(crash.took),
+        });
+        let losses = record.losses.iter().map(|loss| WireLoss {
+            fingerprint: loss.fingerprint.0,
+            endpoint: loss.endpoint.to_string(),
+            started_at_ms: loss.started_at_ms,
+            at_ms: now.before(loss.age).0,
+            took_ms: milliseconds(loss.took),
+        });
+        WireCrashRecord { crashes: crashes.collect(), losses: losses.collect() }
+    }
+
+    /// Returns the record, which is decoded at `now`.
+    fn into_record(self, now: UnixTime) -> input::CrashRecord {
+        let crashes = self.crashes.into_iter().map(|crash| input::PeerCrash {
+            fingerprint: ids::Fingerprint(crash.fingerprint),
+            endpoint: ids::EndpointId::new(&crash.endpoint),
+            age: now.age_of(Some(crash.at_ms)),
+            took: time::Duration::from_millis(crash.took_ms),
+        });
+        let losses = self.losses.into_iter().map(|loss| input::Loss {
+            fingerprint: ids::Fingerprint(loss.fingerprint),
+            endpoint: ids::EndpointId::new(&loss.endpoint),
+            started_at_ms: loss.started_at_ms,
+            age: now.age_of(Some(loss.at_ms)),
+            took: time::Duration::from_millis(loss.took_ms),
+        });
+        input::CrashRecord { crashes: crashes.collect(), losses: losses.collect() }
+    }
+}
+
+fn milliseconds(duration: time::Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Encodes what a gateway saves of requests that crash endpoints.
+///
+/// # Errors
+///
+/// Returns an error if serialization fails.
+pub fn encode_crash_record(
+    record: &input::CrashRecord,
+    now: UnixTime,
+) -> Result<Vec<u8>, rmp_serde::encode::Error> {
+    rmp_serde::to_vec_named(&WireCrashRecord::new(record, now))
+}
+
+/// Decodes what a gateway has saved of requests that crash endpoints.
+///
+/// # Errors
+///
+/// Returns an error if the bytes are not an encoded record.
+pub fn decode_crash_record(
+    bytes: &[u8],
+    now: UnixTime,
+) -> Result<input::CrashRecord, rmp_serde::decode::Error> {
+    rmp_serde::from_slice::<WireCrashRecord>(bytes).map(|record| record.into_record(now))
+}
+
+/// Encodes the requests that endpoints have survived, as a gateway tells another.
+///
+/// # Errors
+///
+/// Returns an error if serialization fails.
+pub fn encode_survivals(
+    survivals: &[ids::Fingerprint],
+) -> Result<Vec<u8>, rmp_serde::encode::Error> {
+    let fingerprints: Vec<u128> = survivals.iter().map(|fingerprint| fingerprint.0).collect();
+    rmp_serde::to_vec_named(&fingerprints)
+}
+
+/// Decodes the requests that endpoints have survived, as a gateway was told.
+///
+/// # Errors
+///
+/// Returns an error if the bytes are not encoded requests.
+pub fn decode_survivals(bytes: &[u8]) -> Result<Vec<ids::Fingerprint>, rmp_serde::decode::Error> {
+    let fingerprints: Vec<u128> = rmp_serde::from_slice(bytes)?;
+    Ok(fingerprints.into_iter().map(ids::Fingerprint).collect())
+}
