Take a response whose status is none for a lost one

Callers saw a closed connection where an endpoint in trouble sent status 000 to 099, and status 600 to 999 as it was, with the endpoint's bytes.

Cause: the parser takes any three digits for a status. Those below 100 failed when the response was written to the caller, those above 599 never.

Evidence: of 12 such status lines on five kinds of routes, 000, 001 and 099 end without an answer and 600 and 999 are passed on, on each route. None made a request that may run once run twice.

--- a/crates/flamingotrail-platform/src/service.rs
+++ b/crates/flamingotrail-platform/src/service.rs
@@ -19,6 +19,8 @@
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 /// Timeout of the HTTP client for a call; the configured timeout of the service expires earlier.
 const RUN_TIMEOUT: time::Duration = time::Duration::from_secs(3600);
+/// Largest status that a response can have; the HTTP client rejects those below 100.
+const MAX_STATUS: u16 = 599;
 /// Timeout for fetching the load report.
 const REPORT_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 
@@ -53,9 +55,14 @@
             result.map_err(|error| http::HttpError::from_send_error(&url, &error))?;
         let body = response.body().limit(http::MAX_BODY_BYTES).await;
         let body = body.map_err(|error| http::HttpError::invalid_response(&url, error))?;
+        let status = response.status().as_u16();
+        if status > MAX_STATUS {
+            let detail = format!("status {status} is none of a response");
+            return Err(http::HttpError::invalid_response(&url, detail));
+        }
         Ok(work::Response {
             text: String::from_utf8_lossy(&body).into_owned(),
-            status: response.status().as_u16(),
+            status,
             usage: work::Usage::default(),
             finish: work::FinishReason::Stop,
         })
--- a/crates/flamingotrail-standins/tests/answers.rs
+++ b/crates/flamingotrail-standins/tests/answers.rs
@@ -262,3 +262,57 @@
     assert!(first.status == 200 && first.is_complete(), "{}", first.text);
     assert_eq!(first.text.matches("data: w").count(), 3);
 }
+
+/// Status lines that are none: of a status out of range, of another protocol, or of an interim response that
+/// nothing follows.
+const NO_STATUS_LINES: [&str; 12] = [
+    "HTTP/1.1 000 OK",
+    "HTTP/1.1 000",
+    "HTTP/1.1 001 OK",
+    "HTTP/1.1 099 OK",
+    "HTTP/1.1 101 Switching Protocols",
+    "HTTP/1.1 600 Odd",
+    "HTTP/1.1 999 Odd",
+    "HTTP/1.1 20 OK",
+    "HTTP/1.1 2000 OK",
+    "HTTP/1.1 -20 OK",
+    "HTTP/2 200 OK",
+    "SSH-2.0-server",
+];
+
+// Guards against bytes of an endpoint in trouble that are forwarded as a response, or that close the
+// caller's connection without one, though their status line is none; and against a second run of a request
+// that may run once.
+#[test]
+fn status_line_that_is_none_is_a_lost_response() {
+    let mut odd = Vec::new();
+    for (number, line) in NO_STATUS_LINES.iter().enumerate() {
+        let fleet = start_fleet(&format!("no-status-{number}"));
+        let respond = move |request: &server::Request, _| {
+            let id = id_of(request);
+            let stream = "Content-Type: text/event-stream\r\n";
+            let kind = if request.method == "POST" { stream } else { "" };
+            let head =
+                format!("{line}\r\nRequest-Id: {id}\r\nResponse-Signature: s.{id}\r\n{kind}");
+            let body = "id: 1\ndata: w1\n\n";
+            let length = body.len();
+            let response = format!("{head}Content-Length: {length}\r\n\r\n{body}");
+            server::Response::Bytes(response.into_bytes())
+        };
+        fleet.small.plain.respond_with(respond);
+        fleet.small.model.respond_with(respond);
+
+        for path in ["/look/1", "/book/1", "/chat/1", "/ask/1", "/resume/1"] {
+            let id = format!("r{}", path.replace('/', "-"));
+            let response = fleet.call(path, &id, None);
+
+            let requests = [fleet.small.plain.requests(), fleet.small.model.requests()].concat();
+            let runs = requests.iter().filter(|request| id_of(request) == id).count();
+            let runs_too_often = runs > 1 && !["/look/1", "/resume/1"].contains(&path);
+            if response.status != 502 || runs_too_often {
+                odd.push(format!("{line} {path}: status {}, {runs} runs", response.status));
+            }
+        }
+    }
+    assert!(odd.is_empty(), "{odd:#?}");
+}
