--- a/crates/flamingotrail-standins/tests/answers.rs
+++ b/crates/flamingotrail-standins/tests/answers.rs
@@ -316,3 +316,28 @@
     }
     assert!(odd.is_empty(), "{odd:#?}");
 }
+
+// Guards against a response that is lost because one of its headers is not ASCII, though the request has run.
+#[test]
+fn response_with_headers_that_are_not_ascii_is_forwarded() {
+    let headers: [(&str, &[u8]); 3] = [
+        ("utf-8", "X-Note: caf\u{e9} \u{1f98a}\r\n".as_bytes()),
+        ("latin-1", b"X-Note: caf\xe9\r\n"),
+        ("control", b"X-Note: a\tb\r\n"),
+    ];
+    for (name, header) in headers {
+        let fleet = start_fleet(&format!("header-{name}"));
+        fleet.small.plain.respond_with(move |request, _| {
+            let response = plain_response(request);
+            let end = response.find("\r\n\r\n").expect("a head") + 2;
+            let (head, rest) = response.split_at(end);
+            server::Response::Bytes([head.as_bytes(), header, rest.as_bytes()].concat())
+        });
+
+        for path in ["/look/1", "/book/1"] {
+            let response = fleet.call(path, "a", None);
+
+            assert!(response.text.ends_with("done a"), "{name} {path}: {}", response.text);
+        }
+    }
+}
