Limit the pace at which the events of a stream are read

Callers of all services waited for up to 30 s, beyond their deadlines, while endpoints streamed tiny events or comments without end. Operators of similar systems had reported that a process ran out of memory by such bytes; that does not happen here (12 to 47 MB of 88).

Cause: a stream was read as fast as it came, up to 8 MiB. With 60 of them at once, 50 million events went through the traffic thread before it got to anything else, cancellations included.

Why it works: after a burst of 2,000, at most 2,000 events a second are read of one stream, so that the others get their turns. Engines make a fraction of that; a faster stream is slowed by back-pressure and not cut.

--- a/crates/flamingotrail-runtime/src/gateway/attempts.rs
+++ b/crates/flamingotrail-runtime/src/gateway/attempts.rs
@@ -25,6 +25,11 @@
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
 /// Maximum size of a stream as it is received, in bytes.
 const MAX_STREAM_BYTES: usize = 8 << 20;
+/// Maximum number of events that are read of one stream per second, comments included: far more than an
+/// engine makes, and few enough that many streams of tiny events leave time for other calls.
+const MAX_EVENTS_PER_S: u32 = 2_000;
+/// Number of events that may exceed this rate.
+const EVENT_BURST: u32 = 2_000;
 /// Maximum size of a body that is dropped, so that its connection can be used again, in bytes.
 const MAX_DISCARDED_BYTES: usize = 64 << 10;
 /// Maximum time for reading such a body: the response is known without it.
@@ -87,6 +92,29 @@
     }
 }
 
+/// Slows the reading of a stream that has more events than any engine makes.
+struct EventPace {
+    began_at: time::Instant,
+    count: u32,
+}
+
+impl EventPace {
+    fn new() -> Self {
+        EventPace { began_at: time::Instant::now(), count: 0 }
+    }
+
+    /// Waits until `events` more may have been read.
+    async fn wait(&mut self, events: usize) {
+        self.count = self.count.saturating_add(u32::try_from(events).unwrap_or(u32::MAX));
+        let excess = self.count.saturating_sub(EVENT_BURST);
+        let due = time::Duration::from_secs(1) * excess / MAX_EVENTS_PER_S;
+        let early = due.saturating_sub(self.began_at.elapsed());
+        if !early.is_zero() {
+            tokio::time::sleep(early).await;
+        }
+    }
+}
+
 impl AttemptRunner {
     /// Runs an attempt until it ends, or until `cancel` is signalled or its sender is dropped.
     pub async fn run(
@@ -270,6 +298,7 @@
         let mut parser = sse::EventParser::new();
         let mut head = Some(head);
         let mut stream_bytes = 0;
+        let mut event_pace = EventPace::new();
         while let Some(bytes) = connection.read_body().await? {
             stream_bytes += bytes.len();
             if stream_bytes > MAX_STREAM_BYTES {
@@ -279,6 +308,7 @@
             let events = parser
                 .push(&bytes)
                 .map_err(|_| connection::ConnectionError::Malformed("event is too long"))?;
+            event_pace.wait(events.len()).await;
             for event in events {
                 if event.data.is_empty() {
                     // A comment or a stray blank line, which keeps the connection open.
--- a/crates/flamingotrail-standins/src/fleet/runner.rs
+++ b/crates/flamingotrail-standins/src/fleet/runner.rs
@@ -44,14 +44,20 @@
 /// Where a response never ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Endless {
+    /// In the status line.
+    StatusLine,
     /// In the value of a header.
     Header,
+    /// In the number of headers.
+    Headers,
     /// In interim responses before the response.
     InterimResponses,
     /// In a body that ends with the connection.
     Body,
     /// In a body of chunks.
     Chunks,
+    /// In the extension of a chunk.
+    ChunkExtension,
     /// In the trailer after a body of chunks.
     Trailer,
     /// In the body of a refusal, which says that the request was not executed.
@@ -60,6 +66,10 @@
     Event,
     /// In a stream of complete events.
     Events,
+    /// In the comments of a stream before its first event.
+    Comments,
+    /// In the comments after its first event.
+    CommentsAfterEvent,
 }
 
 impl Endless {
@@ -69,10 +79,13 @@
         let chunked = "Transfer-Encoding: chunked\r\n\r\n";
         let stream = "Content-Type: text/event-stream\r\n\r\n";
         let (start, repeated) = match self {
+            Endless::StatusLine => ("HTTP/1.1 200 ".to_owned(), "x"),
+            Endless::Headers => (head, "X-Padding: x\r\n"),
             Endless::Header => (format!("{head}X-Padding: "), "x"),
             Endless::InterimResponses => (String::new(), "HTTP/1.1 102 Processing\r\n\r\n"),
             Endless::Body => (format!("{head}\r\n"), "noise"),
             Endless::Chunks => (format!("{head}{chunked}"), "5\r\nnoise\r\n"),
+            Endless::ChunkExtension => (format!("{head}{chunked}5;x="), "x"),
             Endless::Trailer => (format!("{head}{chunked}0\r\n"), "X-Padding: x\r\n"),
             Endless::Refusal => (
                 format!("HTTP/1.1 503 Full\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\n\r\n"),
@@ -80,6 +93,8 @@
             ),
             Endless::Event => (format!("{head}{stream}data: "), "x"),
             Endless::Events => (format!("{head}{stream}"), "data: w\n\n"),
+            Endless::Comments => (format!("{head}{stream}"), ": ping\n\n"),
+            Endless::CommentsAfterEvent => (format!("{head}{stream}data: w\n\n"), ": ping\n\n"),
         };
         server::Response::Endless(start.into_bytes(), repeated.as_bytes().to_vec())
     }
