Answer what is taken during a planned stop before the process exits

Callers saw a closed connection without an answer: for requests that were complete late in the grace period and passed on, for those that took longer, and for those that an idle process was receiving when it exited. Some of them may run only once.

Cause: a request counted as soon as it was complete, however late, with its caller's deadline, which knows nothing of the end of the process. What was still being received was no call, so nothing waited for it.

Why it works: a call that comes later than 3 s after the signal, when the load balancer has removed the gateway, and might not end in time is refused as not run. All others end at 92 % of the grace period, by an answer that is true of them, and endpoints get no more time than that. Once the decisions have stopped, requests that are being received are refused, and the process exits when there are none, at the latest at 95 % as before.

--- a/crates/flamingotrail-gateway/src/output.rs
+++ b/crates/flamingotrail-gateway/src/output.rs
@@ -162,8 +162,12 @@
     /// Closes a caller's connection before the end of its response, because the endpoint's
     /// stream broke off.
     Abort(ids::CallId),
-    /// Reports that the shutdown is complete and the process may exit.
-    Stopped,
+    /// Reports that the shutdown is complete and the process may exit, at the latest after `time_left`.
+    /// Requests that are being received until then are refused.
+    Stopped {
+        /// Rest of the time that the process may take.
+        time_left: time::Duration,
+    },
     /// Writes a log line and increments the counter of the event's name.
     Event(Event),
     /// Increments the counter of an event of this name, without a log line.
--- a/crates/flamingotrail-gateway/src/systems/admission.rs
+++ b/crates/flamingotrail-gateway/src/systems/admission.rs
@@ -11,6 +11,7 @@
 use crate::systems::identity;
 use crate::systems::log_outage;
 use crate::systems::service_share;
+use crate::systems::shutdown;
 use crate::tables::calls;
 use crate::tables::programs;
 use crate::tables::routes;
@@ -29,8 +30,9 @@
 
 fn admit(world: &mut world::World, tick: &world::Tick, arrival: input::Arrival) {
     let id = arrival.call;
-    let built = build_call(world, tick, arrival).and_then(|call| {
-        let refusal = crashes::refusal(world, tick, &call);
+    let built = build_call(world, tick, arrival).and_then(|mut call| {
+        let refusal = shutdown::limit_deadline(world, tick, &mut call).err();
+        let refusal = refusal.or_else(|| crashes::refusal(world, tick, &call));
         let refusal = refusal.or_else(|| service_share::refuse_for_others(world, &call));
         match refusal.or_else(|| log_outage::refuse_for_room(world, &call)) {
             Some(refusal) => Err(Box::new((call.arrival, refusal))),
--- a/crates/flamingotrail-gateway/src/systems/ingest.rs
+++ b/crates/flamingotrail-gateway/src/systems/ingest.rs
@@ -4,8 +4,8 @@
 
 use crate::ids;
 use crate::input;
+use crate::systems::shutdown;
 use crate::tables::peers;
-use crate::tables::timers;
 use crate::world;
 
 /// Moves all inputs into the inbox.
@@ -74,7 +74,7 @@
             input::Input::LookupFinished { call, peer, response } => {
                 inbox.lookup_results.push((call, peer, response));
             }
-            input::Input::Drain => start_drain(world, tick),
+            input::Input::Drain => shutdown::begin(world, tick),
         }
     }
     drop_departed_arrivals(world, tick);
@@ -115,14 +115,3 @@
         world.emit_event("peers_changed", format_args!("count={count} listed={is_listed}"));
     }
 }
-
-fn start_drain(world: &mut world::World, tick: &world::Tick) {
-    if world.draining_since.is_some() {
-        return;
-    }
-    world.draining_since = Some(tick.now);
-    world.tables.dirty.drain = true;
-    world.tables.timers.set(timers::Timer::Drain, tick.now);
-    let calls = world.tables.calls.rows.len();
-    world.emit_event("draining", format_args!("calls={calls}"));
-}
--- a/crates/flamingotrail-gateway/src/systems/mod.rs
+++ b/crates/flamingotrail-gateway/src/systems/mod.rs
@@ -28,6 +28,7 @@
 pub mod replay;
 pub mod rewriting;
 pub mod service_share;
+pub mod shutdown;
 pub mod timers;
 pub mod turn_records;
 pub mod turn_search;
--- a/crates/flamingotrail-gateway/tests/decisions/fixture.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/fixture.rs
@@ -393,7 +393,7 @@
                 output::Output::SetEventInterval(interval) => self.event_intervals.push(interval),
                 output::Output::Event(event) => self.events.push(event),
                 output::Output::Count(name) => *self.counts.entry(name).or_default() += 1,
-                output::Output::Stopped => self.stopped = true,
+                output::Output::Stopped { .. } => self.stopped = true,
                 output::Output::Append { .. } | output::Output::Read { .. } => {
                     self.pending_log_calls.push(output);
                 }
--- a/crates/flamingotrail-gateway/tests/decisions/main.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/main.rs
@@ -33,4 +33,5 @@
 mod removed_keys;
 mod resumption;
 mod service_share;
+mod shutdown;
 mod turns;
--- a/crates/flamingotrail-runtime/src/connections/mod.rs
+++ b/crates/flamingotrail-runtime/src/connections/mod.rs
@@ -128,6 +128,11 @@
         self.lock().usage()
     }
 
+    /// Whether a request of a caller is being received.
+    pub fn is_receiving_from_callers(&self) -> bool {
+        self.lock().is_receiving(limits::Listener::Callers)
+    }
+
     /// Raises the memory for requests so that a single one of `bytes` fits.
     pub fn admit_requests_of(&self, bytes: usize) {
         self.lock().admit_requests_of(bytes);
--- a/crates/flamingotrail-runtime/src/connections/table.rs
+++ b/crates/flamingotrail-runtime/src/connections/table.rs
@@ -299,6 +299,12 @@
         rows.any(|row| row.is_told_to_close() || row.phase == Phase::Closing)
     }
 
+    /// Whether a request is being received on a connection of a listener.
+    pub fn is_receiving(&self, listener: limits::Listener) -> bool {
+        let mut rows = self.rows.values().filter(|row| row.listener == listener);
+        rows.any(|row| row.phase == Phase::Receiving && !row.is_told_to_close())
+    }
+
     /// Whether running requests leave room for one of `bytes`. Small ones always have it, since the
     /// large ones may take only a part of the memory.
     pub fn leaves_room_beside_running(&self, bytes: usize) -> bool {
--- a/crates/flamingotrail-runtime/src/gateway/callers.rs
+++ b/crates/flamingotrail-runtime/src/gateway/callers.rs
@@ -37,7 +37,7 @@
 const NO_ROOM_RETRY_AFTER: time::Duration = time::Duration::from_millis(200);
 
 /// Progress of a graceful shutdown.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum ShutdownStage {
     /// Requests are served.
     Serving,
@@ -45,6 +45,13 @@
     Closing,
     /// No connections are accepted, and those without a request are closed.
     Closed,
+    /// Requests are refused; only those that were being received still come.
+    Stopped,
+}
+
+/// Advances a shutdown to `stage`, unless it is further already.
+pub fn advance_shutdown(tx: &watch::Sender<ShutdownStage>, stage: ShutdownStage) {
+    tx.send_modify(|current| *current = stage.max(*current));
 }
 
 /// Accepts caller connections and serves their requests. Clones share one state.
@@ -99,7 +106,7 @@
                     connection = listener.accept() => {
                         actix_rt::spawn(self.clone().serve_connection(connection));
                     }
-                    _ = stage.wait_for(|stage| *stage == ShutdownStage::Closed) => return,
+                    _ = stage.wait_for(|stage| *stage >= ShutdownStage::Closed) => return,
                 }
             }
         });
@@ -143,6 +150,9 @@
         connection: &mut http1::Connection,
         incoming: http1::ReceivedRequest,
     ) -> bool {
+        if *self.stage.borrow() == ShutdownStage::Stopped {
+            return self.write_unavailable(connection).await;
+        }
         let call = ids::CallId(self.next_call.get());
         self.next_call.set(call.0 + 1);
         let received = self.clock.timestamp_at(incoming.received_at);
@@ -153,11 +163,7 @@
         if self.inputs.try_send(arrived).is_err() {
             self.calls.remove(call);
             self.connections.report().count(report::Cause::Inbox, 1);
-            let refusal = output::Refusal {
-                reason: output::Reason::Unavailable,
-                retry_after: Some(NO_ROOM_RETRY_AFTER),
-            };
-            return self.write_refusal(connection, refusal).await.unwrap_or(false);
+            return self.write_unavailable(connection).await;
         }
         let started = time::Instant::now();
         let written = self.write_response(connection, &mut rx).await;
@@ -175,6 +181,16 @@
         }
     }
 
+    /// Refuses a request that the control thread does not get. Returns whether the connection may be used for
+    /// another one.
+    async fn write_unavailable(&self, connection: &mut http1::Connection) -> bool {
+        let refusal = output::Refusal {
+            reason: output::Reason::Unavailable,
+            retry_after: Some(NO_ROOM_RETRY_AFTER),
+        };
+        self.write_refusal(connection, refusal).await.unwrap_or(false)
+    }
+
     async fn write_response(
         &self,
         connection: &mut http1::Connection,
@@ -271,7 +287,7 @@
     tokio::select! {
         biased;
         result = connection.wait_for_request(limits) => result.is_ok(),
-        _ = stage.wait_for(|stage| *stage == ShutdownStage::Closed) => false,
+        _ = stage.wait_for(|stage| *stage >= ShutdownStage::Closed) => false,
     }
 }
 
--- a/crates/flamingotrail-runtime/src/gateway/executor.rs
+++ b/crates/flamingotrail-runtime/src/gateway/executor.rs
@@ -11,6 +11,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 
+use crate::connections;
 use crate::gateway::attempts;
 use crate::gateway::callers;
 use crate::gateway::control;
@@ -26,6 +27,9 @@
 /// two events.
 const PACING_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(100);
 
+/// Interval between two checks whether all requests have an answer.
+const ANSWER_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(20);
+
 /// The control thread has ended before the shutdown was complete.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("the control thread has failed; the process ends and has to be started again")]
@@ -37,6 +41,8 @@
     pub attempts: attempts::AttemptRunner,
     /// Links to other gateways.
     pub peers: peers::PeerLinks,
+    /// Connections of callers.
+    pub connections: connections::Connections,
     /// Name of this gateway.
     pub instance: ids::InstanceName,
     /// Client of the platform's store.
@@ -54,7 +60,8 @@
 }
 
 impl Executor {
-    /// Executes outputs until the control thread reports that the shutdown is complete.
+    /// Executes outputs until the control thread reports that the shutdown is complete, and all requests
+    /// that were received have an answer.
     ///
     /// # Errors
     ///
@@ -63,16 +70,34 @@
         self,
         mut outputs: mpsc::UnboundedReceiver<Vec<output::Output>>,
     ) -> Result<(), ControlThreadEnded> {
-        while let Some(batch) = outputs.recv().await {
+        let mut exit_at: Option<time::Instant> = None;
+        loop {
+            let batch = match exit_at {
+                None => outputs.recv().await,
+                Some(exit_at) => {
+                    if self.has_answered_all() || time::Instant::now() >= exit_at {
+                        return Ok(());
+                    }
+                    match tokio::time::timeout(ANSWER_CHECK_INTERVAL, outputs.recv()).await {
+                        Ok(batch) => batch,
+                        Err(_) => continue,
+                    }
+                }
+            };
+            let Some(batch) = batch else { return Err(ControlThreadEnded) };
             for output in batch {
-                if matches!(output, output::Output::Stopped) {
-                    self.stage.send_replace(callers::ShutdownStage::Closed);
-                    return Ok(());
+                if let output::Output::Stopped { time_left } = output {
+                    callers::advance_shutdown(&self.stage, callers::ShutdownStage::Stopped);
+                    exit_at = Some(time::Instant::now() + time_left);
+                } else {
+                    self.execute(output);
                 }
-                self.execute(output);
             }
         }
-        Err(ControlThreadEnded)
+    }
+
+    fn has_answered_all(&self) -> bool {
+        self.calls().is_empty() && !self.connections.is_receiving_from_callers()
     }
 
     fn calls(&self) -> &pending_calls::PendingCalls {
@@ -145,7 +170,7 @@
             output::Output::Ready(ready) => {
                 self.ready.send_replace(ready);
             }
-            output::Output::Stopped => {}
+            output::Output::Stopped { .. } => {}
             output::Output::CountCall(workspace, outcome) => {
                 self.metrics.count_workspace_call(workspace.as_str(), outcome);
             }
--- a/crates/flamingotrail-runtime/src/gateway/process.rs
+++ b/crates/flamingotrail-runtime/src/gateway/process.rs
@@ -144,6 +144,7 @@
     .await?;
     let link_address = net::SocketAddr::new(deployment.ip, deployment.peer_ports.0);
     let buffers = connections.buffers().clone().with_free_bytes(MIN_RESPONSE_BYTES);
+    let caller_connections = connections.clone();
     let peers = peers::PeerLinks::new(inputs.clone(), pool.clone(), buffers.clone(), connections);
     peers.clone().listen(link_address).await?;
     let own_entry = peers_table::Peer {
@@ -171,6 +172,7 @@
     let executor = executor::Executor {
         attempts: attempts::AttemptRunner { pool, calls, inputs: inputs.clone(), buffers },
         peers,
+        connections: caller_connections,
         instance: deployment.identity.instance.clone(),
         store: store.clone(),
         metrics,
@@ -229,9 +231,9 @@
     }
     log::info!("event=signal action=drain");
     inputs.send(input::Input::Drain);
-    stage.send_replace(callers::ShutdownStage::Closing);
+    callers::advance_shutdown(&stage, callers::ShutdownStage::Closing);
     actix_rt::time::sleep(IDLE_CLOSE_DELAY).await;
-    stage.send_replace(callers::ShutdownStage::Closed);
+    callers::advance_shutdown(&stage, callers::ShutdownStage::Closed);
 }
 
 /// Handles SIGHUP, which would otherwise end the process: reads the changed settings file again and
