--- a/crates/flamingotrail-gateway/src/systems/crashes.rs
+++ b/crates/flamingotrail-gateway/src/systems/crashes.rs
@@ -18,9 +18,6 @@
 use crate::tables::timers;
 use crate::world;
 
-/// Number of gateways that may try a request that is kept away, each once at a time: if all do so at the
-/// same moment, as many endpoints as the request had to crash are lost.
-const TRIAL_GATEWAYS: usize = 3;
 /// Minimum time between two messages to a gateway, and between two records in the store.
 const PUBLISH_INTERVAL: time::Duration = time::Duration::from_millis(1_000);
 /// Status from which on a response says that the endpoint has failed, perhaps without running the request.
@@ -150,8 +147,7 @@
     }
     let fingerprint = call.fingerprint();
     let place = world.tables.peers.place(&world.identity.instance, &fingerprint.to_string());
-    let allows_trials = place < TRIAL_GATEWAYS;
-    let retry_after = world.tables.crashes.check(fingerprint, allows_trials, tick.now).err()?;
+    let retry_after = world.tables.crashes.check(fingerprint, place, tick.now).err()?;
     let reason =
         if call.may_have_run() { output::Reason::Lost } else { output::Reason::Quarantined };
     let retry_after = (reason == output::Reason::Quarantined).then_some(retry_after);
--- a/crates/flamingotrail-gateway/src/tables/crashes.rs
+++ b/crates/flamingotrail-gateway/src/tables/crashes.rs
@@ -21,6 +21,11 @@
 const MIN_QUARANTINE: time::Duration = time::Duration::from_secs(120);
 /// Maximum duration of a quarantine.
 const MAX_QUARANTINE: time::Duration = time::Duration::from_secs(1_800);
+/// Number of gateways that may try a request after crashes at once, each one copy at a time: fewer endpoints
+/// are lost, if it crashes them, than it had to crash before.
+const DOUBTFUL_TRIAL_GATEWAYS: usize = 2;
+/// Number of gateways that may try a request after a quarantine.
+const TRIAL_GATEWAYS: usize = 3;
 /// Time for which a trial of a request keeps others out, so that one endpoint at most is lost to it.
 const TRIAL_TIME: time::Duration = time::Duration::from_secs(15);
 /// Time after which the caller of a request that is on trial should ask for the result.
@@ -339,8 +344,8 @@
         ended.map(|suspicion| suspicion.endpoint.clone()).collect()
     }
 
-    /// Checks whether a request may be sent now. `allows_trials` is whether this gateway may try a
-    /// request that is kept away.
+    /// Checks whether a request may be sent now. `place` is that of this gateway in an order of all: the
+    /// first ones may try a request that is kept away.
     ///
     /// # Errors
     ///
@@ -348,19 +353,20 @@
     pub fn check(
         &self,
         fingerprint: ids::Fingerprint,
-        allows_trials: bool,
+        place: usize,
         now: core_time::Timestamp,
     ) -> Result<(), time::Duration> {
         let Some(suspect) = self.suspects.get(&fingerprint) else { return Ok(()) };
         let now = table_time(now);
-        match suspect.proof() {
+        let trial_gateways = match suspect.proof() {
             Proof::None => return Ok(()),
             Proof::Sufficient if now < suspect.quarantined_until => {
                 return Err(suspect.quarantined_until.since(now));
             }
-            Proof::Sufficient | Proof::Doubtful => {}
-        }
-        if allows_trials && now >= suspect.trial_until {
+            Proof::Sufficient => TRIAL_GATEWAYS,
+            Proof::Doubtful => DOUBTFUL_TRIAL_GATEWAYS,
+        };
+        if place < trial_gateways && now >= suspect.trial_until {
             Ok(())
         } else {
             Err(TRIAL_RETRY_AFTER)
