--- a/crates/flamingotrail-standins/src/soak/plan.rs
+++ b/crates/flamingotrail-standins/src/soak/plan.rs
@@ -30,6 +30,9 @@
     StoreLink(usize, proxy::LinkFault),
     /// All connections to one runner are disrupted.
     RunnerLink(usize, proxy::LinkFault),
+    /// All open connections to the store and to runners go silent for good; new ones work. The fault lasts
+    /// for as long as that may delay anything.
+    Silence,
     /// A plain runner executes requests without sending responses.
     RunnerDropsResponses(usize),
     /// A configuration with one more route is published.
@@ -58,6 +61,7 @@
                 | Fault::StoreUnavailable
                 | Fault::StoreLink(..)
                 | Fault::RunnerLink(..)
+                | Fault::Silence
         )
     }
 
@@ -105,6 +109,10 @@
 const ANNOUNCEMENT_SEED: u64 = 0x5eed;
 /// Distinguishes the random numbers of changes of keys.
 const KEY_SEED: u64 = 0x6e79;
+/// Distinguishes the random numbers of connections that go silent.
+const SILENCE_SEED: u64 = 0x51e7;
+/// Time for which silent connections may delay news and requests.
+const SILENCE_MS: u64 = 4_000;
 /// Mean gap between faults that don't start together, in milliseconds.
 const FAULT_GAP_MS: u64 = 900;
 /// Every seed divisible by this has only planned maintenance.
@@ -131,6 +139,9 @@
             // A third of the faults start together with the fault before.
             at_ms += random_below(&mut rng, 2 * FAULT_GAP_MS) * random_below(&mut rng, 3).min(1);
         }
+        if !maintenance_only {
+            faults.extend(silences(seed, load_ms));
+        }
         faults.extend(announcements(seed, load_ms));
         faults.extend(key_rotations(seed, load_ms));
         faults.sort_by_key(|fault| fault.at);
@@ -160,6 +171,21 @@
         .collect()
 }
 
+/// Generates series of silences, with random numbers of their own.
+fn silences(seed: u64, load_ms: u64) -> Vec<ScheduledFault> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ SILENCE_SEED);
+    let count = random_below(&mut rng, 4);
+    let mut at_ms = random_below(&mut rng, load_ms);
+    (0..count)
+        .map(|_| {
+            let at = time::Duration::from_millis(at_ms);
+            at_ms += random_below(&mut rng, 1_500);
+            let duration = time::Duration::from_millis(SILENCE_MS);
+            ScheduledFault { at, duration, fault: Fault::Silence }
+        })
+        .collect()
+}
+
 /// Generates the changes of keys, with random numbers of their own. They are early in the run, so that
 /// removed keys are still tried after the time in which gateways have to know.
 fn key_rotations(seed: u64, load_ms: u64) -> Vec<ScheduledFault> {
--- a/crates/flamingotrail-standins/src/soak/proxy.rs
+++ b/crates/flamingotrail-standins/src/soak/proxy.rs
@@ -85,6 +85,12 @@
         state.fault = fault;
     }
 
+    /// Stalls all connections that are open now for good, without closing them; new ones work.
+    pub fn silence(&self) {
+        let mut state = self.lock();
+        state.stalled_before = state.connection_count + 1;
+    }
+
     /// Connects to `server` and starts one thread per direction.
     fn forward(&self, client: net::TcpStream, server: net::SocketAddr) -> io::Result<()> {
         let number = {
--- a/crates/flamingotrail-standins/src/soak/run.rs
+++ b/crates/flamingotrail-standins/src/soak/run.rs
@@ -238,6 +238,13 @@
                 self.announcements.record_cut(index);
                 self.runner_links[index].set_fault(link_fault)
             }
+            plan::Fault::Silence => {
+                self.gateways.iter().for_each(|row| row.store_link.silence());
+                for (index, link) in self.runner_links.iter().enumerate() {
+                    self.announcements.record_cut(index);
+                    link.silence();
+                }
+            }
             plan::Fault::RunnerDropsResponses(index) => {
                 self.runners[index].set_drop_responses(true)
             }
@@ -290,6 +297,10 @@
                 self.announcements.record_cut_end(index);
                 self.runner_links[index].set_fault(proxy::LinkFault::None)
             }
+            plan::Fault::Silence => {
+                (0..self.runner_links.len())
+                    .for_each(|index| self.announcements.record_cut_end(index));
+            }
             plan::Fault::RunnerDropsResponses(index) => {
                 self.runners[index].set_drop_responses(false)
             }
