Read streams as such however their media type is spelled

Callers saw 404 for turns that continue one that was answered whole, if its engine had named the media type of the stream in other letters, or not at all. Such a turn was not charged to its program's budget either.

Cause: the type was compared letter by letter, and what did not match was a plain response.

Why it works: a media type is compared without its parameters and without regard to case, and where a response names none, the route decides.

--- a/crates/flamingotrail-gateway/src/output.rs
+++ b/crates/flamingotrail-gateway/src/output.rs
@@ -201,6 +201,8 @@
     /// Whether the request may be repeated, and therefore sent on a connection that has been idle
     /// for so long that the endpoint may have closed it.
     pub repeatable: bool,
+    /// Whether the route's responses are streams.
+    pub is_stream: bool,
     /// Whether the response's events are held until `Output::ReleaseEvents`.
     pub gated: bool,
     /// Maximum number of events of the response; `None` if the request does not limit them.
--- a/crates/flamingotrail-gateway/src/systems/placement.rs
+++ b/crates/flamingotrail-gateway/src/systems/placement.rs
@@ -328,6 +328,7 @@
         hides_credentials: call.is_identified || tables.routes.has_workspaces(),
         body,
         repeatable,
+        is_stream: call.kind.is_stream(),
         gated: call
             .turn
             .as_ref()
--- a/crates/flamingotrail-runtime/src/gateway/attempts.rs
+++ b/crates/flamingotrail-runtime/src/gateway/attempts.rs
@@ -253,7 +253,12 @@
                 "successful response without a signature",
             ));
         }
-        if metadata.is_stream {
+        let is_stream = match metadata.media {
+            responses::Media::EventStream => true,
+            responses::Media::Unknown => dispatch.is_stream,
+            responses::Media::Other => false,
+        };
+        if is_stream {
             progress.load = metadata.load;
             self.receive_stream(dispatch, connection, response, progress).await?;
             return Ok(AttemptEnd::Stream { complete: true });
--- a/crates/flamingotrail-runtime/tests/pending_calls.rs
+++ b/crates/flamingotrail-runtime/tests/pending_calls.rs
@@ -29,6 +29,7 @@
         hides_credentials: false,
         body: Vec::new(),
         repeatable: false,
+        is_stream: false,
         gated,
         resume_after: None,
         max_events: None,
--- a/crates/flamingotrail-standins/tests/answers.rs
+++ b/crates/flamingotrail-standins/tests/answers.rs
@@ -341,3 +341,33 @@
         }
     }
 }
+
+// Guards against a turn that is answered whole and not kept, because its engine spells the media type of
+// streams in other letters, with parameters, or not at all.
+#[test]
+fn turn_is_kept_however_its_media_type_is_spelled() {
+    let types = [
+        "",
+        "Text/Event-Stream",
+        "TEXT/EVENT-STREAM",
+        "text/event-stream; charset=utf-8",
+        "text/event-stream ;charset=UTF-8",
+        "Text/Event-Stream;charset=utf-8",
+    ];
+    for (number, media_type) in types.into_iter().enumerate() {
+        let fleet = start_fleet(&format!("media-type-{number}"));
+        fleet.small.model.respond_with(move |request, _| {
+            let mut head = open_head(request, media_type);
+            if media_type.is_empty() {
+                head = head.replace("Content-Type: \r\n", "");
+            }
+            server::Response::Truncated(format!("{head}\r\nid: 1\ndata: w1\n\n").into_bytes())
+        });
+
+        let first = fleet.call("/chat/1", "a", None);
+        let second = fleet.call("/chat/1", "b", Some("a"));
+
+        assert_eq!((first.status, second.status), (200, 200), "{media_type}: {}", second.text);
+        assert!(first.is_complete(), "{media_type}: {}", first.text);
+    }
+}
