Forward what precedes the first event of a stream

Callers saw a success with a body that was not the endpoint's: comments, retry lines and blank lines before the first event were missing.

Cause: the head of a stream is held until its first event, and what has no data was forwarded only once the head was.

A call whose engine fails before its first event can be retried and refused as before.

--- a/crates/flamingotrail-runtime/src/gateway/attempts.rs
+++ b/crates/flamingotrail-runtime/src/gateway/attempts.rs
@@ -5,6 +5,7 @@
 
 use actix_http::Request;
 use bytes::Bytes;
+use bytes::BytesMut;
 use flamingotrail_adapter::connection;
 use flamingotrail_adapter::requests;
 use flamingotrail_adapter::responses;
@@ -302,6 +303,7 @@
         let ends_with_connection = head.ends_with_connection;
         let mut parser = sse::EventParser::new();
         let mut head = Some(head);
+        let mut leading_comments = BytesMut::new();
         let mut stream_bytes = 0;
         let mut event_pace = EventPace::new();
         while let Some(bytes) = connection.read_body().await? {
@@ -318,10 +320,10 @@
                 if event.data.is_empty() {
                     // A comment or a stray blank line, which keeps the connection open.
                     if head.is_none() {
-                        self.calls.push_stream_part(
-                            dispatch.call,
-                            pending_calls::ResponsePart::StreamData(event.raw),
-                        );
+                        self.push_stream_data(dispatch, event.raw);
+                    } else {
+                        // The head is held until the first event: without one, the call may be retried.
+                        leading_comments.extend_from_slice(&event.raw);
                     }
                     continue;
                 }
@@ -345,10 +347,14 @@
                 if dispatch.keeps_output {
                     extend(&mut progress.output, &event.data, &mut progress.buffered)?;
                 }
-                self.calls.push_stream_part(
-                    dispatch.call,
-                    pending_calls::ResponsePart::StreamData(event.raw),
-                );
+                // In one part, since the events of a paced stream are counted by parts.
+                let data = if leading_comments.is_empty() {
+                    event.raw
+                } else {
+                    leading_comments.extend_from_slice(&event.raw);
+                    leading_comments.split().freeze()
+                };
+                self.push_stream_data(dispatch, data);
             }
         }
         if parser.has_partial_event() {
@@ -363,9 +369,17 @@
         if let Some(head) = head.take() {
             self.calls
                 .push_stream_part(dispatch.call, pending_calls::ResponsePart::StreamHead(head));
+            if !leading_comments.is_empty() {
+                self.push_stream_data(dispatch, leading_comments.freeze());
+            }
         }
         Ok(())
     }
+
+    fn push_stream_data(&self, dispatch: &output::Dispatch, data: Bytes) {
+        let part = pending_calls::ResponsePart::StreamData(data);
+        self.calls.push_stream_part(dispatch.call, part);
+    }
 }
 
 /// Adds `data` to a buffer within the memory for unfinished responses.
--- a/crates/flamingotrail-standins/tests/answers.rs
+++ b/crates/flamingotrail-standins/tests/answers.rs
@@ -371,3 +371,40 @@
         assert!(first.is_complete(), "{media_type}: {}", first.text);
     }
 }
+
+// Guards against comments and other lines without data that are dropped before the first event of a stream:
+// callers got a success with a body that was not the endpoint's.
+#[test]
+fn bytes_before_the_first_event_are_forwarded() {
+    const BODY: &str =
+        ": waiting\n\n: still waiting\n\nretry: 100\n\n\nid: 1\ndata: w1\n\n: end\n\n";
+    let bodies = [BODY, ": nothing to say\n\n"];
+    for (number, body) in bodies.into_iter().enumerate() {
+        let fleet = start_fleet(&format!("leading-comments-{number}"));
+        fleet.small.model.respond_with(move |request, _| {
+            let head = open_head(request, "text/event-stream");
+            let length = body.len();
+            let response = format!("{head}Content-Length: {length}\r\n\r\n{body}");
+            server::Response::Bytes(response.into_bytes())
+        });
+
+        for path in ["/chat/1", "/ask/1", "/resume/1"] {
+            let response = fleet.call(path, &format!("a{}", path.replace('/', "-")), None);
+
+            assert!(response.status == 200 && response.is_complete(), "{}", response.text);
+            assert_eq!(joined_chunks(&response.text), body, "{path}");
+        }
+    }
+}
+
+/// Joins the chunks of a response body.
+fn joined_chunks(response: &str) -> String {
+    let (_, mut rest) = response.split_once("\r\n\r\n").expect("a head");
+    let mut body = String::new();
+    while let Some((length, chunk)) = rest.split_once("\r\n") {
+        let length = usize::from_str_radix(length, 16).expect("the length of a chunk");
+        body.push_str(&chunk[..length]);
+        rest = &chunk[length + 2..];
+    }
+    body
+}
