Save crashes only after what was saved is loaded

What could happen: a gateway that restarts while the store is away saves a new loss as soon as the store is back, before it has read its own record, and replaces the crashes in it. A request that crashes endpoints would reach three more.

Why it works: until the records of all gateways are loaded, changes wait.

--- a/crates/flamingotrail-gateway/src/systems/crashes.rs
+++ b/crates/flamingotrail-gateway/src/systems/crashes.rs
@@ -223,7 +223,7 @@
     crashes.published_at = Some(tick.now);
     let survivals: Vec<ids::Fingerprint> =
         std::mem::take(&mut crashes.untold_survivals).into_iter().collect();
-    if std::mem::take(&mut crashes.is_unsaved) {
+    if crashes.is_loaded && std::mem::take(&mut crashes.is_unsaved) {
         let record = crashes.record(tick.now);
         world.emit(output::Output::SaveCrashes(record));
     }
--- a/crates/flamingotrail-gateway/src/tables/crashes.rs
+++ b/crates/flamingotrail-gateway/src/tables/crashes.rs
@@ -205,6 +205,9 @@
     is_restricting: bool,
     /// Whether other gateways were asked for what they know.
     pub has_asked: bool,
+    /// Whether what gateways have saved was loaded. Before, nothing is saved: it would replace what this
+    /// gateway has saved when it ran before.
+    pub is_loaded: bool,
     /// Whether suspicions were loaded whose endpoints may have ended before.
     pub has_loaded_suspicions: bool,
     /// Whether what is known has changed since it was saved.
@@ -323,6 +326,7 @@
 
     /// Takes over what gateways have saved. An endpoint may have ended since a request was lost there.
     pub fn load(&mut self, saved: &[input::CrashRecord], now: core_time::Timestamp) {
+        self.is_loaded = true;
         for record in saved {
             self.adopt(&record.crashes, now);
             for loss in record.losses.iter().filter(|loss| loss.age < MAX_CONFIRM_TIME) {
--- a/crates/flamingotrail-gateway/tests/decisions/crash_counting.rs
+++ b/crates/flamingotrail-gateway/tests/decisions/crash_counting.rs
@@ -80,6 +80,9 @@
         reached: Vec::new(),
     };
     site.gateways = (0..gateways).map(|number| site.new_gateway(number, gateways)).collect();
+    for gateway in &mut site.gateways {
+        gateway.tick(vec![input::Input::SavedCrashes(Vec::new())]);
+    }
     site
 }
 
@@ -267,6 +270,10 @@
         late.map(|(_, call)| call).collect::<collections::BTreeSet<_>>().len()
     }
 
+    fn count_saved_crashes(&self) -> usize {
+        self.saved.values().map(|(_, record)| record.crashes.len()).sum()
+    }
+
     fn count_refused(&self, reason: output::Reason) -> usize {
         let refusals = self.gateways.iter().flat_map(|gateway| &gateway.refused);
         refusals.filter(|(_, refusal)| refusal.reason == reason).count()
@@ -377,6 +384,28 @@
     }
 }
 
+// Guards against a gateway that replaces what it had saved before it has read it: the store may be away when
+// it starts.
+#[test]
+fn gateway_saves_nothing_before_it_has_loaded_what_was_saved() {
+    let mut site = start_site(1, 2, SAME_IDS);
+    for _ in 0..3 {
+        site.send_poison(&[0], "/book/1", &lost());
+        site.pass(time::Duration::from_secs(5));
+    }
+    let saved = site.saved.values().map(|(_, record)| record.clone()).collect();
+    site.gateways[0] = site.new_gateway(0, 1);
+
+    site.send_poison(&[0], "/book/1", &lost());
+    site.pass(time::Duration::from_secs(2));
+    let before = site.count_saved_crashes();
+    site.gateways[0].tick(vec![input::Input::SavedCrashes(saved)]);
+    site.pass(time::Duration::from_secs(2));
+
+    assert_eq!(before, 3, "what it had saved is still there");
+    assert!(site.count_saved_crashes() >= 3);
+}
+
 /// Restarts all endpoints at once while a copy of a request runs at each gateway.
 fn restart_all_endpoints(site: &mut Site) {
     let gateways: Vec<usize> = (0..site.gateways.len()).collect();
--- a/crates/flamingotrail-runtime/src/gateway/saved_crashes.rs
+++ b/crates/flamingotrail-runtime/src/gateway/saved_crashes.rs
@@ -32,7 +32,10 @@
                 remove(&store, old.into_iter().map(|(key, _)| key)).await;
                 return;
             }
-            Err(store::StoreError::Refused { status: NOT_FOUND, .. }) => return,
+            Err(store::StoreError::Refused { status: NOT_FOUND, .. }) => {
+                inputs.send(input::Input::SavedCrashes(Vec::new()));
+                return;
+            }
             Err(error) => {
                 log::debug!("event=saved_crashes_read_failed error={:?}", error.to_string());
                 actix_rt::time::sleep(RETRY_DELAY).await;
