Simplify the proof of crashes; save survivals only where crashes were saved

A gateway that was only told of crashes wrote a record when such a request was survived; those that have confirmed them have saved them.

--- a/crates/flamingotrail-gateway/src/tables/crashes.rs
+++ b/crates/flamingotrail-gateway/src/tables/crashes.rs
@@ -134,12 +134,12 @@
         }
         let place = self.crashes.partition_point(|crash| crash.run <= run);
         self.crashes.insert(place, Crash { endpoint, run });
-        if self.proof() != Proof::Sufficient {
-            return;
-        }
         let waves = self.waves();
-        let last = waves.last().copied().unwrap_or(0);
-        let doublings = u32::try_from(last - self.sufficient_wave(&waves)).unwrap_or(u32::MAX);
+        let (Some(sufficient), Some(last)) = (Self::sufficient_wave(&waves), waves.last()) else {
+            return;
+        };
+        let Some(doublings) = last.checked_sub(sufficient) else { return };
+        let doublings = u32::try_from(doublings).unwrap_or(u32::MAX);
         let factor = 1_u32.checked_shl(doublings).unwrap_or(u32::MAX);
         let duration = MIN_QUARANTINE.saturating_mul(factor).min(MAX_QUARANTINE);
         self.quarantined_until = self.quarantined_until.max(run.lost_at.after(duration));
@@ -163,25 +163,18 @@
     }
 
     /// Returns the wave that proves that the request crashes endpoints: the third, or the one after that in
-    /// which the number of crashes was reached.
-    fn sufficient_wave(&self, waves: &[usize]) -> usize {
-        let reached = waves.get(MAX_CRASHES - 1).copied().unwrap_or(usize::MAX - 1);
-        if reached + 1 >= MAX_CRASHES {
-            reached
-        } else {
-            reached + 1
-        }
+    /// which the number of crashes was reached; `None` before it was.
+    fn sufficient_wave(waves: &[usize]) -> Option<usize> {
+        let reached = *waves.get(MAX_CRASHES - 1)?;
+        Some(if reached + 1 >= MAX_CRASHES { reached } else { reached + 1 })
     }
 
     fn proof(&self) -> Proof {
-        if self.crashes.len() < MAX_CRASHES {
-            return Proof::None;
-        }
         let waves = self.waves();
-        if waves.last().is_some_and(|last| *last >= self.sufficient_wave(&waves)) {
-            Proof::Sufficient
-        } else {
-            Proof::Doubtful
+        match (Self::sufficient_wave(&waves), waves.last()) {
+            (Some(sufficient), Some(last)) if *last >= sufficient => Proof::Sufficient,
+            (Some(_), _) => Proof::Doubtful,
+            (None, _) => Proof::None,
         }
     }
 
@@ -212,6 +205,8 @@
     pub has_loaded_suspicions: bool,
     /// Whether what is known has changed since it was saved.
     pub is_unsaved: bool,
+    /// Whether this process has saved anything.
+    has_saved: bool,
     /// Requests that endpoints have survived, of which the other gateways have to be told.
     pub untold_survivals: collections::BTreeSet<ids::Fingerprint>,
     /// When the other gateways were last told of survivals, and crashes were last saved.
@@ -250,7 +245,8 @@
     pub fn record_success(&mut self, fingerprint: ids::Fingerprint) -> bool {
         self.suspicions.retain(|suspicion| suspicion.fingerprint != fingerprint);
         let Some(suspect) = self.suspects.remove(&fingerprint) else { return false };
-        self.is_unsaved |= suspect.proof() != Proof::None;
+        // Other gateways have saved what they have told.
+        self.is_unsaved |= self.has_saved && suspect.proof() != Proof::None;
         self.update();
         true
     }
@@ -420,7 +416,8 @@
 
     /// Returns what is saved for gateways that start: the requests with the most crashes, and the newest
     /// losses.
-    pub fn record(&self, now: core_time::Timestamp) -> input::CrashRecord {
+    pub fn record(&mut self, now: core_time::Timestamp) -> input::CrashRecord {
+        self.has_saved = true;
         let mut crashes = self.all(now);
         let count = |crash: &input::PeerCrash| {
             self.suspects.get(&crash.fingerprint).map_or(0, |suspect| suspect.crashes.len())
